--- a/lib/src/config_snapshot.rs
+++ b/lib/src/config_snapshot.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::ids::CellId;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServiceAddress;
@@ -47,6 +48,8 @@
     pub name: SmolStr,
     /// Where hosts send to.
     pub address: SocketAddr,
+    /// Where its health and load endpoints answer, if it has any.
+    pub health_address: Option<SocketAddr>,
     /// The availability zone it is in.
     pub zone: ZoneName,
     /// Grows when the address is given to another process.
@@ -87,6 +90,9 @@
     pub id: HostId,
     /// The availability zone it is in.
     pub zone: ZoneName,
+    /// The cell it belongs to; today's fleets are one cell each.
+    #[serde(default)]
+    pub cell: CellId,
     /// Where its peers send forwarded datagrams.
     pub peer_address: SocketAddr,
     /// Where its control daemon accepts peers.
--- a/lib/src/host_core.rs
+++ b/lib/src/host_core.rs
@@ -92,7 +92,11 @@
                 self.take_upstream(now, source, frame, actions);
             }
             HostEvent::Config(config) => self.put_in_force(now, config),
-            HostEvent::Hosts(hosts) => self.hosts = hosts,
+            HostEvent::Hosts(hosts) => {
+                self.policy.learn_hosts(now, &hosts);
+                self.hosts = hosts;
+            }
+            HostEvent::UpstreamReport(report) => self.policy.learn_report(now, report),
             HostEvent::Drain => self.draining = true,
             HostEvent::Tick => self.tick(now, actions),
         }
@@ -154,6 +158,12 @@
                 frame: inner,
             } => self.route_caller(now, caller, inner, frame.hops, actions),
             PeerBody::FromUpstream(inner) => self.match_answer(now, inner, actions),
+            PeerBody::Load(message) => {
+                let mut decisions = Vec::new();
+                self.policy
+                    .take_message(now, frame.sender, &message, &mut decisions);
+                self.carry_out(now, decisions, actions);
+            }
         }
     }
 
@@ -193,6 +203,9 @@
                 LoadDecision::Send { key, upstream } => {
                     self.send_attempt(now, key, upstream, actions);
                 }
+                LoadDecision::Tell { host, message } => {
+                    self.send_peer(host, 1, PeerBody::Load(message), actions);
+                }
                 LoadDecision::Refuse {
                     key,
                     code,
--- a/lib/src/host_event.rs
+++ b/lib/src/host_event.rs
@@ -5,10 +5,24 @@
 
 use crate::config_snapshot::ConfigSnapshot;
 use crate::config_snapshot::HostView;
+use crate::ids::UpstreamId;
 use crate::wire_frame::CallerFrame;
 use crate::wire_frame::PeerFrame;
 use crate::wire_frame::UpstreamFrame;
 
+/// What an upstream's endpoints said at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamReport {
+    /// The upstream asked.
+    pub upstream: UpstreamId,
+    /// Whether it called itself healthy.
+    pub healthy: bool,
+    /// Slots it called busy.
+    pub busy_slots: u32,
+    /// Flows it said it holds.
+    pub connections: u32,
+}
+
 /// One event; the time it happened at is passed beside it.
 #[derive(Clone, Debug)]
 pub enum HostEvent {
@@ -32,6 +46,8 @@
     Config(Arc<ConfigSnapshot>),
     /// The control daemon delivered its view of the entry hosts.
     Hosts(Arc<HostView>),
+    /// What an upstream's health and load endpoints said; it may lag or mislead.
+    UpstreamReport(UpstreamReport),
     /// The host was asked to stop: finish what is in progress, take nothing new.
     Drain,
     /// Time has passed; to be sent at least once in [`crate::host_core::TICK`].
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -25,6 +25,9 @@
 /// Version of a published value; a larger one replaces a smaller one, never the reverse.
 pub type Version = u64;
 
+/// Number of a cell: the handful of entry hosts among which flows are owned and heartbeats run.
+pub type CellId = u32;
+
 /// Name of an availability zone, as published.
 pub type ZoneName = SmolStr;
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ids;
 pub mod label_selector;
 pub mod least_busy_policy;
+pub mod load_message;
 pub mod load_policy;
 pub mod owner_rank;
 pub mod published_config;
--- a/lib/src/load_policy.rs
+++ b/lib/src/load_policy.rs
@@ -9,8 +9,12 @@
 use std::time::Instant;
 
 use crate::config_snapshot::ConfigSnapshot;
+use crate::config_snapshot::HostView;
+use crate::host_event::UpstreamReport;
+use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::ids::UpstreamId;
+use crate::load_message::LoadMessage;
 use crate::request_table::RequestKey;
 use crate::result_code::ResultCode;
 
@@ -48,7 +52,7 @@
 }
 
 /// What a policy decides on a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LoadDecision {
     /// Send it now.
     Send {
@@ -66,6 +70,13 @@
         /// When coming back makes sense.
         retry_after: Duration,
     },
+    /// Tell another host's policy something.
+    Tell {
+        /// The host.
+        host: HostId,
+        /// What.
+        message: LoadMessage,
+    },
 }
 
 /// Decides whom to serve, who waits, who is refused, and where work goes.
@@ -76,6 +87,21 @@
     /// Puts a configuration in force.
     fn configure(&mut self, now: Instant, config: &Arc<ConfigSnapshot>);
 
+    /// Learns which entry hosts are usable.
+    fn learn_hosts(&mut self, now: Instant, hosts: &Arc<HostView>);
+
+    /// Learns what an upstream's endpoints said.
+    fn learn_report(&mut self, now: Instant, report: UpstreamReport);
+
+    /// Takes a message of another host's policy.
+    fn take_message(
+        &mut self,
+        now: Instant,
+        sender: HostId,
+        message: &LoadMessage,
+        decisions: &mut Vec<LoadDecision>,
+    );
+
     /// Takes a new job; decisions, also on other jobs, are appended to `decisions`.
     fn submit(&mut self, now: Instant, job: LoadJob, decisions: &mut Vec<LoadDecision>);
 
--- a/lib/src/published_config.rs
+++ b/lib/src/published_config.rs
@@ -47,6 +47,9 @@
     pub name: SmolStr,
     /// Where hosts send to.
     pub address: SocketAddr,
+    /// Where its health and load endpoints answer, if it has any.
+    #[serde(default)]
+    pub health_address: Option<SocketAddr>,
     /// The availability zone it is in.
     pub zone: ZoneName,
     /// Grows when the address is given to another process.
@@ -156,6 +159,7 @@
         id: doc.id,
         name: doc.name.clone(),
         address: doc.address,
+        health_address: doc.health_address,
         zone: doc.zone.clone(),
         incarnation: doc.incarnation,
         state: doc.state,
--- a/lib/src/wire_frame.rs
+++ b/lib/src/wire_frame.rs
@@ -23,6 +23,7 @@
 use crate::ids::RequestId;
 use crate::ids::ServiceAddress;
 use crate::ids::UpstreamId;
+use crate::load_message::LoadMessage;
 use crate::result_code::ResultCode;
 
 /// First two bytes of every datagram.
@@ -243,6 +244,8 @@
     },
     /// An upstream's frame, for the host that its tag names.
     FromUpstream(UpstreamFrame),
+    /// Between the load policies of two hosts.
+    Load(LoadMessage),
 }
 
 /// Which of the three frames a datagram holds; the fourth byte of its header.
--- a/lib/tests/world.rs
+++ b/lib/tests/world.rs
@@ -55,6 +55,7 @@
         name: format!("ledger-{id}").into(),
         address: upstream_address(id),
         zone: "zig-a".into(),
+        health_address: None,
         incarnation: 0,
         labels: [("service".into(), "ledger".into())].into(),
         state: UpstreamState::Active,
@@ -68,6 +69,7 @@
     let entry = |id: &HostId| HostEntry {
         id: *id,
         zone: "zig-a".into(),
+        cell: 0,
         peer_address: ([127, 0, 2, 1], 6_000 + *id as u16).into(),
         control_address: ([127, 0, 2, 1], 7_000 + *id as u16).into(),
         leaving: false,
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -98,6 +98,7 @@
                     name: format!("{}-{id}", service.name).into(),
                     address: upstream.address()?,
                     zone: (*zone).into(),
+                    health_address: None,
                     incarnation: 0,
                     labels: [("service".into(), service.name.into())].into(),
                     state: UpstreamState::Active,
@@ -149,6 +150,7 @@
         Ok(HostEntry {
             id: host,
             zone: zone.into(),
+            cell: 0,
             peer_address: addresses.peer,
             control_address,
             leaving: false,
