control: decide what is read, relayed and put in force without I/O

Cause: each host polled the platform five times a second; at 14,000 hosts that is 70,000 calls a second against two thousand, and a late entry daemon waited for the next poll.

Adds the control core: a store that keeps per key the largest version, two readers a zone by rendezvous rank, pull-based relay among hosts with deltas and digests, a byte budget with priorities, and a compiler that touches only what changed.

--- /dev/null
+++ b/bench/src/lab_config.rs
@@ -0,0 +1,146 @@
+//! What the control experiment publishes: services, upstreams in shards, hosts.
+
+use std::time::Duration;
+
+use lagoonproxy::config_snapshot::HostEntry;
+use lagoonproxy::config_snapshot::UpstreamState;
+use lagoonproxy::ids::HostId;
+use lagoonproxy::ids::Version;
+use lagoonproxy::published_config::ServiceDoc;
+use lagoonproxy::published_config::UpstreamDoc;
+use serde_json::json;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::lab_platform::LabPlatform;
+
+/// Upstreams under one key, which the page for operators advises.
+pub const UPSTREAM_SHARD: u32 = 32;
+/// Services under one key.
+pub const SERVICE_SHARD: u32 = 64;
+
+/// What stands on the platform.
+#[derive(Clone, Copy, Debug)]
+pub struct LabSize {
+    /// Entry hosts, spread evenly over the zones.
+    pub hosts: u32,
+    /// Availability zones.
+    pub zones: u32,
+    /// Services.
+    pub services: u32,
+    /// Upstreams, spread evenly over the zones.
+    pub upstreams: u32,
+}
+
+/// The published documents, kept so that they can be changed.
+pub struct LabConfig {
+    /// How much there is.
+    pub size: LabSize,
+    upstreams: Vec<UpstreamDoc>,
+    changes: u32,
+}
+
+/// Name of a zone.
+pub fn zone_name(zone: u32) -> SmolStr {
+    format_smolstr!("zone-{zone}")
+}
+
+impl LabConfig {
+    /// Publishes everything once.
+    pub fn publish(size: LabSize, platform: &mut LabPlatform) -> Self {
+        let config = Self {
+            size,
+            upstreams: (0..size.upstreams).map(|id| upstream(size, id)).collect(),
+            changes: 0,
+        };
+        let services: Vec<ServiceDoc> = (0..size.services).map(service).collect();
+        for (shard, docs) in services.chunks(SERVICE_SHARD as usize).enumerate() {
+            platform.publish(&format!("services/main/{shard}"), json!(docs));
+        }
+        for shard in 0..size.upstreams.div_ceil(UPSTREAM_SHARD) {
+            config.publish_shard(shard, platform);
+        }
+        for zone in 0..size.zones {
+            let hosts: Vec<HostEntry> = (0..size.hosts)
+                .filter(|host| host % size.zones == zone)
+                .map(|host| host_entry(size, host))
+                .collect();
+            platform.publish(&format!("hosts/{}", zone_name(zone)), json!(hosts));
+        }
+        config
+    }
+
+    /// Changes one upstream: drains it, takes it back, or relabels it, in turn.
+    pub fn change_one(&mut self, platform: &mut LabPlatform) -> Version {
+        self.changes += 1;
+        let number = self.changes;
+        let index = (number.wrapping_mul(7_919) % self.size.upstreams) as usize;
+        let doc = &mut self.upstreams[index];
+        if number.is_multiple_of(3) {
+            doc.labels
+                .insert("tier".into(), format_smolstr!("t{}", number % 5));
+        } else if doc.state == UpstreamState::Active {
+            doc.state = UpstreamState::Draining;
+        } else {
+            doc.state = UpstreamState::Active;
+        }
+        self.publish_shard(index as u32 / UPSTREAM_SHARD, platform)
+    }
+
+    fn publish_shard(&self, shard: u32, platform: &mut LabPlatform) -> Version {
+        let begin = (shard * UPSTREAM_SHARD) as usize;
+        let end = (begin + UPSTREAM_SHARD as usize).min(self.upstreams.len());
+        let key = format!("upstreams/main/{shard}");
+        platform.publish(&key, json!(self.upstreams[begin..end]))
+    }
+}
+
+fn service(id: u32) -> ServiceDoc {
+    ServiceDoc {
+        id,
+        name: format_smolstr!("service-{id}"),
+        address: ([10, 0, (id / 250) as u8, (id % 250) as u8], 443).into(),
+        selector: format!("service=service-{id}"),
+    }
+}
+
+fn upstream(size: LabSize, id: u32) -> UpstreamDoc {
+    let service = id % size.services;
+    UpstreamDoc {
+        id,
+        name: format_smolstr!("service-{service}-{id}"),
+        address: ([10, 1, (id / 250) as u8, (id % 250) as u8], 8_443).into(),
+        health_address: None,
+        zone: zone_name(id % size.zones),
+        incarnation: 1,
+        labels: [
+            ("service".into(), format_smolstr!("service-{service}")),
+            ("tier".into(), "t0".into()),
+        ]
+        .into(),
+        state: UpstreamState::Active,
+        slots: 2,
+        connections: 2_000,
+    }
+}
+
+fn host_entry(size: LabSize, id: HostId) -> HostEntry {
+    let octets = [127, 1, (id / 250) as u8, (id % 250) as u8];
+    HostEntry {
+        id,
+        zone: zone_name(id % size.zones),
+        cell: id / 8,
+        peer_address: (octets, 6_000).into(),
+        control_address: (octets, 7_000).into(),
+        leaving: false,
+    }
+}
+
+/// One-way delay between two zones, or within one.
+pub fn link_delay(left: u32, right: u32) -> Duration {
+    if left == right {
+        Duration::from_micros(500)
+    } else {
+        Duration::from_millis(4)
+    }
+}
--- /dev/null
+++ b/lib/src/control_core.rs
@@ -0,0 +1,499 @@
+//! The one door to a host's control decisions: events and the present time in, actions out.
+//!
+//! It decides whether this host reads the platform, which peers it keeps links to, what it passes
+//! on, and which configuration its entry daemon gets. Given the same events at the same times and
+//! the same seed, the actions are the same.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::byte_budget::ByteBudget;
+use crate::config_relay::ConfigRelay;
+use crate::config_snapshot::HostEntry;
+use crate::config_snapshot::HostView;
+use crate::config_store::ConfigStore;
+use crate::config_value::EntryDoc;
+use crate::config_value::HOSTS_PREFIX;
+use crate::control_event::ControlAction;
+use crate::control_event::ControlEvent;
+use crate::ids::ConfigKey;
+use crate::ids::HostId;
+use crate::ids::Version;
+use crate::ids::ZoneName;
+use crate::platform_feed::FeedDemand;
+use crate::platform_feed::PlatformFeed;
+use crate::reader_rank::FAR_LINKS;
+use crate::reader_rank::NEAR_LINKS;
+use crate::reader_rank::READERS_PER_ZONE;
+use crate::reader_rank::link_rankings;
+use crate::reader_rank::reader_ranking;
+use crate::relay_message::ReaderBeat;
+use crate::result_code::ResultCode;
+use crate::snapshot_compiler::SnapshotCompiler;
+
+/// Longest time between two [`ControlEvent::Tick`] events.
+pub const CONTROL_TICK: Duration = Duration::from_millis(50);
+/// How often a reader that is in touch with the platform says so.
+pub const BEAT_PAUSE: Duration = Duration::from_secs(2);
+/// A reader not heard of for so long is replaced: three beats missed.
+pub const READER_SILENCE: Duration = Duration::from_secs(7);
+/// How much longer each further host in rank waits, so that one replaces the reader, not all.
+pub const READER_STAGGER: Duration = Duration::from_secs(2);
+/// How many hosts of a zone may become readers while the platform answers nobody.
+///
+/// Without the bound a platform that comes back after hours meets 14,000 hosts that all try.
+pub const MAX_READER_RANK: usize = 16;
+/// How long an unreachable peer is left alone.
+const LINK_RETRY: Duration = Duration::from_secs(5);
+/// Shortest time between two configurations for the entry daemon; bounds the work of a burst.
+const FORCE_GAP: Duration = Duration::from_millis(500);
+/// How long a host waits for a state that was published as a whole.
+///
+/// Beyond it, drains and removals that have arrived are put in force although additions published
+/// before them are still under way.
+const WHOLE_PATIENCE: Duration = Duration::from_secs(2);
+/// Peers that a starting host hears before it serves while the platform does not answer.
+const BOOT_PEERS: usize = 3;
+/// How long a starting host waits for so many.
+const BOOT_PATIENCE: Duration = Duration::from_secs(5);
+/// Seconds of the byte budget that may be saved up.
+///
+/// Over any time the bytes sent are at most the rate times that time and these seconds. With two
+/// seconds a burst of 1,000 changes took minutes to pass four hops.
+const BURST_SECONDS: u32 = 30;
+/// Bytes that may be read from the platform at once: a zone's whole configuration.
+const READ_BURST: u32 = 2_000_000;
+
+/// What a host's control daemon knows of itself.
+#[derive(Clone, Debug)]
+pub struct ControlIdentity {
+    /// The host's number in the published list.
+    pub host: HostId,
+    /// The availability zone it is in.
+    pub zone: ZoneName,
+    /// Prefixes of the keys that it needs.
+    pub prefixes: Vec<ConfigKey>,
+    /// Bytes a second that it may send for control.
+    pub send_rate: u32,
+    /// Bytes a second that it may read from the platform.
+    pub read_rate: u32,
+    /// Larger at each start of the host's control daemon; its beats begin here.
+    pub first_beat: ReaderBeat,
+    /// Seed of the jitter.
+    pub seed: u64,
+}
+
+/// The control decisions of one host.
+pub struct ControlCore {
+    identity: ControlIdentity,
+    store: ConfigStore,
+    feed: PlatformFeed,
+    relay: ConfigRelay,
+    compiler: SnapshotCompiler,
+    hosts: Arc<HostView>,
+    readers: Vec<HostId>,
+    near_peers: Vec<HostId>,
+    far_peers: Vec<HostId>,
+    /// Peers that are not tried before a time.
+    avoided: BTreeMap<HostId, Instant>,
+    /// Peers that were asked for a link and have not answered.
+    connecting: BTreeMap<HostId, Instant>,
+    beat: ReaderBeat,
+    beat_due: Instant,
+    reading: bool,
+    /// When enough better readers were last heard.
+    covered: Instant,
+    /// When a peer was last linked.
+    accompanied: Instant,
+    started: Instant,
+    ready: bool,
+    force: ForceState,
+}
+
+/// Which state the entry daemon has.
+struct ForceState {
+    /// Version last handed over.
+    version: Version,
+    /// Digest of the store when it was last compiled, successfully or not.
+    digest: u64,
+    /// Version of the last whole state that was handed over.
+    whole_version: Version,
+    next: Instant,
+    /// Since when the store has not been whole.
+    partial_since: Option<Instant>,
+    hosts_digest: Option<Version>,
+    mixed: u64,
+    refused: u64,
+}
+
+/// What a control core reports of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlStatus {
+    /// Whether the entry daemon was given a configuration.
+    pub ready: bool,
+    /// Whether this host reads the platform.
+    pub reading: bool,
+    /// Whether the platform answered the last call with nothing older than what is held.
+    pub platform_in_touch: bool,
+    /// Whether the platform's last answer was older than what is held.
+    pub platform_stale: bool,
+    /// Version in force.
+    pub version: Version,
+    /// Every change up to this revision is held.
+    pub through: Version,
+    /// Links open.
+    pub links: usize,
+    /// States handed over although some keys were ahead of others.
+    pub mixed: u64,
+    /// States refused whole.
+    pub refused: u64,
+}
+
+impl ControlCore {
+    /// Makes a host that knows nothing yet.
+    pub fn new(now: Instant, identity: ControlIdentity) -> Self {
+        let burst = identity.send_rate.saturating_mul(BURST_SECONDS);
+        let budget = ByteBudget::new(now, identity.send_rate, burst);
+        let read_budget = ByteBudget::new(now, identity.read_rate, READ_BURST);
+        Self {
+            store: ConfigStore::default(),
+            feed: PlatformFeed::new(now, &identity.prefixes, read_budget, identity.seed),
+            relay: ConfigRelay::new(now, identity.host, budget),
+            compiler: SnapshotCompiler::default(),
+            hosts: Arc::default(),
+            readers: Vec::new(),
+            near_peers: Vec::new(),
+            far_peers: Vec::new(),
+            avoided: BTreeMap::new(),
+            connecting: BTreeMap::new(),
+            beat: identity.first_beat,
+            beat_due: now,
+            reading: false,
+            covered: now,
+            accompanied: now,
+            started: now,
+            ready: false,
+            force: ForceState::new(now),
+            identity,
+        }
+    }
+
+    /// Takes one event that happened at `now` and appends what is to be done to `actions`.
+    ///
+    /// `now` must not be smaller than in an earlier call.
+    pub fn handle(&mut self, now: Instant, event: ControlEvent, actions: &mut Vec<ControlAction>) {
+        match event {
+            ControlEvent::PeerUp(host) => self.link_up(now, host),
+            ControlEvent::PeerDown(host) => self.link_down(now, host),
+            ControlEvent::PeerMessage { host, bytes } => {
+                self.relay
+                    .take_message(now, &mut self.store, host, &bytes, actions);
+            }
+            ControlEvent::PlatformAnswer {
+                call,
+                answer,
+                bytes,
+            } => {
+                self.feed.spend(bytes);
+                self.feed
+                    .take_answer(now, &mut self.store, call, answer, actions);
+                self.poll_platform(now, actions);
+            }
+            ControlEvent::Tick => self.tick(now, actions),
+        }
+    }
+
+    /// What this host holds.
+    pub fn store(&self) -> &ConfigStore {
+        &self.store
+    }
+
+    /// The relay, for its counts.
+    pub fn relay(&self) -> &ConfigRelay {
+        &self.relay
+    }
+
+    /// What is in force, and why.
+    pub fn status(&self) -> ControlStatus {
+        ControlStatus {
+            ready: self.ready && self.force.version > 0,
+            reading: self.reading,
+            platform_in_touch: self.feed.in_touch(),
+            platform_stale: self.feed.is_stale(),
+            version: self.force.version,
+            through: self.store.through(),
+            links: self.relay.linked().count(),
+            mixed: self.force.mixed,
+            refused: self.force.refused,
+        }
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        self.learn_hosts(now, actions);
+        self.keep_links(now, actions);
+        self.decide_reading(now);
+        self.poll_platform(now, actions);
+        self.relay.tick(now, &self.store, actions);
+        self.become_ready(now);
+        self.put_in_force(now, actions);
+    }
+
+    fn poll_platform(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let demand = FeedDemand {
+            reading: self.reading,
+            peers_deliver: self.relay.is_delivering(now),
+        };
+        self.feed.poll(now, &mut self.store, demand, actions);
+        self.relay.need_keys(self.feed.missing());
+    }
+
+    /// Compiles the published lists of hosts when one of them changed.
+    fn learn_hosts(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let version = hosts_version(&self.store);
+        if self.force.hosts_digest == Some(version) || version == 0 {
+            return;
+        }
+        self.force.hosts_digest = Some(version);
+        let Some(published) = published_hosts(&self.store) else {
+            self.refuse(
+                version,
+                "a list of hosts cannot be read".to_owned(),
+                actions,
+            );
+            return;
+        };
+        if self.readers.is_empty() {
+            self.covered = now;
+        }
+        let identity = &self.identity;
+        self.readers = reader_ranking(&identity.zone, &published);
+        (self.near_peers, self.far_peers) =
+            link_rankings(identity.host, &identity.zone, &published);
+        self.hosts = Arc::new(view_of(version, published));
+        if self.ready {
+            actions.push(ControlAction::Hosts(Arc::clone(&self.hosts)));
+        }
+    }
+
+    fn link_up(&mut self, now: Instant, host: HostId) {
+        self.connecting.remove(&host);
+        self.avoided.remove(&host);
+        let near = match self.hosts.host(host) {
+            Some(entry) => entry.zone == self.identity.zone,
+            None => true,
+        };
+        self.relay.open_link(now, host, near);
+    }
+
+    fn link_down(&mut self, now: Instant, host: HostId) {
+        self.connecting.remove(&host);
+        self.avoided.insert(host, now + LINK_RETRY);
+        self.relay.close_link(host);
+    }
+
+    /// Opens links to the first peers in rank that can be reached, and closes silent ones.
+    fn keep_links(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        for host in self.relay.silent_links(now) {
+            actions.push(ControlAction::Disconnect(host));
+            self.link_down(now, host);
+        }
+        self.avoided.retain(|_host, until| *until > now);
+        self.connecting.retain(|_host, until| *until > now);
+        if self.relay.linked().next().is_some() {
+            self.accompanied = now;
+        }
+        let mut wanted = self.wanted_peers(&self.near_peers, NEAR_LINKS);
+        wanted.extend(self.wanted_peers(&self.far_peers, FAR_LINKS));
+        for host in wanted {
+            let Some(entry) = self.hosts.host(host) else {
+                continue;
+            };
+            self.connecting.insert(host, now + LINK_RETRY);
+            actions.push(ControlAction::Connect {
+                host,
+                address: entry.control_address,
+            });
+        }
+    }
+
+    /// The peers among the first `count` reachable ones to which there is no link yet.
+    fn wanted_peers(&self, ranking: &[HostId], count: usize) -> Vec<HostId> {
+        ranking
+            .iter()
+            .filter(|host| !self.avoided.contains_key(*host))
+            .take(count)
+            .filter(|host| !self.relay.is_linked(**host) && !self.connecting.contains_key(*host))
+            .copied()
+            .collect()
+    }
+
+    /// Reads if among the first in rank, or when too few of the better ones are heard, or alone.
+    fn decide_reading(&mut self, now: Instant) {
+        let host = self.identity.host;
+        let rank = self.readers.iter().position(|reader| *reader == host);
+        let rank = rank.unwrap_or(usize::MAX);
+        let silent = |reader: &HostId| {
+            let heard = self.relay.beat_heard(*reader);
+            heard.is_none_or(|heard| now.saturating_duration_since(heard) >= READER_SILENCE)
+        };
+        let better = self.readers.iter().take(rank);
+        let heard = better.filter(|reader| !silent(reader)).count();
+        if heard >= READERS_PER_ZONE {
+            self.covered = now;
+        }
+        let alone = now.saturating_duration_since(self.accompanied) >= READER_SILENCE;
+        let replaces = heard < READERS_PER_ZONE
+            && (READERS_PER_ZONE..MAX_READER_RANK).contains(&rank)
+            && now.saturating_duration_since(self.covered) >= replacement_wait(rank);
+        self.reading = rank < READERS_PER_ZONE || replaces || alone;
+        if self.reading && now >= self.beat_due {
+            self.beat_due = now + BEAT_PAUSE;
+            self.send_beat(now);
+        }
+    }
+
+    /// Only a reader in touch with the platform says so: one that is cut off is replaced.
+    fn send_beat(&mut self, now: Instant) {
+        if self.feed.in_touch() {
+            self.beat += 1;
+            self.relay.hear_beat(now, self.identity.host, self.beat);
+        }
+    }
+
+    /// A starting host serves once it holds everything that the platform lists; or, while the
+    /// platform does not answer, what several peers hold.
+    ///
+    /// One stale copy would otherwise be put in force on a host that has nothing to compare with.
+    /// A host that reaches nobody stays without configuration and says so.
+    fn become_ready(&mut self, now: Instant) {
+        if self.ready {
+            return;
+        }
+        let (informed, through) = self.relay.informed_peers();
+        let waited = now.saturating_duration_since(self.started) >= BOOT_PATIENCE;
+        let enough = informed >= BOOT_PEERS || (informed > 0 && waited);
+        let caught_up = self.store.is_whole() && self.store.through() >= through;
+        let by_peers = self.feed.is_failing() && enough && caught_up;
+        let by_platform = self.feed.is_listed() && self.store.is_whole();
+        self.ready = by_peers || by_platform;
+    }
+
+    fn put_in_force(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
+        let digest = self.store.digest();
+        if !self.ready || digest == self.force.digest || now < self.force.next {
+            return;
+        }
+        let whole = self.store.is_whole();
+        let Some(version) = self.force.next_version(now, &self.store) else {
+            return;
+        };
+        self.force.digest = digest;
+        self.force.next = now + FORCE_GAP;
+        match self.compiler.compile(&self.store, version) {
+            Ok(snapshot) => {
+                let first = self.force.version == 0;
+                self.force.accept(version, whole);
+                if first {
+                    actions.push(ControlAction::Hosts(Arc::clone(&self.hosts)));
+                }
+                actions.push(ControlAction::Config(snapshot));
+            }
+            Err(error) => self.refuse(version, error.to_string(), actions),
+        }
+    }
+
+    fn refuse(&mut self, version: Version, fault: String, actions: &mut Vec<ControlAction>) {
+        self.force.refused += 1;
+        actions.push(ControlAction::Count(ResultCode::ConfigInvalid));
+        actions.push(ControlAction::Refused { version, fault });
+    }
+}
+
+impl ForceState {
+    fn new(now: Instant) -> Self {
+        Self {
+            version: 0,
+            digest: 0,
+            whole_version: 0,
+            next: now,
+            partial_since: None,
+            hosts_digest: None,
+            mixed: 0,
+            refused: 0,
+        }
+    }
+
+    /// The version under which the store's present state is handed over, or `None` if it has to
+    /// wait: for a state that was published as a whole, the revision of its last change.
+    ///
+    /// A state with keys ahead of others gets a version between the last whole one and the next,
+    /// so that the next one replaces it: each key that is ahead has taken one revision at least.
+    fn next_version(&mut self, now: Instant, store: &ConfigStore) -> Option<Version> {
+        if store.is_whole() {
+            self.partial_since = None;
+            return Some(store.newest()).filter(|version| *version > self.version);
+        }
+        let since = *self.partial_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < WHOLE_PATIENCE {
+            return None;
+        }
+        let ahead = store.ahead_of_through().len() as Version;
+        let version = (self.whole_version + ahead).max(self.version + 1);
+        Some(version).filter(|version| *version < store.newest())
+    }
+
+    fn accept(&mut self, version: Version, whole: bool) {
+        self.version = version;
+        if whole {
+            self.whole_version = version;
+        } else {
+            self.mixed += 1;
+        }
+    }
+}
+
+fn replacement_wait(rank: usize) -> Duration {
+    let later = (rank - READERS_PER_ZONE) as u32;
+    READER_STAGGER * later
+}
+
+fn hosts_version(store: &ConfigStore) -> Version {
+    let lists = store.keys_under(HOSTS_PREFIX);
+    lists
+        .map(|(_key, stored)| stored.version)
+        .max()
+        .unwrap_or(0)
+}
+
+/// Every published host in ascending order; `None` if a list is invalid.
+fn published_hosts(store: &ConfigStore) -> Option<Vec<HostEntry>> {
+    let mut published = Vec::new();
+    let lists = store
+        .keys_under(HOSTS_PREFIX)
+        .filter_map(|(_key, stored)| stored.value.as_ref());
+    for list in lists {
+        for doc in list.rows()?.values() {
+            if let EntryDoc::Host(entry) = &**doc {
+                published.push(entry.clone());
+            }
+        }
+    }
+    published.sort_unstable_by_key(|entry| entry.id);
+    let unique = published.windows(2).all(|pair| pair[0].id != pair[1].id);
+    unique.then_some(published)
+}
+
+fn view_of(version: Version, published: Vec<HostEntry>) -> HostView {
+    let alive = published
+        .iter()
+        .filter(|host| !host.leaving)
+        .map(|host| host.id)
+        .collect();
+    HostView {
+        version,
+        published,
+        alive,
+    }
+}
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -25,6 +25,9 @@
 /// Version of a published value; a larger one replaces a smaller one, never the reverse.
 pub type Version = u64;
 
+/// Key of a value published on the platform.
+pub type ConfigKey = SmolStr;
+
 /// Number of a cell: the handful of entry hosts among which flows are owned and heartbeats run.
 pub type CellId = u32;
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,8 +4,14 @@
 //! the present time go in, actions come out. The daemons are thin shells around it.
 
 pub mod answer_buffer;
+pub mod byte_budget;
 pub mod caller_system;
+pub mod config_relay;
 pub mod config_snapshot;
+pub mod config_store;
+pub mod config_value;
+pub mod control_core;
+pub mod control_event;
 pub mod expiry_system;
 pub mod flow_hash;
 pub mod flow_table;
@@ -13,13 +19,18 @@
 pub mod host_core;
 pub mod host_event;
 pub mod ids;
+pub mod key_fetch;
 pub mod label_selector;
 pub mod least_busy_policy;
 pub mod load_message;
 pub mod load_policy;
 pub mod owner_rank;
+pub mod platform_feed;
 pub mod published_config;
+pub mod reader_rank;
+pub mod relay_message;
 pub mod request_table;
 pub mod result_code;
+pub mod snapshot_compiler;
 pub mod upstream_system;
 pub mod wire_frame;
--- a/lib/src/published_config.rs
+++ b/lib/src/published_config.rs
@@ -134,9 +134,7 @@
     }
 
     fn compile_service(&self, doc: &ServiceDoc) -> Result<ServiceEntry, ConfigError> {
-        let selector = LabelSelector::parse(&doc.selector).context(SelectorSnafu {
-            service: doc.name.clone(),
-        })?;
+        let selector = parse_selector(doc)?;
         let mut upstreams: Vec<UpstreamId> = self
             .upstreams
             .iter()
@@ -154,7 +152,15 @@
     }
 }
 
-fn compile_upstream(doc: &UpstreamDoc) -> UpstreamEntry {
+/// Parses a service's selector.
+pub(crate) fn parse_selector(doc: &ServiceDoc) -> Result<LabelSelector, ConfigError> {
+    LabelSelector::parse(&doc.selector).context(SelectorSnafu {
+        service: doc.name.clone(),
+    })
+}
+
+/// The upstream as hosts use it.
+pub(crate) fn compile_upstream(doc: &UpstreamDoc) -> UpstreamEntry {
     UpstreamEntry {
         id: doc.id,
         name: doc.name.clone(),
--- /dev/null
+++ b/lib/src/snapshot_compiler.rs
@@ -0,0 +1,317 @@
+//! Compiles the published keys into a snapshot, touching only what changed since the last one.
+//!
+//! A full compilation matches each service's selector against each upstream: five million matches
+//! in a zone of the size aimed at. A change of one upstream needs one match a service.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::config_snapshot::ConfigSnapshot;
+use crate::config_snapshot::ServiceEntry;
+use crate::config_store::ConfigStore;
+use crate::config_value::EntryDoc;
+use crate::config_value::EntryId;
+use crate::config_value::EntryRows;
+use crate::config_value::HOSTS_PREFIX;
+use crate::config_value::KeyValue;
+use crate::ids::ConfigKey;
+use crate::ids::ServiceId;
+use crate::ids::UpstreamId;
+use crate::ids::Version;
+use crate::label_selector::LabelSelector;
+use crate::published_config::ConfigError;
+use crate::published_config::ServiceDoc;
+use crate::published_config::UpstreamDoc;
+use crate::published_config::compile_upstream;
+use crate::published_config::parse_selector;
+
+/// Why a published state is refused whole.
+#[derive(Debug, Snafu)]
+pub enum CompileError {
+    /// A value cannot be read.
+    #[snafu(display("{key}: {fault}"))]
+    Unreadable {
+        /// Its key.
+        key: ConfigKey,
+        /// What is wrong with it.
+        fault: String,
+    },
+    /// Two keys hold an entry of the same number.
+    #[snafu(display("{key}: number {id} stands under another key too"))]
+    Duplicate {
+        /// One of the keys.
+        key: ConfigKey,
+        /// The number.
+        id: EntryId,
+    },
+    /// The documents contradict each other or cannot be compiled.
+    #[snafu(display("{source}"))]
+    Config {
+        /// What is wrong.
+        source: ConfigError,
+    },
+}
+
+/// The last compilation and what it was made from.
+#[derive(Default)]
+pub struct SnapshotCompiler {
+    /// The values compiled; services and upstreams only.
+    compiled: BTreeMap<ConfigKey, Arc<KeyValue>>,
+    services: BTreeMap<ServiceId, CompiledService>,
+    upstreams: BTreeMap<UpstreamId, Arc<EntryDoc>>,
+    snapshot: ConfigSnapshot,
+}
+
+struct CompiledService {
+    doc: Arc<EntryDoc>,
+    selector: LabelSelector,
+    upstreams: BTreeSet<UpstreamId>,
+}
+
+/// The entries that differ from the last compilation.
+#[derive(Default)]
+struct ChangedEntries {
+    /// The new entry of each number, or `None` if it is gone.
+    services: BTreeMap<ServiceId, Option<Arc<EntryDoc>>>,
+    upstreams: BTreeMap<UpstreamId, Option<Arc<EntryDoc>>>,
+}
+
+impl SnapshotCompiler {
+    /// Compiles what the store holds; a fault anywhere refuses it all.
+    ///
+    /// After a fault the next call compiles from nothing.
+    pub fn compile(
+        &mut self,
+        store: &ConfigStore,
+        version: Version,
+    ) -> Result<Arc<ConfigSnapshot>, CompileError> {
+        let result = self.compile_changes(store, version);
+        if result.is_err() {
+            *self = Self::default();
+        }
+        result
+    }
+
+    fn compile_changes(
+        &mut self,
+        store: &ConfigStore,
+        version: Version,
+    ) -> Result<Arc<ConfigSnapshot>, CompileError> {
+        let changed = self.find_changes(store)?;
+        for (id, doc) in changed.upstreams {
+            self.change_upstream(id, doc);
+        }
+        self.change_services(changed.services)?;
+        self.snapshot.version = version;
+        Ok(Arc::new(self.snapshot.clone()))
+    }
+
+    fn find_changes(&mut self, store: &ConfigStore) -> Result<ChangedEntries, CompileError> {
+        let mut gone = Vec::new();
+        let mut come = Vec::new();
+        for (key, stored) in store
+            .keys()
+            .filter(|(key, _)| !key.starts_with(HOSTS_PREFIX))
+        {
+            let old = self.compiled.get(key).cloned();
+            let unchanged = match (&old, &stored.value) {
+                (Some(old), Some(new)) => Arc::ptr_eq(old, new),
+                (None, None) => true,
+                _ => false,
+            };
+            if unchanged {
+                continue;
+            }
+            let empty = EntryRows::new();
+            let new_rows = rows_of(key, stored.value.as_deref(), &empty)?;
+            let old_rows = rows_of(key, old.as_deref(), &empty)?;
+            collect_gone(old_rows, new_rows, &mut gone);
+            collect_come(key, old_rows, new_rows, &mut come);
+            match &stored.value {
+                Some(value) => self.compiled.insert(key.clone(), Arc::clone(value)),
+                None => self.compiled.remove(key),
+            };
+        }
+        self.merge_changes(gone, come)
+    }
+
+    /// An entry that moves between keys is gone from one and new in the other.
+    fn merge_changes(
+        &self,
+        gone: Vec<Arc<EntryDoc>>,
+        come: Vec<(ConfigKey, Arc<EntryDoc>)>,
+    ) -> Result<ChangedEntries, CompileError> {
+        let mut changed = ChangedEntries::default();
+        for doc in gone {
+            match *doc {
+                EntryDoc::Service(_) => changed.services.insert(doc.id(), None),
+                EntryDoc::Upstream(_) => changed.upstreams.insert(doc.id(), None),
+                EntryDoc::Host(_) => None,
+            };
+        }
+        for (key, doc) in come {
+            let id = doc.id();
+            let (slot, held) = match *doc {
+                EntryDoc::Service(_) => {
+                    let held = self.services.contains_key(&id);
+                    (changed.services.insert(id, Some(doc)), held)
+                }
+                EntryDoc::Upstream(_) => {
+                    let held = self.upstreams.contains_key(&id);
+                    (changed.upstreams.insert(id, Some(doc)), held)
+                }
+                EntryDoc::Host(_) => continue,
+            };
+            let duplicate = match slot {
+                Some(former) => former.is_some(),
+                None => held,
+            };
+            if duplicate {
+                return DuplicateSnafu { key, id }.fail();
+            }
+        }
+        Ok(changed)
+    }
+
+    fn change_upstream(&mut self, id: UpstreamId, doc: Option<Arc<EntryDoc>>) {
+        let upstream = doc.as_deref().and_then(as_upstream);
+        for service in self.services.values_mut() {
+            let matches = upstream.is_some_and(|doc| service.selector.matches(&doc.labels));
+            let moved = if matches {
+                service.upstreams.insert(id)
+            } else {
+                service.upstreams.remove(&id)
+            };
+            if moved && let Some(entry) = self.snapshot.services.get_mut(&service.doc.id()) {
+                entry.upstreams = service.upstreams.iter().copied().collect();
+            }
+        }
+        match upstream {
+            Some(upstream) => self
+                .snapshot
+                .upstreams
+                .insert(id, compile_upstream(upstream)),
+            None => self.snapshot.upstreams.remove(&id),
+        };
+        match doc {
+            Some(doc) => self.upstreams.insert(id, doc),
+            None => self.upstreams.remove(&id),
+        };
+    }
+
+    /// Removes every changed service before it adds any, so that an address may pass from one
+    /// service to another within one revision.
+    fn change_services(
+        &mut self,
+        changed: BTreeMap<ServiceId, Option<Arc<EntryDoc>>>,
+    ) -> Result<(), CompileError> {
+        for id in changed.keys() {
+            self.services.remove(id);
+            if let Some(entry) = self.snapshot.services.remove(id) {
+                self.snapshot.addresses.remove(&entry.address);
+            }
+        }
+        for doc in changed.into_values().flatten() {
+            self.add_service(&doc)?;
+        }
+        Ok(())
+    }
+
+    fn add_service(&mut self, doc: &Arc<EntryDoc>) -> Result<(), CompileError> {
+        let EntryDoc::Service(service) = &**doc else {
+            return Ok(());
+        };
+        let selector = parse_selector(service).context(ConfigSnafu)?;
+        let upstreams = self.matching_upstreams(&selector);
+        let entry = service_entry(service, &upstreams);
+        let id = service.id;
+        if self.snapshot.addresses.insert(entry.address, id).is_some() {
+            let source = ConfigError::AddressTaken {
+                service: service.name.clone(),
+                address: entry.address,
+            };
+            return Err(CompileError::Config { source });
+        }
+        self.snapshot.services.insert(id, entry);
+        let compiled = CompiledService {
+            doc: Arc::clone(doc),
+            selector,
+            upstreams,
+        };
+        self.services.insert(id, compiled);
+        Ok(())
+    }
+
+    fn matching_upstreams(&self, selector: &LabelSelector) -> BTreeSet<UpstreamId> {
+        self.upstreams
+            .values()
+            .filter_map(|doc| as_upstream(doc))
+            .filter(|upstream| selector.matches(&upstream.labels))
+            .map(|upstream| upstream.id)
+            .collect()
+    }
+}
+
+fn service_entry(doc: &ServiceDoc, upstreams: &BTreeSet<UpstreamId>) -> ServiceEntry {
+    ServiceEntry {
+        id: doc.id,
+        name: doc.name.clone(),
+        address: doc.address,
+        upstreams: upstreams.iter().copied().collect(),
+    }
+}
+
+fn as_upstream(doc: &EntryDoc) -> Option<&UpstreamDoc> {
+    match doc {
+        EntryDoc::Upstream(upstream) => Some(upstream),
+        EntryDoc::Service(_) | EntryDoc::Host(_) => None,
+    }
+}
+
+fn rows_of<'a>(
+    key: &ConfigKey,
+    value: Option<&'a KeyValue>,
+    empty: &'a EntryRows,
+) -> Result<&'a EntryRows, CompileError> {
+    match value {
+        None => Ok(empty),
+        Some(KeyValue::Rows(rows)) => Ok(rows),
+        Some(KeyValue::Invalid(fault)) => UnreadableSnafu {
+            key: key.clone(),
+            fault: fault.as_str(),
+        }
+        .fail(),
+    }
+}
+
+/// Entries that are gone or changed; values that were patched share the others.
+fn collect_gone(old: &EntryRows, new: &EntryRows, gone: &mut Vec<Arc<EntryDoc>>) {
+    for (id, doc) in old {
+        let same = new.get(id).is_some_and(|new| is_same(doc, new));
+        if !same {
+            gone.push(Arc::clone(doc));
+        }
+    }
+}
+
+fn collect_come(
+    key: &ConfigKey,
+    old: &EntryRows,
+    new: &EntryRows,
+    come: &mut Vec<(ConfigKey, Arc<EntryDoc>)>,
+) {
+    for (id, doc) in new {
+        let same = old.get(id).is_some_and(|old| is_same(old, doc));
+        if !same {
+            come.push((key.clone(), Arc::clone(doc)));
+        }
+    }
+}
+
+fn is_same(left: &Arc<EntryDoc>, right: &Arc<EntryDoc>) -> bool {
+    Arc::ptr_eq(left, right) || left == right
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,11 @@
 //! The tests of the decisions, in one program so that linking is fast.
 
+mod test_byte_budget;
+mod test_config_store;
+mod test_control_core;
 mod test_host_core;
+mod test_reader_rank;
 mod test_result_code;
+mod test_snapshot_compiler;
 mod test_wire_frame;
 mod world;
--- /dev/null
+++ b/lib/tests/test_byte_budget.rs
@@ -0,0 +1,85 @@
+//! The byte budget under a burst.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::byte_budget::ByteBudget;
+use lagoonproxy::byte_budget::TrafficClass;
+
+const RATE: u32 = 10_000;
+const BURST: u32 = 20_000;
+
+/// A host that was away pulls the whole configuration while changes arrive without end. Without
+/// the bucket the sender would spend what its link carries; over a minute it may send the rate and
+/// the burst, and one message more.
+#[test]
+fn test_budget_bounds_bytes_over_time() {
+    let start = Instant::now();
+    let mut budget = ByteBudget::new(start, RATE, BURST);
+    for tick in 0..6_000 {
+        let now = start + Duration::from_millis(10) * tick;
+        for class in [TrafficClass::Repair, TrafficClass::Change] {
+            while budget.allows(now, class) {
+                budget.spend(class, 4_000);
+            }
+        }
+    }
+    let sent = budget.sent(TrafficClass::Repair) + budget.sent(TrafficClass::Change);
+    assert!(
+        sent <= 60 * u64::from(RATE) + u64::from(BURST) + 4_000,
+        "{sent}"
+    );
+    assert!(sent >= 50 * u64::from(RATE), "{sent}");
+}
+
+/// One case of what may still be sent when part of the bucket is used up.
+struct ReserveCase {
+    used: usize,
+    removal: bool,
+    change: bool,
+    repair: bool,
+}
+
+/// A resynchronisation has used the bucket, and an upstream is drained. The drain must not wait.
+#[test]
+fn test_budget_keeps_a_reserve_for_more_urgent_classes() {
+    let cases = [
+        ReserveCase {
+            used: 0,
+            removal: true,
+            change: true,
+            repair: true,
+        },
+        ReserveCase {
+            used: 12_000,
+            removal: true,
+            change: true,
+            repair: false,
+        },
+        ReserveCase {
+            used: 16_000,
+            removal: true,
+            change: false,
+            repair: false,
+        },
+        ReserveCase {
+            used: 20_000,
+            removal: false,
+            change: false,
+            repair: false,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut budget = ByteBudget::new(now, RATE, BURST);
+        budget.spend(TrafficClass::Repair, case.used);
+        let allowed = [
+            TrafficClass::Removal,
+            TrafficClass::Change,
+            TrafficClass::Repair,
+        ]
+        .map(|class| budget.allows(now, class));
+        assert_eq!(allowed, [case.removal, case.change, case.repair]);
+        assert!(budget.allows(now, TrafficClass::Announce));
+    }
+}
--- /dev/null
+++ b/lib/tests/test_control_core.rs
@@ -0,0 +1,308 @@
+//! One host's control decisions, with the platform and peers played by the test.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::config_value::KeyValue;
+use lagoonproxy::control_core::CONTROL_TICK;
+use lagoonproxy::control_core::ControlCore;
+use lagoonproxy::control_core::ControlIdentity;
+use lagoonproxy::control_event::CallId;
+use lagoonproxy::control_event::ControlAction;
+use lagoonproxy::control_event::ControlEvent;
+use lagoonproxy::control_event::PlatformAnswer;
+use lagoonproxy::control_event::PlatformRequest;
+use lagoonproxy::control_event::PublishedKey;
+use lagoonproxy::ids::HostId;
+use lagoonproxy::ids::Version;
+use lagoonproxy::relay_message::Announcement;
+use lagoonproxy::relay_message::RelayMessage;
+use lagoonproxy::result_code::ResultCode;
+use serde_json::json;
+
+use crate::world::host_view;
+use crate::world::ledger_config;
+
+/// A host and what it did.
+struct TestHost {
+    core: ControlCore,
+    now: Instant,
+    calls: Vec<(CallId, PlatformRequest)>,
+    versions: Vec<Version>,
+    codes: Vec<ResultCode>,
+    sent: Vec<(HostId, RelayMessage)>,
+    refused: Vec<String>,
+}
+
+impl TestHost {
+    fn new(host: HostId) -> Self {
+        let now = Instant::now();
+        let identity = ControlIdentity {
+            host,
+            zone: "zig-a".into(),
+            prefixes: vec!["".into()],
+            send_rate: 10_000,
+            read_rate: 10_000,
+            first_beat: 1,
+            seed: 7,
+        };
+        Self {
+            core: ControlCore::new(now, identity),
+            now,
+            calls: Vec::new(),
+            versions: Vec::new(),
+            codes: Vec::new(),
+            sent: Vec::new(),
+            refused: Vec::new(),
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let mut actions = Vec::new();
+        self.core.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                ControlAction::CallPlatform { call, request } => self.calls.push((call, request)),
+                ControlAction::Config(snapshot) => self.versions.push(snapshot.version),
+                ControlAction::Count(code) => self.codes.push(code),
+                ControlAction::Refused { fault, .. } => self.refused.push(fault),
+                ControlAction::SendPeer { host, bytes, .. } => {
+                    self.sent
+                        .push((host, RelayMessage::decode(&bytes).unwrap()));
+                }
+                ControlAction::Connect { .. }
+                | ControlAction::Disconnect(_)
+                | ControlAction::Hosts(_) => {}
+            }
+        }
+    }
+
+    fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += CONTROL_TICK;
+            self.handle(ControlEvent::Tick);
+        }
+    }
+
+    fn answer(&mut self, answer: PlatformAnswer) {
+        let (call, _request) = self.calls.pop().expect("a call is open");
+        self.handle(ControlEvent::PlatformAnswer {
+            call,
+            answer,
+            bytes: 100,
+        });
+    }
+
+    /// Lists and answers everything that a starting host asks for.
+    fn start(&mut self) {
+        self.run_for(CONTROL_TICK);
+        let keys = published(1);
+        self.answer(PlatformAnswer::Keys {
+            revision: 10,
+            keys: keys.iter().map(|k| (k.key.clone(), k.version)).collect(),
+        });
+        for _call in 0..200 {
+            self.run_for(CONTROL_TICK);
+            let Some((_, PlatformRequest::Value { key })) = self.calls.last() else {
+                continue;
+            };
+            let value = keys.iter().find(|published| published.key == *key).cloned();
+            self.answer(PlatformAnswer::Value(value));
+        }
+    }
+
+    fn announce(&mut self, host: HostId, through: Version) {
+        let announcement = Announcement {
+            through,
+            digest: 1,
+            beats: Vec::new(),
+        };
+        let bytes = RelayMessage::Announce(announcement).encode().unwrap();
+        self.handle(ControlEvent::PeerMessage { host, bytes });
+    }
+}
+
+/// Services, upstreams and hosts; `slots` tells versions of the upstreams apart.
+fn published(slots: u32) -> Vec<PublishedKey> {
+    let mut config = ledger_config(1, 3);
+    config
+        .upstreams
+        .iter_mut()
+        .for_each(|doc| doc.slots = slots);
+    let key = |key: &str, version, value| PublishedKey {
+        key: key.into(),
+        version,
+        value: Some(value),
+    };
+    vec![
+        key("hosts/zig-a", 8, json!(host_view(&[1, 2, 3]).published)),
+        key("services/main/0", 9, json!(config.services)),
+        key("upstreams/zig-a/0", 10, json!(config.upstreams)),
+    ]
+}
+
+fn drained(version: Version) -> PublishedKey {
+    PublishedKey {
+        version,
+        ..published(version as u32).remove(2)
+    }
+}
+
+#[test]
+fn test_start_waits_for_everything_listed() {
+    let mut host = TestHost::new(1);
+    host.start();
+    assert_eq!(host.versions, [10]);
+    assert!(host.core.status().ready);
+}
+
+/// The platform was restored from a backup an hour old. Hosts that took it would bring back
+/// upstreams that operators have removed since. Its answers are refused until it has caught up.
+#[test]
+fn test_platform_with_older_copy_is_refused() {
+    let mut host = TestHost::new(1);
+    host.start();
+    host.answer(PlatformAnswer::Changes {
+        revision: 12,
+        changes: vec![drained(12)],
+    });
+    host.run_for(Duration::from_secs(1));
+    assert_eq!(host.versions, [10, 12]);
+    host.answer(PlatformAnswer::Changes {
+        revision: 11,
+        changes: vec![drained(11)],
+    });
+    host.run_for(Duration::from_secs(2));
+    assert_eq!(host.versions, [10, 12]);
+    assert_eq!(host.codes, [ResultCode::PlatformStale]);
+    assert!(host.core.status().platform_stale);
+    host.answer(PlatformAnswer::Changes {
+        revision: 13,
+        changes: vec![drained(13)],
+    });
+    host.run_for(Duration::from_secs(1));
+    assert_eq!(host.versions, [10, 12, 13]);
+}
+
+/// A host starts while the platform is away and nobody answers. Serving a guess would send callers
+/// to upstreams of another service.
+#[test]
+fn test_start_without_platform_and_peers_stays_without_configuration() {
+    let mut host = TestHost::new(1);
+    for _second in 0..120 {
+        host.run_for(Duration::from_secs(1));
+        while !host.calls.is_empty() {
+            host.answer(PlatformAnswer::Unreachable);
+        }
+    }
+    assert!(host.versions.is_empty());
+    assert!(!host.core.status().ready);
+    let calls = host.codes.len();
+    assert!((5..15).contains(&calls), "{calls} calls in two minutes");
+}
+
+/// A host starts while the platform is away, beside a peer that was paused for an hour and one that
+/// is up to date. Taking the first that answers would put the old state in force.
+#[test]
+fn test_start_without_platform_takes_the_newest_of_several_peers() {
+    let mut source = TestHost::new(2);
+    source.start();
+    let mut host = TestHost::new(1);
+    host.run_for(CONTROL_TICK);
+    host.answer(PlatformAnswer::Unreachable);
+    for (peer, through) in [(2, 10), (3, 4)] {
+        host.handle(ControlEvent::PeerUp(peer));
+        host.announce(peer, through);
+    }
+    assert!(host.versions.is_empty());
+    let updates = source.core.store().updates_after(0, &Default::default());
+    let bytes = RelayMessage::Updates {
+        updates,
+        through: 10,
+    };
+    let bytes = bytes.encode().unwrap();
+    host.handle(ControlEvent::PeerMessage { host: 2, bytes });
+    host.run_for(Duration::from_secs(1));
+    assert!(host.versions.is_empty(), "two peers are not several");
+    host.run_for(Duration::from_secs(5));
+    assert_eq!(host.versions, [10]);
+}
+
+/// An operator publishes a value that cannot be read. Hosts that dropped only that value would
+/// serve without those upstreams.
+#[test]
+fn test_invalid_value_leaves_the_last_accepted_in_force() {
+    let mut host = TestHost::new(1);
+    host.start();
+    let broken = PublishedKey {
+        value: Some(json!("oops")),
+        ..drained(11)
+    };
+    host.answer(PlatformAnswer::Changes {
+        revision: 11,
+        changes: vec![broken],
+    });
+    host.run_for(Duration::from_secs(5));
+    assert_eq!(host.versions, [10]);
+    assert_eq!(host.refused.len(), 1);
+    assert!(host.refused[0].contains("upstreams/zig-a/0"));
+    host.answer(PlatformAnswer::Changes {
+        revision: 12,
+        changes: vec![drained(12)],
+    });
+    host.run_for(Duration::from_secs(1));
+    assert_eq!(host.versions, [10, 12]);
+}
+
+/// Of three keys changed, the drain has arrived and the rest is held back by the byte budget. The
+/// drain must not wait for the additions; the whole state must still replace the partial one.
+#[test]
+fn test_partial_state_is_put_in_force_after_patience_and_replaced() {
+    let mut host = TestHost::new(3);
+    host.start();
+    host.handle(ControlEvent::PeerUp(2));
+    host.announce(2, 14);
+    let mut source = TestHost::new(2).core.store().clone();
+    let join = |source: &mut lagoonproxy::config_store::ConfigStore, published: PublishedKey| {
+        let json = published.value.unwrap();
+        let value = KeyValue::parse(&published.key, &json).into();
+        source.join(&published.key, published.version, Some(value));
+    };
+    published(1)
+        .into_iter()
+        .for_each(|key| join(&mut source, key));
+    source.complete(10);
+    join(&mut source, drained(12));
+    let part = RelayMessage::Updates {
+        updates: source.updates_after(10, &Default::default()),
+        through: 0,
+    };
+    host.handle(ControlEvent::PeerMessage {
+        host: 2,
+        bytes: part.encode().unwrap(),
+    });
+    host.run_for(Duration::from_secs(1));
+    assert_eq!(
+        host.versions,
+        [10],
+        "a mixture while the rest may still come"
+    );
+    host.run_for(Duration::from_secs(2));
+    assert_eq!(host.versions, [10, 11]);
+    let mut service = published(1).remove(1);
+    service.version = 14;
+    join(&mut source, service);
+    let rest = RelayMessage::Updates {
+        updates: source.updates_after(12, &Default::default()),
+        through: 14,
+    };
+    host.announce(2, 14);
+    host.run_for(Duration::from_secs(1));
+    host.handle(ControlEvent::PeerMessage {
+        host: 2,
+        bytes: rest.encode().unwrap(),
+    });
+    host.run_for(Duration::from_secs(1));
+    assert_eq!(host.versions, [10, 11, 14]);
+}
