standin: serve keys, versions and watches from the platform stand-in

The stand-in served two whole documents, so nothing could be written against docs/technical/platform-protocol.md. It now holds versioned keys with a bounded history (410 before it), answers long polls, counts each call and each waiting watch, and lets operators race (expected version) and break it: stale, older copy, slow, dead, lagging list of hosts. `standin-platform` is the program. /v1/config and /v1/hosts stay, derived from the keys, until the control daemon reads keys; they are not counted.

--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -1,5 +1,6 @@
 //! The whole path in one process: platform, entry hosts, upstreams.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,8 +8,8 @@
 use lagoonproxy::config_snapshot::UpstreamState;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::UpstreamId;
+use lagoonproxy::ids::ZoneName;
 use lagoonproxy::published_config::PublishedConfig;
-use lagoonproxy::published_config::PublishedHosts;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
 use lagoonproxy_daemon::control_daemon::ControlDaemon;
@@ -20,8 +21,6 @@
 use crate::platform::Platform;
 use crate::upstream::Upstream;
 
-/// Version of the first configuration.
-const FIRST_VERSION: u64 = 1;
 /// Key of the demonstration's hosts.
 const SHARED_KEY: &str = "6c61676f6f6e70726f78792064656d6f";
 
@@ -62,27 +61,46 @@
             tasks: Vec::new(),
         };
         let config = demo.start_upstreams(zones, services).await?;
-        demo.platform.publish_config(config);
+        demo.publish_config(&config);
         let mut entries = Vec::new();
         for (host, zone) in (0..hosts).zip(zones.iter().cycle()) {
             entries.push(demo.start_host(host, zone, platform_address).await?);
         }
-        demo.platform.publish_hosts(PublishedHosts {
-            version: FIRST_VERSION,
-            hosts: entries,
-        });
+        demo.publish_hosts(&entries);
         Ok(demo)
     }
 
+    fn publish_config(&self, config: &PublishedConfig) {
+        self.platform.publish("services/main/0", &config.services);
+        let mut by_zone: BTreeMap<ZoneName, Vec<&UpstreamDoc>> = BTreeMap::new();
+        for upstream in &config.upstreams {
+            by_zone
+                .entry(upstream.zone.clone())
+                .or_default()
+                .push(upstream);
+        }
+        for (zone, upstreams) in by_zone {
+            self.platform
+                .publish(&format!("upstreams/{zone}/0"), &upstreams);
+        }
+    }
+
+    fn publish_hosts(&self, hosts: &[HostEntry]) {
+        let mut by_zone: BTreeMap<ZoneName, Vec<&HostEntry>> = BTreeMap::new();
+        for host in hosts {
+            by_zone.entry(host.zone.clone()).or_default().push(host);
+        }
+        for (zone, hosts) in by_zone {
+            self.platform.publish(&format!("hosts/{zone}"), &hosts);
+        }
+    }
+
     async fn start_upstreams(
         &mut self,
         zones: &[&str],
         services: &[DemoService],
     ) -> Result<PublishedConfig, Box<dyn std::error::Error>> {
-        let mut config = PublishedConfig {
-            version: FIRST_VERSION,
-            ..PublishedConfig::default()
-        };
+        let mut config = PublishedConfig::default();
         for service in services {
             config.services.push(ServiceDoc {
                 id: service.id,
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,5 +4,8 @@
 
 pub mod caller;
 pub mod demo;
+pub mod key_store;
 pub mod platform;
+mod platform_legacy;
+pub mod platform_operator;
 pub mod upstream;
--- a/standin/tests/runner.rs
+++ b/standin/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Tests of the whole path over loopback, in one program so that linking is fast.
 
+mod test_platform;
 mod test_whole_path;
