standin: judge a lossy run by what callers received and upstreams counted

The demonstration ran one caller after another over a perfect loopback and an upstream without slots, and its answers did not name their caller. Now: an upstream stand-in with slots, shedding, drain, cold start, cancellation and deadlines that counts each run; a seeded fabric; callers with concurrent flows; an open-loop load run whose report holds what callers were told against what upstreams ran.

--- a/standin/src/bin/lagoon-demo.rs
+++ b/standin/src/bin/lagoon-demo.rs
@@ -1,20 +1,20 @@
-//! Runs the whole path in one process and prints what the callers received.
+//! Runs the whole path in one process and ends with the table of what the callers received.
 
 use std::process::ExitCode;
-use std::time::Instant;
+use std::time::Duration;
 
 use argh::FromArgs;
-use bytes::Bytes;
-use lagoonproxy_standin::caller::CallOutcome;
-use lagoonproxy_standin::caller::Caller;
-use lagoonproxy_standin::demo::CALL_BUDGET;
+use lagoonproxy_standin::demo::DEMO_SERVICES;
+use lagoonproxy_standin::demo::DEMO_ZONES;
 use lagoonproxy_standin::demo::Demo;
-use lagoonproxy_standin::demo::DemoService;
-use lagoonproxy_standin::upstream::expected_answer;
+use lagoonproxy_standin::demo::service_addresses;
+use lagoonproxy_standin::fabric::FabricSettings;
+use lagoonproxy_standin::load_run::LoadProgress;
+use lagoonproxy_standin::load_run::LoadRun;
+use lagoonproxy_standin::load_run::demo_load;
 
-const ZONES: [&str; 3] = ["zig-a", "zig-b", "bign"];
-
-/// Starts a platform, entry hosts and upstreams on loopback, and sends requests.
+/// Starts a platform, entry hosts and upstreams on loopback, and sends requests through a fabric
+/// that loses, repeats and reorders datagrams.
 #[derive(FromArgs)]
 struct DemoArgs {
     /// requests to send
@@ -23,94 +23,49 @@
     /// entry hosts to start
     #[argh(option, default = "8")]
     hosts: u32,
-    /// callers that send at the same time
-    #[argh(option, default = "50")]
-    callers: u64,
-}
-
-/// What the callers received.
-#[derive(Clone, Copy, Debug, Default)]
-struct CallTally {
-    whole: u64,
-    wrong: u64,
-    refused: u64,
-    lost: u64,
+    /// share of datagrams that the fabric loses, repeats and reorders, each
+    #[argh(option, default = "0.01")]
+    trouble: f64,
 }
 
 #[tokio::main]
 async fn main() -> Result<ExitCode, Box<dyn std::error::Error>> {
     let args: DemoArgs = argh::from_env();
-    let services = demo_services();
-    let demo = Demo::start(args.hosts, &ZONES, &services).await?;
-    let share = args.requests.div_ceil(args.callers);
-    let mut tasks = Vec::new();
-    for number in 0..args.callers {
-        let caller = Caller::bind(demo.caller_addresses.clone(), number).await?;
-        let service = services[number as usize % services.len()];
-        tasks.push(tokio::spawn(call_many(caller, service, share)));
-    }
-    let mut tally = CallTally::default();
-    for task in tasks {
-        let part = task.await??;
-        tally.whole += part.whole;
-        tally.wrong += part.wrong;
-        tally.refused += part.refused;
-        tally.lost += part.lost;
-    }
-    println!("answers: whole {} wrong {}", tally.whole, tally.wrong);
-    println!("refused {} lost {}", tally.refused, tally.lost);
-    let served = tally.wrong == 0 && tally.lost == 0 && tally.refused == 0;
-    Ok(if served {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+    let fabric = FabricSettings {
+        seed: 1,
+        loss: args.trouble,
+        duplication: args.trouble,
+        reordering: args.trouble,
+        delay_ms: 0.0,
+        jitter_ms: 0.0,
+        held_ms: 5.0,
+    };
+    let demo = Demo::start(args.hosts, &DEMO_ZONES, &DEMO_SERVICES, fabric).await?;
+    let addresses = service_addresses(&DEMO_SERVICES);
+    let settings = demo_load(&addresses, &DEMO_ZONES, args.requests);
+    let run = LoadRun::open(settings, &demo.fabric).await?;
+    let reporting = tokio::spawn(show_progress(run.progress(), args.requests));
+    let mut report = run.run().await;
+    reporting.abort();
+    let services = DEMO_SERVICES.map(|service| service.address);
+    report.judge(&services, &demo.run_reports());
+    let fabric = demo.fabric.counters();
+    println!(
+        "{} entry hosts, {} zones, fabric: {} datagrams, {} lost, {} repeated, {} reordered\n",
+        args.hosts,
+        DEMO_ZONES.len(),
+        fabric.carried,
+        fabric.lost,
+        fabric.duplicated,
+        fabric.reordered,
+    );
+    print!("{report}");
+    Ok(ExitCode::from(report.exit_code()))
 }
 
-async fn call_many(
-    mut caller: Caller,
-    service: DemoService,
-    requests: u64,
-) -> std::io::Result<CallTally> {
-    let flow = 1;
-    let mut tally = CallTally::default();
-    let opened = caller
-        .open(service.address, flow, Instant::now() + CALL_BUDGET)
-        .await?;
-    if !opened {
-        tally.lost = requests;
-        return Ok(tally);
-    }
-    for request in 1..=requests {
-        let payload = Bytes::from(format!("{} {request} ", service.name).repeat(60));
-        let outcome = caller
-            .call(service.address, flow, request, &payload, CALL_BUDGET)
-            .await?;
-        match outcome {
-            CallOutcome::Answered(answer) if answer == expected_answer(service.name, &payload) => {
-                tally.whole += 1;
-            }
-            CallOutcome::Answered(_) => tally.wrong += 1,
-            CallOutcome::Refused(_) => tally.refused += 1,
-            CallOutcome::TimedOut => tally.lost += 1,
-        }
+async fn show_progress(progress: LoadProgress, requests: u64) {
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        eprintln!("{} of {requests} jobs ended", progress.ended());
     }
-    Ok(tally)
-}
-
-fn demo_services() -> [DemoService; 2] {
-    [
-        DemoService {
-            id: 1,
-            name: "ledger",
-            address: ([10, 0, 0, 1], 700).into(),
-            upstreams: 14,
-        },
-        DemoService {
-            id: 2,
-            name: "certdocs",
-            address: ([10, 0, 0, 2], 443).into(),
-            upstreams: 4,
-        },
-    ]
 }
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -1,6 +1,11 @@
-//! Stand-in for a caller behind the fabric that sprays its datagrams over the entry hosts.
+//! Stand-in for a caller behind the fabric: flows, requests, retransmission, and the check of each
+//! answer by its content.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,161 +14,352 @@
 use lagoonproxy::ids::FlowId;
 use lagoonproxy::ids::RequestId;
 use lagoonproxy::ids::ServiceAddress;
+use lagoonproxy::ids::ZoneName;
 use lagoonproxy::wire_frame;
+use lagoonproxy::wire_frame::AnswerPart;
 use lagoonproxy::wire_frame::CallerBody;
 use lagoonproxy::wire_frame::CallerFrame;
 use lagoonproxy::wire_frame::MAX_DATAGRAM;
 use lagoonproxy::wire_frame::RefusalBody;
 use lagoonproxy::wire_frame::RequestBody;
+use lagoonproxy::wire_frame::RunOutcome;
 use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
-/// How long a caller waits before it sends a request again.
+use crate::answer_content::AnswerIdentity;
+use crate::answer_content::AnswerVerdict;
+use crate::fabric::Fabric;
+
+/// How long a caller waits before it sends a frame again; doubles each time.
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two copies.
+const MAX_RESEND_PAUSE: Duration = Duration::from_secs(1);
+/// How long a caller listens past its deadline for the refusal that the deadline causes.
+const LAST_WORD: Duration = Duration::from_millis(500);
+/// The number under which frames of a flow as a whole are received.
+const FLOW_FRAMES: RequestId = 0;
+
+/// A request as the caller means it.
+#[derive(Clone, Debug)]
+pub struct CallSpec {
+    /// The service.
+    pub service: ServiceAddress,
+    /// The flow.
+    pub flow: FlowId,
+    /// Its number, not zero.
+    pub request: RequestId,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// What the upstream gets.
+    pub payload: Bytes,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+}
 
 /// What became of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
-    /// The whole answer.
-    Answered(Vec<u8>),
-    /// A refusal.
+    /// A whole answer, judged by its content.
+    Answered(AnswerVerdict),
+    /// A refusal that asking again with the same number does not change.
     Refused(RefusalBody),
     /// Nothing before the deadline.
     TimedOut,
 }
 
-/// One caller with its own port.
+type FrameKey = (ServiceAddress, FlowId, RequestId);
+
+struct CallerShared {
+    socket: Arc<UdpSocket>,
+    address: SocketAddr,
+    zone: ZoneName,
+    fabric: Fabric,
+    waiting: Mutex<HashMap<FrameKey, mpsc::UnboundedSender<CallerBody>>>,
+}
+
+/// One caller with an address of its own; its flows and requests run side by side.
 pub struct Caller {
-    socket: UdpSocket,
-    hosts: Vec<SocketAddr>,
-    random: StdRng,
+    shared: Arc<CallerShared>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+/// Receives the frames of one request or flow for as long as it lives.
+struct FrameInbox<'a> {
+    shared: &'a CallerShared,
+    key: FrameKey,
+    frames: mpsc::UnboundedReceiver<CallerBody>,
 }
 
 impl Caller {
-    /// Binds a port; `seed` decides how datagrams are sprayed over `hosts`.
-    pub async fn bind(hosts: Vec<SocketAddr>, seed: u64) -> std::io::Result<Self> {
-        Ok(Self {
-            socket: UdpSocket::bind("127.0.0.1:0").await?,
-            hosts,
-            random: StdRng::seed_from_u64(seed),
-        })
+    /// Binds a port behind `fabric`, near the hosts of `zone`.
+    pub async fn bind(fabric: &Fabric, zone: &str) -> std::io::Result<Self> {
+        let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
+        let shared = Arc::new(CallerShared {
+            address: socket.local_addr()?,
+            socket,
+            zone: zone.into(),
+            fabric: fabric.clone(),
+            waiting: Mutex::default(),
+        });
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let tasks = [
+            tokio::spawn(receive_datagrams(Arc::clone(&shared), sender)),
+            tokio::spawn(sort_frames(Arc::clone(&shared), receiver)),
+        ];
+        Ok(Self { shared, tasks })
+    }
+
+    /// The address that entry hosts see.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
     }
 
-    /// Opens a flow; `false` if no host confirmed it before `deadline`.
+    /// Opens a flow; the error is the last refusal, or `None` if nothing came before `deadline`.
     pub async fn open(
-        &mut self,
+        &self,
         service: ServiceAddress,
         flow: FlowId,
         deadline: Instant,
-    ) -> std::io::Result<bool> {
-        let frame = CallerFrame {
-            service,
-            flow,
-            body: CallerBody::Open,
-        };
+    ) -> Result<(), Option<RefusalBody>> {
+        let mut inbox = self.shared.inbox((service, flow, FLOW_FRAMES));
+        let mut last_refusal = None;
+        let mut pause = RESEND_PAUSE;
         while Instant::now() < deadline {
-            self.spray(&frame).await?;
-            let pause = Instant::now() + RESEND_PAUSE;
-            while let Some(reply) = self.receive(pause).await? {
-                if reply.flow == flow && reply.body == CallerBody::Opened {
-                    return Ok(true);
+            self.send(service, flow, CallerBody::Open).await;
+            let mut resend = Instant::now() + pause;
+            while let Some(body) = inbox.receive(resend.min(deadline)).await {
+                match body {
+                    CallerBody::Opened => return Ok(()),
+                    CallerBody::Refusal(refusal) => {
+                        resend = Instant::now() + with_jitter(refusal.retry_after.max(pause));
+                        last_refusal = Some(refusal);
+                    }
+                    _ => {}
                 }
             }
+            pause = MAX_RESEND_PAUSE.min(pause * 2);
         }
-        Ok(false)
+        Err(last_refusal)
+    }
+
+    /// Ends a flow; nothing is waited for.
+    pub async fn close(&self, service: ServiceAddress, flow: FlowId) {
+        self.send(service, flow, CallerBody::Close).await;
+    }
+
+    /// Withdraws a request; its outcome still comes to [`Self::call`].
+    pub async fn cancel(&self, service: ServiceAddress, flow: FlowId, request: RequestId) {
+        self.send(service, flow, CallerBody::Cancel { request })
+            .await;
     }
 
     /// Sends a request, again after each pause, until it has an outcome.
-    pub async fn call(
-        &mut self,
-        service: ServiceAddress,
-        flow: FlowId,
-        request: RequestId,
-        payload: &Bytes,
-        budget: Duration,
-    ) -> std::io::Result<CallOutcome> {
+    ///
+    /// A refusal with an unknown outcome is not the last word while it names a time to come back:
+    /// asking again with the same number is always safe, and a host with a record may know more.
+    pub async fn call(&self, call: &CallSpec) -> CallOutcome {
+        let key = (call.service, call.flow, call.request);
+        let mut inbox = self.shared.inbox(key);
+        let mut answer = None;
+        let mut last_refusal = None;
+        let mut pause = RESEND_PAUSE;
         let start = Instant::now();
-        let deadline = start + budget;
-        let mut answer: Option<AnswerBuffer> = None;
-        while Instant::now() < deadline {
-            let body = CallerBody::Request(RequestBody {
-                request,
-                age: start.elapsed(),
-                remaining: deadline.saturating_duration_since(Instant::now()),
-                idempotent: true,
-                payload: payload.clone(),
-            });
-            self.spray(&CallerFrame {
-                service,
-                flow,
-                body,
-            })
-            .await?;
-            let pause = deadline.min(Instant::now() + RESEND_PAUSE);
-            while let Some(reply) = self.receive(pause).await? {
-                let Some(outcome) = take_reply(reply, flow, request, &mut answer) else {
-                    continue;
-                };
-                let body = CallerBody::Ack { request };
-                self.spray(&CallerFrame {
-                    service,
-                    flow,
-                    body,
-                })
-                .await?;
-                return Ok(outcome);
+        while Instant::now() < call.deadline {
+            self.send_request(call, start).await;
+            let mut resend = Instant::now() + pause;
+            while let Some(body) = inbox.receive(resend.min(call.deadline)).await {
+                match body {
+                    CallerBody::Part(part) => {
+                        if let Some(verdict) = self.take_part(call, &part, &mut answer).await {
+                            return CallOutcome::Answered(verdict);
+                        }
+                    }
+                    CallerBody::Refusal(refusal) if is_final(&refusal) => {
+                        return CallOutcome::Refused(refusal);
+                    }
+                    CallerBody::Refusal(refusal) => {
+                        resend = Instant::now() + with_jitter(refusal.retry_after);
+                        last_refusal = Some(refusal);
+                    }
+                    _ => {}
+                }
             }
+            pause = MAX_RESEND_PAUSE.min(pause * 2);
         }
-        Ok(CallOutcome::TimedOut)
+        self.hear_last_word(call, &mut inbox, answer, last_refusal)
+            .await
     }
 
-    async fn spray(&mut self, frame: &CallerFrame) -> std::io::Result<()> {
-        let host = self.hosts[self.random.random_range(0..self.hosts.len())];
-        let bytes = wire_frame::encode_caller(frame)
-            .map_err(|code| std::io::Error::other(format!("cannot encode: {code:?}")))?;
-        self.socket.send_to(&bytes, host).await?;
-        Ok(())
+    async fn hear_last_word(
+        &self,
+        call: &CallSpec,
+        inbox: &mut FrameInbox<'_>,
+        mut answer: Option<AnswerBuffer>,
+        last_refusal: Option<RefusalBody>,
+    ) -> CallOutcome {
+        let end = call.deadline + LAST_WORD;
+        while let Some(body) = inbox.receive(end).await {
+            match body {
+                CallerBody::Part(part) => {
+                    if let Some(verdict) = self.take_part(call, &part, &mut answer).await {
+                        return CallOutcome::Answered(verdict);
+                    }
+                }
+                CallerBody::Refusal(refusal) => return CallOutcome::Refused(refusal),
+                _ => {}
+            }
+        }
+        last_refusal.map_or(CallOutcome::TimedOut, CallOutcome::Refused)
     }
 
+    /// Adds a part; a verdict and an acknowledgement once the answer is whole.
+    async fn take_part(
+        &self,
+        call: &CallSpec,
+        part: &AnswerPart,
+        answer: &mut Option<AnswerBuffer>,
+    ) -> Option<AnswerVerdict> {
+        match answer {
+            Some(buffer) => {
+                buffer.add(part);
+            }
+            None => *answer = Some(AnswerBuffer::new(part)),
+        }
+        let whole = answer.take_if(|buffer| buffer.is_whole())?;
+        let received: Vec<u8> = whole.parts().flat_map(|part| part.payload).collect();
+        let request = call.request;
+        self.send(call.service, call.flow, CallerBody::Ack { request })
+            .await;
+        Some(self.identity(call).judge(&call.payload, &received))
+    }
+
+    /// The identity that the right answer to a call depends on.
+    pub fn identity(&self, call: &CallSpec) -> AnswerIdentity {
+        AnswerIdentity {
+            service: call.service,
+            caller: self.shared.address,
+            flow: call.flow,
+            request: call.request,
+        }
+    }
+
+    async fn send_request(&self, call: &CallSpec, start: Instant) {
+        let body = CallerBody::Request(RequestBody {
+            request: call.request,
+            age: start.elapsed(),
+            remaining: call.deadline.saturating_duration_since(Instant::now()),
+            idempotent: call.idempotent,
+            payload: call.payload.clone(),
+        });
+        self.send(call.service, call.flow, body).await;
+    }
+
+    async fn send(&self, service: ServiceAddress, flow: FlowId, body: CallerBody) {
+        let frame = CallerFrame {
+            service,
+            flow,
+            body,
+        };
+        let shared = &self.shared;
+        match wire_frame::encode_caller(&frame) {
+            Ok(bytes) => {
+                shared
+                    .fabric
+                    .spray(&shared.zone, &shared.socket, bytes)
+                    .await;
+            }
+            Err(code) => log::error!("cannot encode: {code:?}"),
+        }
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl CallerShared {
+    fn inbox(&self, key: FrameKey) -> FrameInbox<'_> {
+        let (sender, frames) = mpsc::unbounded_channel();
+        self.lock().insert(key, sender);
+        FrameInbox {
+            shared: self,
+            key,
+            frames,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<FrameKey, mpsc::UnboundedSender<CallerBody>>> {
+        self.waiting
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+impl FrameInbox<'_> {
     /// The next frame, or `None` when `deadline` passes first.
-    async fn receive(&self, deadline: Instant) -> std::io::Result<Option<CallerFrame>> {
-        let mut buffer = [0; MAX_DATAGRAM + 1];
-        let receiving = self.socket.recv_from(&mut buffer);
-        let received = tokio::time::timeout_at(deadline.into(), receiving).await;
-        let Ok(received) = received else {
-            return Ok(None);
+    async fn receive(&mut self, deadline: Instant) -> Option<CallerBody> {
+        tokio::time::timeout_at(deadline.into(), self.frames.recv())
+            .await
+            .unwrap_or(None)
+    }
+}
+
+impl Drop for FrameInbox<'_> {
+    fn drop(&mut self) {
+        self.shared.lock().remove(&self.key);
+    }
+}
+
+/// Spreads the return of refused callers, who would otherwise come back in step.
+pub fn with_jitter(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(1.0..1.5))
+}
+
+/// Whether asking again with the same number changes nothing.
+fn is_final(refusal: &RefusalBody) -> bool {
+    refusal.outcome != RunOutcome::Unknown || refusal.retry_after.is_zero()
+}
+
+async fn receive_datagrams(shared: Arc<CallerShared>, sender: mpsc::UnboundedSender<Bytes>) {
+    let mut buffer = [0; MAX_DATAGRAM + 1];
+    loop {
+        let Ok((len, _host)) = shared.socket.recv_from(&mut buffer).await else {
+            continue;
         };
-        let (len, _host) = received?;
-        Ok(wire_frame::decode_caller(&buffer[..len]).ok())
+        let bytes = Bytes::copy_from_slice(&buffer[..len]);
+        shared.fabric.give_back(&sender, bytes).await;
     }
 }
 
-fn take_reply(
-    reply: CallerFrame,
-    flow: FlowId,
-    request: RequestId,
-    answer: &mut Option<AnswerBuffer>,
-) -> Option<CallOutcome> {
-    if reply.flow != flow {
-        return None;
-    }
-    match reply.body {
-        CallerBody::Part(part) if part.request == request => {
-            match answer {
-                Some(buffer) => {
-                    buffer.add(&part);
-                }
-                None => *answer = Some(AnswerBuffer::new(&part)),
-            }
-            let whole = answer.take_if(|buffer| buffer.is_whole())?;
-            let bytes = whole.parts().flat_map(|part| part.payload).collect();
-            Some(CallOutcome::Answered(bytes))
+async fn sort_frames(shared: Arc<CallerShared>, mut receiver: mpsc::UnboundedReceiver<Bytes>) {
+    while let Some(bytes) = receiver.recv().await {
+        let Ok(frame) = wire_frame::decode_caller(&bytes) else {
+            continue;
+        };
+        let request = request_of(&frame.body);
+        let waiting = shared.lock();
+        if let Some(inbox) = waiting.get(&(frame.service, frame.flow, request)) {
+            let _outcome_known = inbox.send(frame.body);
         }
-        CallerBody::Refusal(refusal) if refusal.request == Some(request) => {
-            Some(CallOutcome::Refused(refusal))
+    }
+}
+
+fn request_of(body: &CallerBody) -> RequestId {
+    match body {
+        CallerBody::Accepted { request }
+        | CallerBody::Ack { request }
+        | CallerBody::Cancel { request } => *request,
+        CallerBody::Part(part) => part.request,
+        CallerBody::Refusal(refusal) => refusal.request.unwrap_or(FLOW_FRAMES),
+        CallerBody::Request(request) => request.request,
+        CallerBody::Open | CallerBody::Opened | CallerBody::Close | CallerBody::Closed => {
+            FLOW_FRAMES
         }
-        _ => None,
     }
 }
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -1,34 +1,46 @@
-//! The whole path in one process: platform, entry hosts, upstreams.
+//! The whole path in one process: platform, entry hosts, upstreams, fabric.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use lagoonproxy::config_snapshot::HostEntry;
 use lagoonproxy::config_snapshot::UpstreamState;
 use lagoonproxy::ids::HostId;
+use lagoonproxy::ids::ServiceId;
 use lagoonproxy::ids::UpstreamId;
 use lagoonproxy::ids::ZoneName;
-use lagoonproxy::published_config::PublishedConfig;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
 use lagoonproxy_daemon::control_daemon::ControlDaemon;
 use lagoonproxy_daemon::entry_daemon::EntryDaemon;
 use lagoonproxy_daemon::entry_settings::ControlSettings;
 use lagoonproxy_daemon::entry_settings::EntrySettings;
+use serde::Serialize;
+use smol_str::SmolStr;
 use tokio::task::JoinHandle;
 
+use crate::fabric::Fabric;
+use crate::fabric::FabricHost;
+use crate::fabric::FabricSettings;
 use crate::platform::Platform;
+use crate::service_time::ServiceTime;
+use crate::upstream::RunReport;
 use crate::upstream::Upstream;
+use crate::upstream::UpstreamHandle;
+use crate::upstream_core::UpstreamSettings;
 
 /// Key of the demonstration's hosts.
 const SHARED_KEY: &str = "6c61676f6f6e70726f78792064656d6f";
+/// Requests that an upstream of the demonstration runs at once.
+const SLOTS: u32 = 2;
+/// Flows that an upstream of the demonstration holds.
+const CONNECTIONS: u32 = 2_000;
 
 /// A service of the demonstration.
 #[derive(Clone, Copy, Debug)]
 pub struct DemoService {
     /// Its number.
-    pub id: u32,
+    pub id: ServiceId,
     /// Its name, also the value of its upstreams' `service` label.
     pub name: &'static str,
     /// Where callers send to.
@@ -37,12 +49,38 @@
     pub upstreams: u32,
 }
 
+/// The ledger and certdocs of Ziguinchor.
+pub const DEMO_SERVICES: [DemoService; 2] = [
+    DemoService {
+        id: 1,
+        name: "ledger",
+        address: SocketAddr::new(
+            std::net::IpAddr::V4(std::net::Ipv4Addr::new(10, 0, 0, 1)),
+            700,
+        ),
+        upstreams: 14,
+    },
+    DemoService {
+        id: 2,
+        name: "certdocs",
+        address: SocketAddr::new(
+            std::net::IpAddr::V4(std::net::Ipv4Addr::new(10, 0, 0, 2)),
+            443,
+        ),
+        upstreams: 4,
+    },
+];
+
+/// The availability zones of Ziguinchor.
+pub const DEMO_ZONES: [&str; 3] = ["zig-a", "zig-b", "bign"];
+
 /// A running system.
 pub struct Demo {
     /// The platform.
     pub platform: Platform,
-    /// Where the fabric sprays to.
-    pub caller_addresses: Vec<SocketAddr>,
+    /// What sprays over the entry hosts.
+    pub fabric: Fabric,
+    upstreams: Vec<UpstreamHandle>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -52,81 +90,103 @@
         hosts: u32,
         zones: &[&str],
         services: &[DemoService],
+        fabric: FabricSettings,
     ) -> Result<Self, Box<dyn std::error::Error>> {
         let platform = Platform::default();
         let platform_address = platform.start().await?;
         let mut demo = Self {
             platform,
-            caller_addresses: Vec::new(),
+            fabric: Fabric::new(fabric, Vec::new()),
+            upstreams: Vec::new(),
             tasks: Vec::new(),
         };
-        let config = demo.start_upstreams(zones, services).await?;
-        demo.publish_config(&config);
+        let upstreams = demo.start_upstreams(zones, services).await?;
+        publish_by_zone(&demo.platform, "upstreams", "/0", &upstreams, |doc| {
+            &doc.zone
+        });
+        demo.platform
+            .publish("services/main/0", &service_docs(services));
         let mut entries = Vec::new();
+        let mut behind_fabric = Vec::new();
         for (host, zone) in (0..hosts).zip(zones.iter().cycle()) {
-            entries.push(demo.start_host(host, zone, platform_address).await?);
+            let (entry, address) = demo.start_host(host, zone, platform_address).await?;
+            behind_fabric.push(FabricHost {
+                zone: entry.zone.clone(),
+                address,
+            });
+            entries.push(entry);
         }
-        demo.publish_hosts(&entries);
+        publish_by_zone(&demo.platform, "hosts", "", &entries, |entry| &entry.zone);
+        demo.fabric.set_hosts(behind_fabric);
         Ok(demo)
     }
 
-    fn publish_config(&self, config: &PublishedConfig) {
-        self.platform.publish("services/main/0", &config.services);
-        let mut by_zone: BTreeMap<ZoneName, Vec<&UpstreamDoc>> = BTreeMap::new();
-        for upstream in &config.upstreams {
-            by_zone
-                .entry(upstream.zone.clone())
-                .or_default()
-                .push(upstream);
-        }
-        for (zone, upstreams) in by_zone {
-            self.platform
-                .publish(&format!("upstreams/{zone}/0"), &upstreams);
-        }
-    }
-
-    fn publish_hosts(&self, hosts: &[HostEntry]) {
-        let mut by_zone: BTreeMap<ZoneName, Vec<&HostEntry>> = BTreeMap::new();
-        for host in hosts {
-            by_zone.entry(host.zone.clone()).or_default().push(host);
-        }
-        for (zone, hosts) in by_zone {
-            self.platform.publish(&format!("hosts/{zone}"), &hosts);
-        }
+    /// What each upstream ran.
+    pub fn run_reports(&self) -> Vec<RunReport> {
+        let records = self.upstreams.iter().map(UpstreamHandle::records);
+        records
+            .map(|records| RunReport {
+                totals: records.totals,
+                requests: records.entries().collect(),
+            })
+            .collect()
     }
 
     async fn start_upstreams(
         &mut self,
         zones: &[&str],
         services: &[DemoService],
-    ) -> Result<PublishedConfig, Box<dyn std::error::Error>> {
-        let mut config = PublishedConfig::default();
+    ) -> std::io::Result<Vec<UpstreamDoc>> {
+        let mut docs = Vec::new();
         for service in services {
-            config.services.push(ServiceDoc {
-                id: service.id,
-                name: service.name.into(),
-                address: service.address,
-                selector: format!("service={}", service.name),
-            });
             for (_index, zone) in (0..service.upstreams).zip(zones.iter().cycle()) {
-                let id = config.upstreams.len() as UpstreamId;
-                let upstream = Upstream::bind(id, service.name).await?;
-                config.upstreams.push(UpstreamDoc {
-                    id,
-                    name: format!("{}-{id}", service.name).into(),
-                    address: upstream.address()?,
-                    zone: (*zone).into(),
-                    health_address: None,
-                    incarnation: 0,
-                    labels: [("service".into(), service.name.into())].into(),
-                    state: UpstreamState::Active,
-                    slots: 2,
-                    connections: 2_000,
-                });
-                self.tasks.push(tokio::spawn(upstream.run()));
+                let id = docs.len() as UpstreamId;
+                docs.push(self.start_upstream(id, zone, service).await?);
             }
         }
-        Ok(config)
+        Ok(docs)
+    }
+
+    async fn start_upstream(
+        &mut self,
+        id: UpstreamId,
+        zone: &str,
+        service: &DemoService,
+    ) -> std::io::Result<UpstreamDoc> {
+        let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let upstream = Upstream::bind(UpstreamSettings {
+            id,
+            address: any_port,
+            health_address: any_port,
+            services: vec![service.address],
+            incarnation: 0,
+            slots: SLOTS,
+            queue: SLOTS as usize,
+            connections: CONNECTIONS as usize,
+            service_time: ServiceTime::Exponential { mean_ms: 4.0 },
+            cold_start: None,
+            seed: 0,
+        })
+        .await?;
+        let doc = UpstreamDoc {
+            id,
+            name: format!("{}-{id}", service.name).into(),
+            address: upstream.address()?,
+            health_address: Some(upstream.health_address()?),
+            zone: zone.into(),
+            incarnation: 0,
+            labels: [("service".into(), service.name.into())].into(),
+            state: UpstreamState::Active,
+            slots: SLOTS,
+            connections: CONNECTIONS,
+        };
+        self.upstreams.push(upstream.handle());
+        self.tasks.push(tokio::spawn(async move {
+            if let Err(error) = upstream.run().await {
+                log::error!("upstream {id}: {error}");
+            }
+        }));
+        Ok(doc)
     }
 
     async fn start_host(
@@ -134,7 +194,7 @@
         host: HostId,
         zone: &str,
         platform_address: SocketAddr,
-    ) -> Result<HostEntry, Box<dyn std::error::Error>> {
+    ) -> Result<(HostEntry, SocketAddr), Box<dyn std::error::Error>> {
         let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
         let control = ControlDaemon::bind(&ControlSettings {
             host,
@@ -154,7 +214,6 @@
         })
         .await?;
         let addresses = entry.addresses()?;
-        self.caller_addresses.push(addresses.caller);
         self.tasks.push(tokio::spawn(async move {
             if let Err(error) = control.run(std::future::pending()).await {
                 log::error!("host {host}: control daemon: {error}");
@@ -165,14 +224,15 @@
                 log::error!("host {host}: entry daemon: {error}");
             }
         }));
-        Ok(HostEntry {
+        let entry = HostEntry {
             id: host,
             zone: zone.into(),
             cell: 0,
             peer_address: addresses.peer,
             control_address,
             leaving: false,
-        })
+        };
+        Ok((entry, addresses.caller))
     }
 }
 
@@ -184,5 +244,39 @@
     }
 }
 
-/// How long the demonstration's callers wait for an answer.
-pub const CALL_BUDGET: Duration = Duration::from_secs(10);
+/// The addresses of services by name.
+pub fn service_addresses(services: &[DemoService]) -> BTreeMap<SmolStr, SocketAddr> {
+    let named = services.iter();
+    named
+        .map(|service| (service.name.into(), service.address))
+        .collect()
+}
+
+fn service_docs(services: &[DemoService]) -> Vec<ServiceDoc> {
+    services
+        .iter()
+        .map(|service| ServiceDoc {
+            id: service.id,
+            name: service.name.into(),
+            address: service.address,
+            selector: format!("service={}", service.name),
+        })
+        .collect()
+}
+
+/// Publishes entries under one key a zone: `<kind>/<zone><suffix>`.
+pub fn publish_by_zone<T: Serialize>(
+    platform: &Platform,
+    kind: &str,
+    suffix: &str,
+    entries: &[T],
+    zone_of: impl Fn(&T) -> &ZoneName,
+) {
+    let mut by_zone: BTreeMap<&ZoneName, Vec<&T>> = BTreeMap::new();
+    for entry in entries {
+        by_zone.entry(zone_of(entry)).or_default().push(entry);
+    }
+    for (zone, entries) in by_zone {
+        platform.publish(&format!("{kind}/{zone}{suffix}"), &entries);
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -2,10 +2,18 @@
 //!
 //! The platform, upstreams, and callers behind a fabric that sprays datagrams over entry hosts.
 
+pub mod answer_content;
 pub mod caller;
 pub mod demo;
+pub mod fabric;
 pub mod key_store;
+pub mod load_report;
+pub mod load_run;
+pub mod peer_proxy;
 pub mod platform;
 mod platform_legacy;
 pub mod platform_operator;
+pub mod run_records;
+pub mod service_time;
 pub mod upstream;
+pub mod upstream_core;
--- a/standin/src/upstream.rs
+++ b/standin/src/upstream.rs
@@ -1,101 +1,179 @@
-//! Stand-in for an upstream: runs requests and answers with content that can be checked.
+//! Stand-in for an upstream: [`crate::upstream_core`] behind a UDP socket, and its endpoints.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
 
-use bytes::Bytes;
-use lagoonproxy::ids::UpstreamId;
+use axum::Json;
+use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::routing::get;
+use axum::routing::post;
 use lagoonproxy::wire_frame;
-use lagoonproxy::wire_frame::AnswerPart;
 use lagoonproxy::wire_frame::MAX_DATAGRAM;
-use lagoonproxy::wire_frame::RoutingTag;
-use lagoonproxy::wire_frame::UpstreamBody;
-use lagoonproxy::wire_frame::UpstreamFrame;
-use smol_str::SmolStr;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 
-/// Bytes of payload in each part of an answer.
-const PART_LEN: usize = 1_000;
+use crate::run_records::RunEntry;
+use crate::run_records::RunRecords;
+use crate::run_records::RunTotals;
+use crate::upstream_core::LoadReport;
+use crate::upstream_core::UpstreamBehaviour;
+use crate::upstream_core::UpstreamCore;
+use crate::upstream_core::UpstreamReply;
+use crate::upstream_core::UpstreamSettings;
 
-/// An upstream of one service.
+/// How long an idle upstream sleeps when no datagram arrives.
+const IDLE_PAUSE: Duration = Duration::from_secs(60);
+
+/// What `GET /standin/runs` answers.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunReport {
+    /// Totals.
+    pub totals: RunTotals,
+    /// Each request that was started.
+    pub requests: Vec<RunEntry>,
+}
+
+/// A running upstream as tests see it; clones share it.
+#[derive(Clone)]
+pub struct UpstreamHandle {
+    core: Arc<Mutex<UpstreamCore>>,
+}
+
+/// An upstream whose sockets are bound.
 pub struct Upstream {
-    id: UpstreamId,
-    service: SmolStr,
-    runs: Arc<AtomicU64>,
+    handle: UpstreamHandle,
     socket: UdpSocket,
+    listener: TcpListener,
+}
+
+impl UpstreamHandle {
+    /// Changes how the upstream behaves.
+    pub fn set_behaviour(&self, behaviour: UpstreamBehaviour) {
+        self.lock().set_behaviour(behaviour);
+    }
+
+    /// A copy of what it ran so far.
+    pub fn records(&self) -> RunRecords {
+        self.lock().records().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, UpstreamCore> {
+        self.core
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
 }
 
 impl Upstream {
-    /// Binds a port that the system chooses.
-    pub async fn bind(id: UpstreamId, service: &str) -> std::io::Result<Self> {
+    /// Binds the addresses that the settings name.
+    pub async fn bind(settings: UpstreamSettings) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind(settings.address).await?;
+        let listener = TcpListener::bind(settings.health_address).await?;
+        let core = UpstreamCore::new(settings, Instant::now());
         Ok(Self {
-            id,
-            service: service.into(),
-            runs: Arc::default(),
-            socket: UdpSocket::bind("127.0.0.1:0").await?,
+            handle: UpstreamHandle {
+                core: Arc::new(Mutex::new(core)),
+            },
+            socket,
+            listener,
         })
     }
 
-    /// Where it receives.
+    /// Where it receives datagrams.
     pub fn address(&self) -> std::io::Result<SocketAddr> {
         self.socket.local_addr()
     }
 
-    /// Counts the requests that were run.
-    pub fn runs(&self) -> Arc<AtomicU64> {
-        Arc::clone(&self.runs)
+    /// Where its endpoints answer.
+    pub fn health_address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// What tests use beside the sockets.
+    pub fn handle(&self) -> UpstreamHandle {
+        self.handle.clone()
     }
 
     /// Serves until the task is aborted.
-    pub async fn run(self) {
-        let mut buffer = [0; MAX_DATAGRAM + 1];
-        loop {
-            let Ok((len, host)) = self.socket.recv_from(&mut buffer).await else {
-                continue;
-            };
-            let Ok(frame) = wire_frame::decode_upstream(&buffer[..len]) else {
-                continue;
-            };
-            if let UpstreamBody::Run { payload, .. } = &frame.body {
-                self.answer(host, frame.tag, payload).await;
-            }
-        }
+    pub async fn run(self) -> std::io::Result<()> {
+        let router = Router::new()
+            .route("/health", get(read_health))
+            .route("/load", get(read_load))
+            .route("/standin/runs", get(read_runs))
+            .route("/standin/behaviour", post(set_behaviour))
+            .with_state(self.handle.clone());
+        let endpoints = async { axum::serve(self.listener, router).await };
+        let datagrams = serve_datagrams(&self.socket, &self.handle);
+        tokio::try_join!(endpoints, datagrams)?;
+        Ok(())
     }
+}
 
-    async fn answer(&self, host: SocketAddr, tag: RoutingTag, payload: &Bytes) {
-        self.runs.fetch_add(1, Ordering::Relaxed);
-        self.send(host, tag, UpstreamBody::Started).await;
-        let answer = expected_answer(&self.service, payload);
-        let total = answer.len() as u32;
-        for (index, chunk) in answer.chunks(PART_LEN).enumerate() {
-            let part = AnswerPart {
-                request: tag.request,
-                offset: (index * PART_LEN) as u32,
-                total,
-                payload: Bytes::copy_from_slice(chunk),
-            };
-            self.send(host, tag, UpstreamBody::Part(part)).await;
+async fn serve_datagrams(socket: &UdpSocket, handle: &UpstreamHandle) -> std::io::Result<()> {
+    let mut buffer = [0; MAX_DATAGRAM + 1];
+    let mut replies = Vec::new();
+    loop {
+        let next = handle.lock().next_deadline();
+        let deadline = next.unwrap_or_else(|| Instant::now() + IDLE_PAUSE);
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                let Ok((len, host)) = received else {
+                    continue;
+                };
+                if let Ok(frame) = wire_frame::decode_upstream(&buffer[..len]) {
+                    handle.lock().take(Instant::now(), host, frame, &mut replies);
+                }
+            }
+            () = tokio::time::sleep_until(deadline.into()) => {}
+        }
+        handle.lock().advance(Instant::now(), &mut replies);
+        for reply in replies.drain(..) {
+            send(socket, &reply).await;
         }
     }
+}
 
-    async fn send(&self, host: SocketAddr, tag: RoutingTag, body: UpstreamBody) {
-        match wire_frame::encode_upstream(&UpstreamFrame { tag, body }) {
-            Ok(bytes) => {
-                let _lost = self.socket.send_to(&bytes, host).await;
-            }
-            Err(code) => log::error!("upstream {}: cannot encode: {code:?}", self.id),
+async fn send(socket: &UdpSocket, reply: &UpstreamReply) {
+    match wire_frame::encode_upstream(&reply.frame) {
+        Ok(bytes) => {
+            let _lost = socket.send_to(&bytes, reply.host).await;
         }
+        Err(code) => log::error!("cannot encode a reply: {code:?}"),
     }
 }
 
-/// The answer of a service to a payload: both names, then the payload three times.
-pub fn expected_answer(service: &str, payload: &[u8]) -> Vec<u8> {
-    let mut answer = service.as_bytes().to_vec();
-    answer.push(b':');
-    for _copy in 0..3 {
-        answer.extend_from_slice(payload);
+async fn read_health(State(upstream): State<UpstreamHandle>) -> StatusCode {
+    if upstream.lock().claims_health() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
     }
-    answer
+}
+
+async fn read_load(State(upstream): State<UpstreamHandle>) -> Json<LoadReport> {
+    Json(upstream.lock().claimed_load(Instant::now()))
+}
+
+async fn read_runs(State(upstream): State<UpstreamHandle>) -> Json<RunReport> {
+    let records = upstream.records();
+    Json(RunReport {
+        totals: records.totals,
+        requests: records.entries().collect(),
+    })
+}
+
+async fn set_behaviour(
+    State(upstream): State<UpstreamHandle>,
+    Json(behaviour): Json<UpstreamBehaviour>,
+) -> StatusCode {
+    upstream.set_behaviour(behaviour);
+    StatusCode::OK
 }
--- a/standin/tests/test_whole_path.rs
+++ b/standin/tests/test_whole_path.rs
@@ -1,49 +1,54 @@
-//! A caller behind the fabric, two entry hosts, two services.
+//! Callers behind a fabric that loses, repeats and reorders, eight entry hosts, two services.
 
-use std::time::Instant;
-
-use bytes::Bytes;
-use lagoonproxy_standin::caller::CallOutcome;
-use lagoonproxy_standin::caller::Caller;
-use lagoonproxy_standin::demo::CALL_BUDGET;
+use lagoonproxy_standin::demo::DEMO_SERVICES;
+use lagoonproxy_standin::demo::DEMO_ZONES;
 use lagoonproxy_standin::demo::Demo;
-use lagoonproxy_standin::demo::DemoService;
-use lagoonproxy_standin::upstream::expected_answer;
+use lagoonproxy_standin::demo::service_addresses;
+use lagoonproxy_standin::fabric::FabricSettings;
+use lagoonproxy_standin::load_run::LoadRun;
+use lagoonproxy_standin::load_run::demo_load;
+
+struct FabricCase {
+    name: &'static str,
+    hosts: u32,
+    requests: u64,
+    fabric: FabricSettings,
+}
 
 #[tokio::test(flavor = "multi_thread")]
-async fn test_each_service_answers_its_own_callers() {
-    let services = [
-        DemoService {
-            id: 1,
-            name: "ledger",
-            address: ([10, 0, 0, 1], 700).into(),
-            upstreams: 2,
+async fn test_callers_receive_whole_answers_of_their_own() {
+    let cases = [
+        FabricCase {
+            name: "quiet fabric, two hosts",
+            hosts: 2,
+            requests: 300,
+            fabric: FabricSettings::default(),
         },
-        DemoService {
-            id: 2,
-            name: "certdocs",
-            address: ([10, 0, 0, 2], 443).into(),
-            upstreams: 1,
+        FabricCase {
+            name: "loss, duplication and reordering, eight hosts",
+            hosts: 8,
+            requests: 1_000,
+            fabric: FabricSettings {
+                seed: 7,
+                loss: 0.02,
+                duplication: 0.02,
+                reordering: 0.02,
+                held_ms: 5.0,
+                ..FabricSettings::default()
+            },
         },
     ];
-    let demo = Demo::start(2, &["zig-a", "zig-b"], &services)
-        .await
-        .unwrap();
-    for service in services {
-        let seed = u64::from(service.id);
-        let mut caller = Caller::bind(demo.caller_addresses.clone(), seed)
+    for case in cases {
+        let demo = Demo::start(case.hosts, &DEMO_ZONES, &DEMO_SERVICES, case.fabric)
             .await
             .unwrap();
-        let deadline = Instant::now() + CALL_BUDGET;
-        assert!(caller.open(service.address, 1, deadline).await.unwrap());
-        for request in 1..=20 {
-            let payload = Bytes::from(format!("lot {request} ").repeat(100));
-            let outcome = caller
-                .call(service.address, 1, request, &payload, CALL_BUDGET)
-                .await
-                .unwrap();
-            let expected = expected_answer(service.name, &payload);
-            assert_eq!(outcome, CallOutcome::Answered(expected));
-        }
+        let addresses = service_addresses(&DEMO_SERVICES);
+        let settings = demo_load(&addresses, &DEMO_ZONES, case.requests);
+        let run = LoadRun::open(settings, &demo.fabric).await.unwrap();
+        let mut report = run.run().await;
+        let services = DEMO_SERVICES.map(|service| service.address);
+        report.judge(&services, &demo.run_reports());
+        assert_eq!(report.jobs(), case.requests, "{}", case.name);
+        assert_eq!(report.exit_code(), 0, "{}\n{report}", case.name);
     }
 }
