--- a/lib/src/published_config.rs
+++ b/lib/src/published_config.rs
@@ -21,7 +21,7 @@
 use crate::ids::ZoneName;
 use crate::label_selector::LabelMap;
 use crate::label_selector::LabelSelector;
-use crate::label_selector::SelectorError;
+use crate::selector_parser::SelectorError;
 
 /// A service as an operator writes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! The tests of the decisions, in one program so that linking is fast.
 
 mod test_host_core;
+mod test_label_selector;
 mod test_result_code;
 mod test_wire_frame;
 mod world;
