settings: read YAML whole and name every fault at once

Each fault has its line and field, units stand in the values, unknown fields are refused, and the shared key is never printed. Before, the first fault ended the reading and durations were constants.

--- a/daemon/src/bin/lagoon-control.rs
+++ b/daemon/src/bin/lagoon-control.rs
@@ -3,10 +3,10 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use lagoonproxy::daemon_settings::ControlSettings;
 use lagoonproxy_daemon::control_daemon::ControlDaemon;
-use lagoonproxy_daemon::entry_settings::ControlSettings;
-use lagoonproxy_daemon::entry_settings::read_settings;
 use lagoonproxy_daemon::logging;
+use lagoonproxy_daemon::settings_file::read_settings;
 use lagoonproxy_daemon::shutdown_signal::terminated;
 
 /// Reads the platform and hands configuration and hosts to the entry daemon.
@@ -21,7 +21,7 @@
 async fn main() -> Result<(), Box<dyn std::error::Error>> {
     let args: ControlArgs = argh::from_env();
     logging::init();
-    let settings: ControlSettings = read_settings(&args.settings)?;
+    let settings = read_settings(&args.settings, ControlSettings::parse)?;
     let daemon = ControlDaemon::bind(&settings).await?;
     daemon.run(terminated()).await?;
     Ok(())
--- a/daemon/src/control_daemon.rs
+++ b/daemon/src/control_daemon.rs
@@ -7,6 +7,7 @@
 
 use futures_util::SinkExt;
 use lagoonproxy::config_snapshot::HostView;
+use lagoonproxy::daemon_settings::ControlSettings;
 use lagoonproxy::ids::Version;
 use lagoonproxy::published_config::PublishedConfig;
 use lagoonproxy::published_config::PublishedHosts;
@@ -19,7 +20,6 @@
 
 use crate::control_link::ControlMessage;
 use crate::control_link::encode_message;
-use crate::entry_settings::ControlSettings;
 
 const POLL_PAUSE: Duration = Duration::from_millis(200);
 const BROADCAST_QUEUE: usize = 16;
--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use lagoonproxy::daemon_settings::EntrySettings;
 use lagoonproxy::host_action::HostAction;
 use lagoonproxy::host_core::CoreSettings;
 use lagoonproxy::host_core::HostCore;
@@ -25,23 +26,13 @@
 
 use crate::control_link::ControlMessage;
 use crate::control_link::decode_message;
-use crate::entry_settings::EntrySettings;
-use crate::entry_settings::SettingsError;
 
-const FLOW_IDLE: Duration = Duration::from_secs(2 * 3_600);
-const MAX_DATAGRAM_AGE: Duration = Duration::from_secs(2);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 const CONTROL_QUEUE: usize = 16;
 
 /// Why the entry daemon stops.
 #[derive(Debug, Snafu)]
 pub enum EntryError {
-    /// A setting is wrong.
-    #[snafu(display("{source}"))]
-    Settings {
-        /// Which one.
-        source: SettingsError,
-    },
     /// An address cannot be bound.
     #[snafu(display("cannot bind {address}: {source}"))]
     Bind {
@@ -82,12 +73,12 @@
 impl EntryDaemon {
     /// Binds the sockets that the settings name.
     pub async fn bind(settings: &EntrySettings) -> Result<Self, EntryError> {
-        let key = settings.key_bytes().context(SettingsSnafu)?;
+        let key = settings.shared_key.bytes();
         let core_settings = CoreSettings {
             host: settings.host,
             flow_key: key,
-            flow_idle: FLOW_IDLE,
-            max_datagram_age: MAX_DATAGRAM_AGE,
+            flow_idle: settings.flow_idle,
+            max_datagram_age: settings.max_datagram_age,
         };
         Ok(Self {
             core: HostCore::new(core_settings, Box::<LeastBusyPolicy>::default()),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,6 @@
 pub mod control_daemon;
 pub mod control_link;
 pub mod entry_daemon;
-pub mod entry_settings;
 pub mod logging;
+pub mod settings_file;
 pub mod shutdown_signal;
--- /dev/null
+++ b/daemon/src/settings_file.rs
@@ -0,0 +1,38 @@
+//! Reads a daemon's settings file.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use lagoonproxy::settings_reader::SettingsFaults;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+/// Why a settings file is refused.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("cannot read settings {}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The file has faults.
+    #[snafu(display("settings {} are refused: {source}", path.display()))]
+    Faulty {
+        /// The file.
+        path: PathBuf,
+        /// All of its faults.
+        source: SettingsFaults,
+    },
+}
+
+/// Reads a file and parses its text.
+pub fn read_settings<T>(
+    path: &Path,
+    parse: impl FnOnce(&str) -> Result<T, SettingsFaults>,
+) -> Result<T, SettingsError> {
+    let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+    parse(&text).context(FaultySnafu { path })
+}
--- /dev/null
+++ b/lib/src/daemon_settings.rs
@@ -0,0 +1,187 @@
+//! Settings of the two daemons: their fields, defaults and limits.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::ids::HostId;
+use crate::ids::ZoneName;
+use crate::settings_reader::SettingsFaults;
+use crate::settings_reader::SettingsReader;
+use crate::shared_key::SharedKey;
+use crate::unit_text::ByteText;
+use crate::unit_text::DurationText;
+
+/// Name of the region when settings name none.
+pub const DEFAULT_REGION: &str = "main";
+/// Longest `max_datagram_age`: records of requests are kept that much longer.
+const MAX_DATAGRAM_AGE: Duration = Duration::from_secs(30);
+
+/// Settings of `lagoon-entry`.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// The host's number in the published list.
+    pub host: HostId,
+    /// The availability zone it is in.
+    pub zone: ZoneName,
+    /// Where callers' datagrams arrive.
+    pub caller_address: SocketAddr,
+    /// Where peers' datagrams arrive.
+    pub peer_address: SocketAddr,
+    /// Where upstreams' datagrams arrive.
+    pub upstream_address: SocketAddr,
+    /// The control daemon of the same host.
+    pub control_address: SocketAddr,
+    /// Where metrics, health and status are read; absent, they are not served.
+    pub admin_address: Option<SocketAddr>,
+    /// Key that the user's hosts share.
+    pub shared_key: SharedKey,
+    /// How long a silent flow is kept; 2 hours by default, for sessions that idle.
+    pub flow_idle: Duration,
+    /// Longest time that a datagram is assumed to be under way; 1 s by default.
+    pub max_datagram_age: Duration,
+    /// Longest time between the signal to stop and the exit; 30 s by default.
+    pub drain_limit: Duration,
+}
+
+/// Settings of `lagoon-control`.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// The host's number in the published list.
+    pub host: HostId,
+    /// The availability zone it is in.
+    pub zone: ZoneName,
+    /// The region it is in.
+    pub region: SmolStr,
+    /// Where the entry daemon of the same host and the control daemons of others connect.
+    pub control_address: SocketAddr,
+    /// The platform's configuration service.
+    pub platform_address: SocketAddr,
+    /// Where metrics, health and status are read; absent, they are not served.
+    pub admin_address: Option<SocketAddr>,
+    /// Key that the user's hosts share.
+    pub shared_key: SharedKey,
+    /// Bytes a second that this daemon sends to other hosts; 3 KB by default.
+    pub byte_budget: u64,
+}
+
+impl EntrySettings {
+    /// Reads settings in YAML; the error has every fault.
+    pub fn parse(text: &str) -> Result<Self, SettingsFaults> {
+        let mut reader = SettingsReader::new(text)?;
+        let settings = Self::read(&mut reader);
+        if let Some(settings) = &settings {
+            settings.check(&mut reader);
+        }
+        reader.finish(settings)
+    }
+
+    fn read(reader: &mut SettingsReader<'_>) -> Option<Self> {
+        let host = reader.required("host");
+        let zone = reader.required("zone");
+        let caller_address = reader.required("caller_address");
+        let peer_address = reader.required("peer_address");
+        let upstream_address = reader.required("upstream_address");
+        let control_address = reader.required("control_address");
+        let admin_address = reader.optional("admin_address", None);
+        let shared_key = reader.required("shared_key");
+        let flow_idle =
+            reader.optional_as::<_, DurationText>("flow_idle", Duration::from_secs(7_200));
+        let max_datagram_age =
+            reader.optional_as::<_, DurationText>("max_datagram_age", Duration::from_secs(1));
+        let drain_limit =
+            reader.optional_as::<_, DurationText>("drain_limit", Duration::from_secs(30));
+        Some(Self {
+            host: host?,
+            zone: zone?,
+            caller_address: caller_address?,
+            peer_address: peer_address?,
+            upstream_address: upstream_address?,
+            control_address: control_address?,
+            admin_address,
+            shared_key: shared_key?,
+            flow_idle,
+            max_datagram_age,
+            drain_limit,
+        })
+    }
+
+    fn check(&self, reader: &mut SettingsReader<'_>) {
+        let datagram_addresses = [
+            ("caller_address", self.caller_address),
+            ("peer_address", self.peer_address),
+            ("upstream_address", self.upstream_address),
+        ];
+        check_distinct(reader, &datagram_addresses);
+        let stream_addresses = [("control_address", Some(self.control_address))]
+            .into_iter()
+            .chain([("admin_address", self.admin_address)])
+            .filter_map(|(field, address)| Some((field, address?)))
+            .collect::<Vec<_>>();
+        check_distinct(reader, &stream_addresses);
+        if self.flow_idle.is_zero() {
+            reader.fault("flow_idle", "must be longer than zero");
+        }
+        if self.max_datagram_age.is_zero() || self.max_datagram_age > MAX_DATAGRAM_AGE {
+            reader.fault("max_datagram_age", "must be from 1ms to 30s");
+        }
+    }
+}
+
+impl ControlSettings {
+    /// Reads settings in YAML; the error has every fault.
+    pub fn parse(text: &str) -> Result<Self, SettingsFaults> {
+        let mut reader = SettingsReader::new(text)?;
+        let settings = Self::read(&mut reader);
+        if let Some(settings) = &settings {
+            settings.check(&mut reader);
+        }
+        reader.finish(settings)
+    }
+
+    fn read(reader: &mut SettingsReader<'_>) -> Option<Self> {
+        let host = reader.required("host");
+        let zone = reader.required("zone");
+        let region = reader.optional("region", SmolStr::new_static(DEFAULT_REGION));
+        let control_address = reader.required("control_address");
+        let platform_address = reader.required("platform_address");
+        let admin_address = reader.optional("admin_address", None);
+        let shared_key = reader.required("shared_key");
+        let byte_budget = reader.optional_as::<_, ByteText>("byte_budget", 3_000);
+        Some(Self {
+            host: host?,
+            zone: zone?,
+            region,
+            control_address: control_address?,
+            platform_address: platform_address?,
+            admin_address,
+            shared_key: shared_key?,
+            byte_budget,
+        })
+    }
+
+    fn check(&self, reader: &mut SettingsReader<'_>) {
+        if self.byte_budget == 0 {
+            reader.fault("byte_budget", "must be more than zero");
+        }
+        let addresses = [("control_address", Some(self.control_address))]
+            .into_iter()
+            .chain([("admin_address", self.admin_address)])
+            .filter_map(|(field, address)| Some((field, address?)))
+            .collect::<Vec<_>>();
+        check_distinct(reader, &addresses);
+    }
+}
+
+/// Refuses an address that stands in two fields; port 0 is chosen by the system and never clashes.
+fn check_distinct(reader: &mut SettingsReader<'_>, addresses: &[(&'static str, SocketAddr)]) {
+    for (index, (field, address)) in addresses.iter().enumerate() {
+        let earlier = addresses[..index]
+            .iter()
+            .find(|(_field, other)| other == address && address.port() != 0);
+        if let Some((other, _address)) = earlier {
+            reader.fault(field, &format!("{address} stands in {other} too"));
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer_buffer;
 pub mod caller_system;
 pub mod config_snapshot;
+pub mod daemon_settings;
 pub mod expiry_system;
 pub mod flow_hash;
 pub mod flow_table;
@@ -23,5 +24,8 @@
 pub mod request_table;
 pub mod result_code;
 pub mod selector_parser;
+pub mod settings_reader;
+pub mod shared_key;
+pub mod unit_text;
 pub mod upstream_system;
 pub mod wire_frame;
--- /dev/null
+++ b/lib/src/settings_reader.rs
@@ -0,0 +1,248 @@
+//! Reads settings in YAML whole: every fault at once, each with its line and field.
+//!
+//! A derived deserializer stops at the first fault, so that an operator would mend a file fault by
+//! fault, with a start of the daemon between each two.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::de::DeserializeOwned;
+use serde_norway::Mapping;
+use serde_norway::Value;
+use serde_with::DeserializeAs;
+use serde_with::Same;
+use serde_with::de::DeserializeAsWrap;
+
+/// One fault of a settings text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsFault {
+    /// The line it is on, from 1; `None` for a field that is missing.
+    pub line: Option<usize>,
+    /// The field, with its section before a dot; empty when the text is no YAML.
+    pub field: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+/// Every fault of a settings text, in the order of its lines. Never empty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsFaults {
+    /// The faults.
+    pub faults: Vec<SettingsFault>,
+}
+
+impl fmt::Display for SettingsFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(formatter, "line {line}: ")?;
+        }
+        if !self.field.is_empty() {
+            write!(formatter, "{}: ", self.field)?;
+        }
+        formatter.write_str(&self.message)
+    }
+}
+
+impl fmt::Display for SettingsFaults {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.faults.iter().enumerate() {
+            if index > 0 {
+                formatter.write_str("; ")?;
+            }
+            fault.fmt(formatter)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for SettingsFaults {}
+
+/// Takes fields out of a settings text and collects what is wrong with them.
+pub struct SettingsReader<'text> {
+    text: &'text str,
+    section: String,
+    fields: Mapping,
+    known: BTreeSet<&'static str>,
+    faults: Vec<SettingsFault>,
+}
+
+impl<'text> SettingsReader<'text> {
+    /// Parses a text; a fault of its syntax ends the reading at once.
+    pub fn new(text: &'text str) -> Result<Self, SettingsFaults> {
+        let parsed = serde_norway::from_str::<Value>(text);
+        let fields = match parsed {
+            Ok(Value::Mapping(fields)) => fields,
+            Ok(_other) => return Err(no_yaml(None, "expected `field: value` lines")),
+            Err(error) => {
+                let line = error.location().map(|location| location.line());
+                return Err(no_yaml(line, &error.to_string()));
+            }
+        };
+        Ok(Self {
+            text,
+            section: String::new(),
+            fields,
+            known: BTreeSet::new(),
+            faults: Vec::new(),
+        })
+    }
+
+    /// Takes a field that must be there; `None` if there is a fault, which is kept.
+    pub fn required<T: DeserializeOwned>(&mut self, field: &'static str) -> Option<T> {
+        self.required_as::<T, Same>(field)
+    }
+
+    /// Takes a field that must be there, read through the adapter `A`.
+    pub fn required_as<T, A>(&mut self, field: &'static str) -> Option<T>
+    where
+        A: for<'de> DeserializeAs<'de, T>,
+    {
+        let value = self.take(field);
+        if value.is_none() {
+            self.fault_at(None, field, "this field is missing");
+        }
+        self.convert::<T, A>(field, value?)
+    }
+
+    /// Takes a field that has a default.
+    pub fn optional<T: DeserializeOwned>(&mut self, field: &'static str, default: T) -> T {
+        self.optional_as::<T, Same>(field, default)
+    }
+
+    /// Takes a field that has a default, read through the adapter `A`.
+    pub fn optional_as<T, A>(&mut self, field: &'static str, default: T) -> T
+    where
+        A: for<'de> DeserializeAs<'de, T>,
+    {
+        match self.take(field) {
+            Some(value) => self.convert::<T, A>(field, value).unwrap_or(default),
+            None => default,
+        }
+    }
+
+    /// Reads the fields of a section, all of which may be absent.
+    pub fn section<T>(
+        &mut self,
+        field: &'static str,
+        read: impl FnOnce(&mut SettingsReader<'text>) -> T,
+    ) -> T {
+        let fields = match self.take(field) {
+            None => Mapping::new(),
+            Some(Value::Mapping(fields)) => fields,
+            Some(_other) => {
+                self.fault(field, "expected a section of indented `field: value` lines");
+                Mapping::new()
+            }
+        };
+        let mut inner = SettingsReader {
+            text: self.text,
+            section: field.to_owned(),
+            fields,
+            known: BTreeSet::new(),
+            faults: Vec::new(),
+        };
+        let result = read(&mut inner);
+        inner.refuse_unknown();
+        self.faults.append(&mut inner.faults);
+        result
+    }
+
+    /// Keeps a fault of a field that was read but does not fit.
+    pub fn fault(&mut self, field: &str, message: &str) {
+        let line = self.line_of(field);
+        self.fault_at(line, field, message);
+    }
+
+    /// Ends the reading: the value if no fault was met, all faults otherwise.
+    pub fn finish<T>(mut self, value: Option<T>) -> Result<T, SettingsFaults> {
+        self.refuse_unknown();
+        self.faults
+            .sort_by_key(|fault| fault.line.unwrap_or(usize::MAX));
+        match value {
+            Some(value) if self.faults.is_empty() => Ok(value),
+            _ => Err(SettingsFaults {
+                faults: self.faults,
+            }),
+        }
+    }
+
+    fn take(&mut self, field: &'static str) -> Option<Value> {
+        self.known.insert(field);
+        self.fields.remove(field)
+    }
+
+    fn convert<T, A>(&mut self, field: &'static str, value: Value) -> Option<T>
+    where
+        A: for<'de> DeserializeAs<'de, T>,
+    {
+        match serde_norway::from_value::<DeserializeAsWrap<T, A>>(value) {
+            Ok(wrap) => Some(wrap.into_inner()),
+            Err(error) => {
+                self.fault(field, &error.to_string());
+                None
+            }
+        }
+    }
+
+    fn refuse_unknown(&mut self) {
+        let known: Vec<&str> = self.known.iter().copied().collect();
+        let known = known.join(", ");
+        let unknown: Vec<String> = self
+            .fields
+            .keys()
+            .map(|key| match key {
+                Value::String(name) => name.clone(),
+                other => format!("{other:?}"),
+            })
+            .collect();
+        for field in unknown {
+            self.fault(&field, &format!("no such field; there are {known}"));
+        }
+    }
+
+    fn fault_at(&mut self, line: Option<usize>, field: &str, message: &str) {
+        let field = if self.section.is_empty() {
+            field.to_owned()
+        } else {
+            format!("{}.{field}", self.section)
+        };
+        self.faults.push(SettingsFault {
+            line,
+            field,
+            message: message.to_owned(),
+        });
+    }
+
+    /// The line of a field. The parser keeps no positions, so that the text is searched for the key
+    /// at the start of a line, below its section's line if it has one.
+    fn line_of(&self, field: &str) -> Option<usize> {
+        let mut lines = self.text.lines().zip(1..);
+        if !self.section.is_empty() {
+            lines.find(|(line, _number)| is_key(line, &self.section))?;
+            return lines
+                .take_while(|(line, _number)| line.is_empty() || line.starts_with([' ', '#']))
+                .find(|(line, _number)| is_key(line.trim_start(), field))
+                .map(|(_line, number)| number);
+        }
+        lines
+            .find(|(line, _number)| is_key(line, field))
+            .map(|(_line, number)| number)
+    }
+}
+
+fn is_key(line: &str, field: &str) -> bool {
+    let unquoted = line.trim_start_matches(['"', '\'']);
+    unquoted
+        .strip_prefix(field)
+        .is_some_and(|rest| rest.trim_start_matches(['"', '\'', ' ']).starts_with(':'))
+}
+
+fn no_yaml(line: Option<usize>, message: &str) -> SettingsFaults {
+    SettingsFaults {
+        faults: vec![SettingsFault {
+            line,
+            field: String::new(),
+            message: message.to_owned(),
+        }],
+    }
+}
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -5,16 +5,18 @@
 
 use lagoonproxy::config_snapshot::HostEntry;
 use lagoonproxy::config_snapshot::UpstreamState;
+use lagoonproxy::daemon_settings::ControlSettings;
+use lagoonproxy::daemon_settings::DEFAULT_REGION;
+use lagoonproxy::daemon_settings::EntrySettings;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::UpstreamId;
 use lagoonproxy::published_config::PublishedConfig;
 use lagoonproxy::published_config::PublishedHosts;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
+use lagoonproxy::shared_key::SharedKey;
 use lagoonproxy_daemon::control_daemon::ControlDaemon;
 use lagoonproxy_daemon::entry_daemon::EntryDaemon;
-use lagoonproxy_daemon::entry_settings::ControlSettings;
-use lagoonproxy_daemon::entry_settings::EntrySettings;
 use tokio::task::JoinHandle;
 
 use crate::platform::Platform;
@@ -23,7 +25,7 @@
 /// Version of the first configuration.
 const FIRST_VERSION: u64 = 1;
 /// Key of the demonstration's hosts.
-const SHARED_KEY: &str = "6c61676f6f6e70726f78792064656d6f";
+const SHARED_KEY: [u8; 16] = *b"lagoonproxy demo";
 
 /// A service of the demonstration.
 #[derive(Clone, Copy, Debug)]
@@ -122,6 +124,11 @@
             host,
             control_address: any_port,
             platform_address,
+            zone: zone.into(),
+            region: DEFAULT_REGION.into(),
+            admin_address: None,
+            shared_key: SharedKey::new(SHARED_KEY),
+            byte_budget: 3_000,
         })
         .await?;
         let control_address = control.address()?;
@@ -132,7 +139,11 @@
             peer_address: any_port,
             upstream_address: any_port,
             control_address,
-            shared_key: SHARED_KEY.to_owned(),
+            admin_address: None,
+            shared_key: SharedKey::new(SHARED_KEY),
+            flow_idle: Duration::from_secs(7_200),
+            max_datagram_age: Duration::from_secs(1),
+            drain_limit: Duration::from_secs(30),
         })
         .await?;
         let addresses = entry.addresses()?;
