core: split the callers' system into flows and requests

Moves only, no change of behaviour: open_flow, close_flow and place_flow go to flow_system.rs, the rest to request_system.rs.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,10 +4,10 @@
 //! the present time go in, actions come out. The daemons are thin shells around it.
 
 pub mod answer_buffer;
-pub mod caller_system;
 pub mod config_snapshot;
 pub mod expiry_system;
 pub mod flow_hash;
+pub mod flow_system;
 pub mod flow_table;
 pub mod host_action;
 pub mod host_core;
@@ -19,6 +19,7 @@
 pub mod load_policy;
 pub mod owner_rank;
 pub mod published_config;
+pub mod request_system;
 pub mod request_table;
 pub mod result_code;
 pub mod upstream_system;
--- a/lib/src/caller_system.rs
+++ b/lib/src/request_system.rs
@@ -1,14 +1,10 @@
-//! What the owner of a flow does with its caller's frames.
+//! What the owner of a flow does with its caller's requests.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::config_snapshot::ServiceEntry;
-use crate::config_snapshot::UpstreamState;
-use crate::flow_hash::rendezvous_key;
-use crate::flow_hash::rendezvous_weight;
-use crate::flow_table::FlowRecord;
 use crate::host_action::HostAction;
 use crate::host_core::HostCore;
 use crate::host_core::reply;
@@ -61,42 +57,6 @@
         }
     }
 
-    fn open_flow(
-        &mut self,
-        now: Instant,
-        caller: SocketAddr,
-        digest: FlowDigest,
-        frame: &CallerFrame,
-        actions: &mut Vec<HostAction>,
-    ) {
-        let idle_deadline = now + self.settings.flow_idle;
-        if let Some(flow) = self.flows.get_mut(digest) {
-            flow.idle_deadline = idle_deadline;
-            actions.push(to_caller(caller, reply(frame, CallerBody::Opened)));
-            return;
-        }
-        let service = match self.service_of(frame) {
-            Ok(service) => service,
-            Err(code) => return refuse(caller, frame, None, code, actions),
-        };
-        let Some(upstream) = self.place_flow(digest, service) else {
-            return refuse(caller, frame, None, ResultCode::NoUpstream, actions);
-        };
-        let service = service.id;
-        let Some(tag) = self.routing_tag(caller, frame, 0, 0, upstream) else {
-            return refuse(caller, frame, None, ResultCode::NoUpstream, actions);
-        };
-        let record = FlowRecord {
-            service,
-            upstream,
-            incarnation: tag.incarnation,
-            idle_deadline,
-        };
-        self.flows.insert(digest, record);
-        self.send_upstream(tag, UpstreamBody::Open, actions);
-        actions.push(to_caller(caller, reply(frame, CallerBody::Opened)));
-    }
-
     fn take_request(
         &mut self,
         now: Instant,
@@ -204,21 +164,6 @@
         }
     }
 
-    fn close_flow(
-        &mut self,
-        caller: SocketAddr,
-        digest: FlowDigest,
-        frame: &CallerFrame,
-        actions: &mut Vec<HostAction>,
-    ) {
-        if let Some(flow) = self.flows.remove(digest)
-            && let Some(tag) = self.routing_tag(caller, frame, 0, 0, flow.upstream)
-        {
-            self.send_upstream(tag, UpstreamBody::Close, actions);
-        }
-        actions.push(to_caller(caller, reply(frame, CallerBody::Closed)));
-    }
-
     pub(crate) fn send_attempt(
         &mut self,
         now: Instant,
@@ -278,28 +223,14 @@
         })
     }
 
-    fn service_of(&self, frame: &CallerFrame) -> Result<&ServiceEntry, ResultCode> {
+    pub(crate) fn service_of(&self, frame: &CallerFrame) -> Result<&ServiceEntry, ResultCode> {
         let config = self.config.as_ref().ok_or(ResultCode::NoConfig)?;
         config
             .service_at(frame.service)
             .ok_or(ResultCode::ServiceUnknown)
     }
 
-    fn place_flow(&self, digest: FlowDigest, service: &ServiceEntry) -> Option<UpstreamId> {
-        let config = self.config.as_ref()?;
-        let key = rendezvous_key(digest);
-        service
-            .upstreams
-            .iter()
-            .copied()
-            .filter(|id| {
-                let upstream = config.upstreams.get(id);
-                upstream.is_some_and(|entry| entry.state == UpstreamState::Active)
-            })
-            .max_by_key(|id| rendezvous_weight(key, u64::from(*id)))
-    }
-
-    fn routing_tag(
+    pub(crate) fn routing_tag(
         &self,
         caller: SocketAddr,
         frame: &CallerFrame,
@@ -321,7 +252,12 @@
         })
     }
 
-    fn send_upstream(&self, tag: RoutingTag, body: UpstreamBody, actions: &mut Vec<HostAction>) {
+    pub(crate) fn send_upstream(
+        &self,
+        tag: RoutingTag,
+        body: UpstreamBody,
+        actions: &mut Vec<HostAction>,
+    ) {
         let config = self.config.as_ref();
         let Some(entry) = config.and_then(|config| config.upstreams.get(&tag.upstream)) else {
             return;
@@ -339,7 +275,7 @@
 
 /// Refuses what this host has no record of. A copy may have reached another host, so that only an
 /// owner with a record can say that the request did not run.
-fn refuse(
+pub(crate) fn refuse(
     caller: SocketAddr,
     frame: &CallerFrame,
     request: Option<u64>,
--- a/lib/src/upstream_system.rs
+++ b/lib/src/upstream_system.rs
@@ -4,10 +4,10 @@
 use std::time::Instant;
 
 use crate::answer_buffer::AnswerBuffer;
-use crate::caller_system::to_caller;
 use crate::host_action::HostAction;
 use crate::host_core::HostCore;
 use crate::load_policy::JobEnd;
+use crate::request_system::to_caller;
 use crate::request_table::RequestKey;
 use crate::request_table::RequestStage;
 use crate::result_code::ResultCode;
