daemon: show metrics, health and status; end a drain in its stated time

The entry daemon serves /metrics (results by code, bytes by link, gauges), /healthz, /readyz with the reason, and /v1/status. A status scans the requests, so that it is taken every 250 ms and not each tick. A drain ends after drain_limit. Before, counts went to a debug log and a drain could last for ever.

--- /dev/null
+++ b/daemon/src/daemon_metrics.rs
@@ -0,0 +1,182 @@
+//! Counters and gauges of a daemon, in the text format of Prometheus.
+
+use std::sync::atomic::AtomicU64;
+
+use lagoonproxy::host_status::HostStatus;
+use lagoonproxy::result_code::ResultCode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// Labels of a counter by result.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResultLabels {
+    code: u16,
+    reason: String,
+}
+
+/// Labels of a counter by the link that datagrams belong to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LinkLabels {
+    link: &'static str,
+}
+
+/// The links of an entry host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DatagramLink {
+    /// Callers.
+    Caller,
+    /// Other entry hosts.
+    Peer,
+    /// Upstreams.
+    Upstream,
+}
+
+impl DatagramLink {
+    fn label(self) -> LinkLabels {
+        let link = match self {
+            Self::Caller => "caller",
+            Self::Peer => "peer",
+            Self::Upstream => "upstream",
+        };
+        LinkLabels { link }
+    }
+}
+
+/// The metrics of an entry daemon.
+pub struct EntryMetrics {
+    registry: Registry,
+    results: Family<ResultLabels, Counter>,
+    retries: Family<ResultLabels, Counter>,
+    received_bytes: Family<LinkLabels, Counter>,
+    sent_bytes: Family<LinkLabels, Counter>,
+    config_version: Gauge<u64, AtomicU64>,
+    hosts_alive: Gauge<u64, AtomicU64>,
+    flows: Gauge<u64, AtomicU64>,
+    requests: Gauge<u64, AtomicU64>,
+    draining: Gauge<u64, AtomicU64>,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("lagoon"),
+            results: Family::default(),
+            retries: Family::default(),
+            received_bytes: Family::default(),
+            sent_bytes: Family::default(),
+            config_version: Gauge::default(),
+            hosts_alive: Gauge::default(),
+            flows: Gauge::default(),
+            requests: Gauge::default(),
+            draining: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl EntryMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        let counters = [
+            (
+                "results",
+                "Refusals and dropped datagrams, by reason",
+                &self.results,
+            ),
+            (
+                "retries",
+                "Further attempts of requests, by reason",
+                &self.retries,
+            ),
+        ];
+        for (name, help, family) in counters {
+            registry.register(name, help, family.clone());
+        }
+        let links = [
+            (
+                "received_bytes",
+                "Bytes received, by link",
+                &self.received_bytes,
+            ),
+            ("sent_bytes", "Bytes sent, by link", &self.sent_bytes),
+        ];
+        for (name, help, family) in links {
+            registry.register(name, help, family.clone());
+        }
+        let gauges = [
+            (
+                "config_version",
+                "Configuration in force",
+                &self.config_version,
+            ),
+            (
+                "hosts_alive",
+                "Entry hosts believed alive",
+                &self.hosts_alive,
+            ),
+            ("flows", "Flows owned", &self.flows),
+            ("requests", "Requests without an outcome", &self.requests),
+            ("draining", "1 while the host drains", &self.draining),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// Counts a refusal or a dropped datagram.
+    pub fn count_result(&self, code: ResultCode) {
+        self.results.get_or_create(&result_labels(code)).inc();
+    }
+
+    /// Counts a further attempt of a request.
+    pub fn count_retry(&self, code: ResultCode) {
+        self.retries.get_or_create(&result_labels(code)).inc();
+    }
+
+    /// Counts a datagram received.
+    pub fn count_received(&self, link: DatagramLink, bytes: usize) {
+        let counter = self.received_bytes.get_or_create(&link.label());
+        counter.inc_by(bytes as u64);
+    }
+
+    /// Counts a datagram sent.
+    pub fn count_sent(&self, link: DatagramLink, bytes: usize) {
+        let counter = self.sent_bytes.get_or_create(&link.label());
+        counter.inc_by(bytes as u64);
+    }
+
+    /// Takes the gauges from a status.
+    pub fn observe(&self, status: &HostStatus) {
+        self.config_version.set(status.config_version.unwrap_or(0));
+        self.hosts_alive.set(status.hosts_alive as u64);
+        self.flows.set(status.flows as u64);
+        self.requests.set(status.requests as u64);
+        self.draining.set(u64::from(status.draining));
+    }
+
+    /// Every metric as text.
+    pub fn text(&self) -> String {
+        encode_registry(&self.registry)
+    }
+}
+
+/// A registry as text; the encoder only fails when its target does, and a string does not.
+pub fn encode_registry(registry: &Registry) -> String {
+    let mut text = String::new();
+    if let Err(error) = encode(&mut text, registry) {
+        log::error!("cannot encode metrics: {error}");
+    }
+    text
+}
+
+fn result_labels(code: ResultCode) -> ResultLabels {
+    ResultLabels {
+        code: code.number(),
+        reason: format!("{code:?}"),
+    }
+}
--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,19 +16,28 @@
 use lagoonproxy::host_event::HostEvent;
 use lagoonproxy::least_busy_policy::LeastBusyPolicy;
 use lagoonproxy::result_code::ResultCode;
+use lagoonproxy::unit_text::format_duration;
 use lagoonproxy::wire_frame;
 use lagoonproxy::wire_frame::MAX_DATAGRAM;
 use lagoonproxy::wire_frame::PeerKey;
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::admin_server::AdminSource;
+use crate::admin_server::bind_admin;
+use crate::admin_server::serve_admin;
 use crate::control_link::ControlMessage;
 use crate::control_link::decode_message;
+use crate::daemon_metrics::DatagramLink;
+use crate::entry_admin::EntryAdmin;
 
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two statuses shown to operators; a status scans the table of requests.
+const STATUS_PAUSE: Duration = Duration::from_millis(250);
 const CONTROL_QUEUE: usize = 16;
 
 /// Why the entry daemon stops.
@@ -54,6 +64,10 @@
     core: HostCore,
     peer_key: PeerKey,
     control_address: SocketAddr,
+    admin: Arc<EntryAdmin>,
+    status_deadline: Instant,
+    drain_limit: Duration,
+    admin_listener: Option<TcpListener>,
     caller_socket: UdpSocket,
     peer_socket: UdpSocket,
     upstream_socket: UdpSocket,
@@ -68,6 +82,8 @@
     pub peer: SocketAddr,
     /// Where upstreams' datagrams arrive.
     pub upstream: SocketAddr,
+    /// Where metrics, health and status are read.
+    pub admin: Option<SocketAddr>,
 }
 
 impl EntryDaemon {
@@ -84,6 +100,10 @@
             core: HostCore::new(core_settings, Box::<LeastBusyPolicy>::default()),
             peer_key: PeerKey::new(key),
             control_address: settings.control_address,
+            admin: Arc::default(),
+            status_deadline: Instant::now(),
+            drain_limit: settings.drain_limit,
+            admin_listener: bind_listener(settings.admin_address).await?,
             caller_socket: bind(settings.caller_address).await?,
             peer_socket: bind(settings.peer_address).await?,
             upstream_socket: bind(settings.upstream_address).await?,
@@ -96,6 +116,10 @@
             caller: self.caller_socket.local_addr().context(SocketSnafu)?,
             peer: self.peer_socket.local_addr().context(SocketSnafu)?,
             upstream: self.upstream_socket.local_addr().context(SocketSnafu)?,
+            admin: match &self.admin_listener {
+                Some(listener) => Some(listener.local_addr().context(SocketSnafu)?),
+                None => None,
+            },
         })
     }
 
@@ -103,8 +127,15 @@
     pub async fn run(mut self, shutdown: impl Future<Output = ()>) -> Result<(), EntryError> {
         let (control_sender, mut control) = mpsc::channel(CONTROL_QUEUE);
         let reader = tokio::spawn(read_control(self.control_address, control_sender));
+        let admin = self.admin_listener.take().map(|listener| {
+            let source: Arc<dyn AdminSource> = Arc::<EntryAdmin>::clone(&self.admin);
+            tokio::spawn(serve_admin(listener, source))
+        });
         let result = self.serve(&mut control, shutdown).await;
         reader.abort();
+        if let Some(admin) = admin {
+            admin.abort();
+        }
         result
     }
 
@@ -114,15 +145,16 @@
         shutdown: impl Future<Output = ()>,
     ) -> Result<(), EntryError> {
         let mut shutdown = Box::pin(shutdown);
-        let mut draining = false;
+        let mut drain_deadline: Option<Instant> = None;
         let mut ticks = tokio::time::interval(TICK);
         let mut from_caller = [0; MAX_DATAGRAM + 1];
         let mut from_peer = [0; MAX_DATAGRAM + 1];
         let mut from_upstream = [0; MAX_DATAGRAM + 1];
         loop {
             let event = tokio::select! {
-                () = &mut shutdown, if !draining => {
-                    draining = true;
+                () = &mut shutdown, if drain_deadline.is_none() => {
+                    drain_deadline = Some(Instant::now() + self.drain_limit);
+                    log::info!("draining for {} at most", format_duration(self.drain_limit));
                     Ok(HostEvent::Drain)
                 }
                 Some(message) = control.recv() => Ok(control_event(message)),
@@ -145,15 +177,34 @@
             };
             match event {
                 Ok(event) => {
+                    self.observe_status();
                     if self.handle(event).await {
+                        log::info!("drained");
+                        return Ok(());
+                    }
+                    if drain_deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+                        log::warn!(
+                            "not drained in time: {:?}",
+                            self.core.status(Instant::now())
+                        );
                         return Ok(());
                     }
                 }
-                Err(code) => count_dropped(code),
+                Err(code) => self.admin.metrics.count_result(code),
             }
         }
     }
 
+    /// Shows a new status once the last one is old.
+    fn observe_status(&mut self) {
+        let now = Instant::now();
+        if now < self.status_deadline {
+            return;
+        }
+        self.status_deadline = now + STATUS_PAUSE;
+        self.admin.observe(self.core.status(now));
+    }
+
     /// Passes an event to the core and carries out its actions; `true` once drained.
     async fn handle(&mut self, event: HostEvent) -> bool {
         let mut actions = Vec::new();
@@ -169,21 +220,42 @@
         match action {
             HostAction::ToCaller { caller, frame } => {
                 let encoded = wire_frame::encode_caller(&frame);
-                send(&self.caller_socket, caller, encoded).await;
+                self.send(DatagramLink::Caller, caller, encoded).await;
             }
             HostAction::ToPeer { address, frame, .. } => {
                 let encoded = wire_frame::encode_peer(&frame, &self.peer_key);
-                send(&self.peer_socket, address, encoded).await;
+                self.send(DatagramLink::Peer, address, encoded).await;
             }
             HostAction::ToUpstream { address, frame } => {
                 let encoded = wire_frame::encode_upstream(&frame);
-                send(&self.upstream_socket, address, encoded).await;
+                self.send(DatagramLink::Upstream, address, encoded).await;
             }
-            HostAction::Count(code) => count_dropped(code),
+            HostAction::Count(code) => self.admin.metrics.count_result(code),
             HostAction::Drained => return true,
         }
         false
     }
+
+    async fn send(
+        &mut self,
+        link: DatagramLink,
+        address: SocketAddr,
+        encoded: Result<Bytes, ResultCode>,
+    ) {
+        let bytes = match encoded {
+            Ok(bytes) => bytes,
+            Err(code) => return self.admin.metrics.count_result(code),
+        };
+        let socket = match link {
+            DatagramLink::Caller => &self.caller_socket,
+            DatagramLink::Peer => &self.peer_socket,
+            DatagramLink::Upstream => &self.upstream_socket,
+        };
+        match socket.send_to(&bytes, address).await {
+            Ok(sent) => self.admin.metrics.count_sent(link, sent),
+            Err(error) => log::debug!("cannot send to {address}: {error}"),
+        }
+    }
 }
 
 async fn bind(address: SocketAddr) -> Result<UdpSocket, EntryError> {
@@ -192,19 +264,12 @@
         .context(BindSnafu { address })
 }
 
-async fn send(socket: &UdpSocket, address: SocketAddr, encoded: Result<Bytes, ResultCode>) {
-    match encoded {
-        Ok(bytes) => {
-            if let Err(error) = socket.send_to(&bytes, address).await {
-                log::debug!("cannot send to {address}: {error}");
-            }
-        }
-        Err(code) => count_dropped(code),
-    }
-}
-
-fn count_dropped(code: ResultCode) {
-    log::debug!("result {}", code.number());
+async fn bind_listener(address: Option<SocketAddr>) -> Result<Option<TcpListener>, EntryError> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    let listener = bind_admin(address).await.context(BindSnafu { address })?;
+    Ok(Some(listener))
 }
 
 fn control_event(message: ControlMessage) -> HostEvent {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,8 +3,11 @@
 //! `lagoon-entry` carries datagrams, `lagoon-control` reads the platform. The programs call the
 //! entry points here, and so do tests and the demonstration, in one process.
 
+pub mod admin_server;
 pub mod control_daemon;
 pub mod control_link;
+pub mod daemon_metrics;
+pub mod entry_admin;
 pub mod entry_daemon;
 pub mod logging;
 pub mod settings_file;
--- a/lib/src/host_core.rs
+++ b/lib/src/host_core.rs
@@ -15,6 +15,7 @@
 use crate::flow_table::FlowTable;
 use crate::host_action::HostAction;
 use crate::host_event::HostEvent;
+use crate::host_status::HostStatus;
 use crate::ids::FlowDigest;
 use crate::ids::HostId;
 use crate::load_policy::LoadDecision;
@@ -59,6 +60,7 @@
     pub(crate) flows: FlowTable,
     pub(crate) requests: RequestTable,
     pub(crate) policy: Box<dyn LoadPolicy>,
+    config_since: Option<Instant>,
     pub(crate) draining: bool,
     drained_reported: bool,
 }
@@ -74,6 +76,7 @@
             flows: FlowTable::default(),
             requests: RequestTable::default(),
             policy,
+            config_since: None,
             draining: false,
             drained_reported: false,
         }
@@ -103,6 +106,22 @@
         self.report_drained(actions);
     }
 
+    /// What operators are told of this host.
+    pub fn status(&self, now: Instant) -> HostStatus {
+        HostStatus {
+            host: self.settings.host,
+            config_version: self.config_version(),
+            config_age: self
+                .config_since
+                .map(|since| now.saturating_duration_since(since)),
+            host_list_version: self.hosts.version,
+            hosts_alive: self.hosts.alive.len(),
+            draining: self.draining,
+            flows: self.flows.len(),
+            requests: self.requests.in_progress(),
+        }
+    }
+
     /// The version of the configuration in force, if there is one.
     pub fn config_version(&self) -> Option<crate::ids::Version> {
         self.config.as_ref().map(|config| config.version)
@@ -127,6 +146,7 @@
         }
         self.policy.configure(now, &config);
         self.config = Some(config);
+        self.config_since = Some(now);
     }
 
     fn route_caller(
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod host_action;
 pub mod host_core;
 pub mod host_event;
+pub mod host_status;
 pub mod ids;
 pub mod label_selector;
 pub mod label_syntax;
