--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -1,5 +1,6 @@
 //! The whole path in one process: platform, entry hosts, upstreams.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,8 +11,8 @@
 use lagoonproxy::daemon_settings::EntrySettings;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::UpstreamId;
+use lagoonproxy::ids::ZoneName;
 use lagoonproxy::published_config::PublishedConfig;
-use lagoonproxy::published_config::PublishedHosts;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
 use lagoonproxy::shared_key::SharedKey;
@@ -22,8 +23,6 @@
 use crate::platform::Platform;
 use crate::upstream::Upstream;
 
-/// Version of the first configuration.
-const FIRST_VERSION: u64 = 1;
 /// Key of the demonstration's hosts.
 const SHARED_KEY: [u8; 16] = *b"lagoonproxy demo";
 
@@ -64,27 +63,46 @@
             tasks: Vec::new(),
         };
         let config = demo.start_upstreams(zones, services).await?;
-        demo.platform.publish_config(config);
+        demo.publish_config(&config);
         let mut entries = Vec::new();
         for (host, zone) in (0..hosts).zip(zones.iter().cycle()) {
             entries.push(demo.start_host(host, zone, platform_address).await?);
         }
-        demo.platform.publish_hosts(PublishedHosts {
-            version: FIRST_VERSION,
-            hosts: entries,
-        });
+        demo.publish_hosts(&entries);
         Ok(demo)
     }
 
+    fn publish_config(&self, config: &PublishedConfig) {
+        self.platform.publish("services/main/0", &config.services);
+        let mut by_zone: BTreeMap<ZoneName, Vec<&UpstreamDoc>> = BTreeMap::new();
+        for upstream in &config.upstreams {
+            by_zone
+                .entry(upstream.zone.clone())
+                .or_default()
+                .push(upstream);
+        }
+        for (zone, upstreams) in by_zone {
+            self.platform
+                .publish(&format!("upstreams/{zone}/0"), &upstreams);
+        }
+    }
+
+    fn publish_hosts(&self, hosts: &[HostEntry]) {
+        let mut by_zone: BTreeMap<ZoneName, Vec<&HostEntry>> = BTreeMap::new();
+        for host in hosts {
+            by_zone.entry(host.zone.clone()).or_default().push(host);
+        }
+        for (zone, hosts) in by_zone {
+            self.platform.publish(&format!("hosts/{zone}"), &hosts);
+        }
+    }
+
     async fn start_upstreams(
         &mut self,
         zones: &[&str],
         services: &[DemoService],
     ) -> Result<PublishedConfig, Box<dyn std::error::Error>> {
-        let mut config = PublishedConfig {
-            version: FIRST_VERSION,
-            ..PublishedConfig::default()
-        };
+        let mut config = PublishedConfig::default();
         for service in services {
             config.services.push(ServiceDoc {
                 id: service.id,
