config: name every fault of a published configuration, and warn of odd ones

Duplicate numbers, names and addresses, bad selectors and labels, and zero capacity refuse a configuration whole; all are named, not the first. Services without upstreams and upstreams of several services are warnings. Before, two upstreams with one number silently replaced one another.

--- a/lib/src/published_config.rs
+++ b/lib/src/published_config.rs
@@ -5,9 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
-use snafu::ResultExt;
-use snafu::Snafu;
 
+use crate::config_check::ConfigFaults;
+use crate::config_check::config_faults;
 use crate::config_snapshot::ConfigSnapshot;
 use crate::config_snapshot::HostEntry;
 use crate::config_snapshot::ServiceEntry;
@@ -21,7 +21,6 @@
 use crate::ids::ZoneName;
 use crate::label_selector::LabelMap;
 use crate::label_selector::LabelSelector;
-use crate::selector_parser::SelectorError;
 
 /// A service as an operator writes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,30 +86,13 @@
     pub hosts: Vec<HostEntry>,
 }
 
-/// Why a published configuration is refused whole.
-#[derive(Debug, Snafu)]
-pub enum ConfigError {
-    /// A selector cannot be parsed.
-    #[snafu(display("service {service}: selector: {source}"))]
-    Selector {
-        /// The service it belongs to.
-        service: SmolStr,
-        /// What is wrong with it.
-        source: SelectorError,
-    },
-    /// Two services have the same address.
-    #[snafu(display("service {service}: address {address} belongs to another service too"))]
-    AddressTaken {
-        /// The second service.
-        service: SmolStr,
-        /// The address.
-        address: ServiceAddress,
-    },
-}
-
 impl PublishedConfig {
     /// Compiles the documents; a fault anywhere refuses them all.
-    pub fn compile(&self) -> Result<ConfigSnapshot, ConfigError> {
+    pub fn compile(&self) -> Result<ConfigSnapshot, ConfigFaults> {
+        let faults = config_faults(self);
+        if !faults.is_empty() {
+            return Err(ConfigFaults { faults });
+        }
         let mut snapshot = ConfigSnapshot {
             version: self.version,
             ..ConfigSnapshot::default()
@@ -119,24 +101,17 @@
             snapshot.upstreams.insert(doc.id, compile_upstream(doc));
         }
         for doc in &self.services {
-            let service = self.compile_service(doc)?;
-            let taken = snapshot.addresses.insert(service.address, service.id);
-            if taken.is_some() {
-                return AddressTakenSnafu {
-                    service: doc.name.clone(),
-                    address: doc.address,
-                }
-                .fail();
+            // One that cannot be parsed is a fault and was refused above.
+            if let Ok(selector) = LabelSelector::parse(&doc.selector) {
+                let service = self.compile_service(doc, &selector);
+                snapshot.addresses.insert(service.address, service.id);
+                snapshot.services.insert(service.id, service);
             }
-            snapshot.services.insert(service.id, service);
         }
         Ok(snapshot)
     }
 
-    fn compile_service(&self, doc: &ServiceDoc) -> Result<ServiceEntry, ConfigError> {
-        let selector = LabelSelector::parse(&doc.selector).context(SelectorSnafu {
-            service: doc.name.clone(),
-        })?;
+    fn compile_service(&self, doc: &ServiceDoc, selector: &LabelSelector) -> ServiceEntry {
         let mut upstreams: Vec<UpstreamId> = self
             .upstreams
             .iter()
@@ -144,13 +119,12 @@
             .map(|upstream| upstream.id)
             .collect();
         upstreams.sort_unstable();
-        upstreams.dedup();
-        Ok(ServiceEntry {
+        ServiceEntry {
             id: doc.id,
             name: doc.name.clone(),
             address: doc.address,
             upstreams,
-        })
+        }
     }
 }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! The tests of the decisions, in one program so that linking is fast.
 
+mod test_config_check;
 mod test_daemon_settings;
 mod test_host_core;
 mod test_label_selector;
