lagoonctl: check, status, explain, watch and drain

Each command gives a report as text or JSON and exits with its numbered result; progress goes to standard error.

--- /dev/null
+++ b/cli/src/bin/lagoonctl.rs
@@ -0,0 +1,28 @@
+//! The command-line client of operators.
+
+use std::process::ExitCode;
+
+use lagoonctl::commands;
+use lagoonctl::commands::CtlArgs;
+use lagoonproxy::result_code::ResultCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args: CtlArgs = argh::from_env();
+    let code = match commands::run(args.command).await {
+        Ok(report) => {
+            println!("{}", report.render(args.json));
+            report.code
+        }
+        Err(error) => {
+            eprintln!("error {}: {error}", error.code().number());
+            error.code()
+        }
+    };
+    exit_code(code)
+}
+
+/// The results of this program are all below 200, so that they fit an exit code.
+fn exit_code(code: ResultCode) -> ExitCode {
+    ExitCode::from(u8::try_from(code.number()).unwrap_or(u8::MAX))
+}
--- /dev/null
+++ b/cli/src/commands.rs
@@ -0,0 +1,50 @@
+//! The subcommands, one a file.
+
+pub mod check;
+pub mod drain;
+pub mod explain;
+pub mod status;
+pub mod watch;
+
+use argh::FromArgs;
+
+use crate::command_error::CommandError;
+use crate::command_report::CommandReport;
+
+/// Shows and checks what lagoonproxy does; changes nothing.
+#[derive(FromArgs)]
+pub struct CtlArgs {
+    /// print JSON in place of text
+    #[argh(switch)]
+    pub json: bool,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: CtlCommand,
+}
+
+/// What to do.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum CtlCommand {
+    /// Check files before they are published.
+    Check(check::CheckArgs),
+    /// Show the state of hosts.
+    Status(status::StatusArgs),
+    /// Say why an upstream may or may not carry a service.
+    Explain(explain::ExplainArgs),
+    /// Wait until a version is in force everywhere.
+    Watch(watch::WatchArgs),
+    /// Wait until draining hosts are done.
+    Drain(drain::DrainArgs),
+}
+
+/// Runs a command to its report.
+pub async fn run(command: CtlCommand) -> Result<CommandReport, CommandError> {
+    match command {
+        CtlCommand::Check(args) => check::cmd_check(&args),
+        CtlCommand::Status(args) => status::cmd_status(&args).await,
+        CtlCommand::Explain(args) => explain::cmd_explain(&args).await,
+        CtlCommand::Watch(args) => watch::cmd_watch(&args).await,
+        CtlCommand::Drain(args) => drain::cmd_drain(&args).await,
+    }
+}
--- /dev/null
+++ b/cli/src/commands/watch.rs
@@ -0,0 +1,81 @@
+//! `lagoonctl watch`: waits until a version is in force on every host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use argh::FromArgs;
+use lagoonproxy::ids::Version;
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy::unit_text::UnitError;
+use lagoonproxy::unit_text::parse_duration;
+
+use crate::admin_client::HostReply;
+use crate::admin_client::read_hosts;
+use crate::command_error::CommandError;
+use crate::command_report::CommandReport;
+use crate::commands::status::status_report;
+
+/// Time between two looks at the hosts.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Wait until a version, or a newer one, is in force on every host.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "watch")]
+pub struct WatchArgs {
+    /// admin address of a host; may stand several times
+    #[argh(option)]
+    pub host: Vec<SocketAddr>,
+    /// the version
+    #[argh(option)]
+    pub version: Version,
+    /// how long to wait, such as 30s
+    #[argh(
+        option,
+        default = "Duration::from_secs(30)",
+        from_str_fn(wait_from_text)
+    )]
+    pub wait: Duration,
+}
+
+/// Looks at the hosts until all have the version, with progress on standard error.
+pub async fn cmd_watch(args: &WatchArgs) -> Result<CommandReport, CommandError> {
+    let has_version = |reply: &HostReply| {
+        let status = reply.status.as_ref();
+        status.is_ok_and(|status| status.config_version >= Some(args.version))
+    };
+    wait_for_hosts(&args.host, args.wait, "have the version", has_version).await
+}
+
+/// Looks at hosts until `is_done` holds for each or `wait` has passed.
+pub async fn wait_for_hosts(
+    hosts: &[SocketAddr],
+    wait: Duration,
+    what: &str,
+    is_done: impl Fn(&HostReply) -> bool,
+) -> Result<CommandReport, CommandError> {
+    let deadline = Instant::now() + wait;
+    let mut shown = None;
+    loop {
+        let replies = read_hosts(hosts).await?;
+        let done = replies.iter().filter(|reply| is_done(reply)).count();
+        if shown.replace(done) != Some(done) {
+            eprintln!("{done} of {} hosts {what}", replies.len());
+        }
+        let mut report = status_report(&replies);
+        if done == replies.len() {
+            report.code = ResultCode::Success;
+            return Ok(report);
+        }
+        if deadline <= Instant::now() {
+            report.code = ResultCode::NotConverged;
+            return Ok(report);
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Reads a duration from the command line.
+pub fn wait_from_text(text: &str) -> Result<Duration, String> {
+    parse_duration(text).map_err(|error: UnitError| error.to_string())
+}
--- /dev/null
+++ b/cli/tests/test_hosts.rs
@@ -0,0 +1,126 @@
+//! Tests of the commands that ask hosts: what is shown, and when they end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use argh::FromArgs;
+use lagoonctl::command_report::CommandReport;
+use lagoonctl::commands::CtlArgs;
+use lagoonctl::commands::run;
+use lagoonproxy::host_status::HostStatus;
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_daemon::admin_server::AdminSource;
+use lagoonproxy_daemon::admin_server::bind_admin;
+use lagoonproxy_daemon::admin_server::serve_admin;
+use serde_json::Value;
+use tokio::net::TcpSocket;
+
+/// A host whose configuration moves on by one version each time it is asked.
+#[derive(Default)]
+struct MovingHost {
+    status: Mutex<HostStatus>,
+}
+
+impl AdminSource for MovingHost {
+    fn metrics_text(&self) -> String {
+        String::new()
+    }
+
+    fn unready_reason(&self) -> Option<String> {
+        None
+    }
+
+    fn status(&self) -> Value {
+        let mut status = self.status.lock().unwrap();
+        status.config_version = Some(status.config_version.unwrap_or(0) + 1);
+        serde_json::to_value(&*status).unwrap()
+    }
+}
+
+async fn start_host(status: HostStatus) -> SocketAddr {
+    let listener = bind_admin("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let host = MovingHost {
+        status: Mutex::new(status),
+    };
+    tokio::spawn(serve_admin(listener, Arc::new(host)));
+    address
+}
+
+/// An address that refuses connections; it is bound, so that no other test can take it.
+fn silent_address() -> (TcpSocket, String) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap().to_string();
+    (socket, address)
+}
+
+async fn ctl(words: &[&str]) -> CommandReport {
+    let args = CtlArgs::from_args(&["lagoonctl"], words).unwrap();
+    run(args.command).await.unwrap()
+}
+
+#[tokio::test]
+async fn test_status_names_silent_host() {
+    let alive = start_host(HostStatus {
+        host: 4,
+        hosts_alive: 8,
+        ..HostStatus::default()
+    });
+    let alive = alive.await.to_string();
+    let (_bound, silent) = silent_address();
+    let report = ctl(&["status", "--host", &alive, "--host", &silent]).await;
+    assert_eq!(report.code, ResultCode::SourceUnreachable);
+    assert_eq!(report.json["hosts"][0]["status"]["config_version"], 1);
+    assert!(report.lines[1].ends_with("ready"), "{:?}", report.lines);
+    assert!(
+        report.lines[2].contains("does not answer"),
+        "{:?}",
+        report.lines
+    );
+}
+
+#[tokio::test]
+async fn test_watch_ends_when_version_is_in_force() {
+    let host = start_host(HostStatus::default()).await.to_string();
+    let report = ctl(&["watch", "--host", &host, "--version", "3"]).await;
+    assert_eq!(report.code, ResultCode::Success);
+    assert_eq!(report.json["hosts"][0]["status"]["config_version"], 3);
+}
+
+#[tokio::test]
+async fn test_watch_gives_up_when_time_is_over() {
+    let host = start_host(HostStatus::default()).await.to_string();
+    let words = [
+        "watch",
+        "--host",
+        &host,
+        "--version",
+        "900",
+        "--wait",
+        "1ms",
+    ];
+    let report = ctl(&words).await;
+    assert_eq!(report.code, ResultCode::NotConverged);
+}
+
+#[tokio::test]
+async fn test_drain_ends_when_hosts_are_done_or_gone() {
+    let draining = start_host(HostStatus {
+        draining: true,
+        ..HostStatus::default()
+    });
+    let draining = draining.await.to_string();
+    let (_bound, gone) = silent_address();
+    let report = ctl(&["drain", "--host", &draining, "--host", &gone]).await;
+    assert_eq!(report.code, ResultCode::Success);
+    let busy = start_host(HostStatus {
+        draining: true,
+        requests: 1,
+        ..HostStatus::default()
+    });
+    let busy = busy.await.to_string();
+    let report = ctl(&["drain", "--host", &busy, "--wait", "1ms"]).await;
+    assert_eq!(report.code, ResultCode::NotConverged);
+}
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -8,7 +8,8 @@
 
 /// One numbered result.
 ///
-/// Ranges: 0 is success, 1xx are faults of settings and published configuration, 2xx are refusals
+/// Ranges: 0 is success, 1xx are faults of settings and published
+/// configuration and the exit codes of `lagoonctl`, 2xx are refusals
 /// to callers, 3xx are datagrams dropped, 4xx concern peers, and 5xx the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(into = "u16", try_from = "u16")]
@@ -20,6 +21,14 @@
     SettingsInvalid = 100,
     /// A published value is invalid and was refused whole.
     ConfigInvalid = 101,
+    /// The version asked for was not in force on every host in time.
+    NotConverged = 102,
+    /// The upstream may not take the service's traffic.
+    NotCarried = 103,
+    /// A file, the platform or a host could not be read.
+    SourceUnreachable = 104,
+    /// The command's words name nothing that there is.
+    UsageWrong = 105,
     /// The service address is not in the configuration in force.
     ServiceUnknown = 200,
     /// No upstream may carry the service's traffic at present.
@@ -76,6 +85,10 @@
         Self::Success,
         Self::SettingsInvalid,
         Self::ConfigInvalid,
+        Self::NotConverged,
+        Self::NotCarried,
+        Self::SourceUnreachable,
+        Self::UsageWrong,
         Self::ServiceUnknown,
         Self::NoUpstream,
         Self::QueueFull,
