wire: let a request say whether its flow was opened

Cause: on a miss, the owner of a flow cannot tell a request of an opened flow (whose record may be at a former owner) from a free one that any upstream may run. Guessing wrong re-places an opened flow. Ruled out: asking peers on every miss, which costs a round trip for each free request. Conclusion: RequestBody carries `established`; the stand-in caller sets it once it got Opened.

--- a/lib/src/wire_frame.rs
+++ b/lib/src/wire_frame.rs
@@ -110,6 +110,11 @@
     pub remaining: Duration,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
+    /// Whether its flow was opened, so that only the upstream that holds the flow may run it.
+    ///
+    /// Without it, a host that has no record of the flow could not tell a request of an opened
+    /// flow, whose record another host may hold, from one that any upstream may run.
+    pub established: bool,
     /// What the upstream gets.
     pub payload: Bytes,
 }
--- a/lib/tests/world.rs
+++ b/lib/tests/world.rs
@@ -108,6 +108,7 @@
         age: Duration::ZERO,
         remaining: Duration::from_secs(1),
         idempotent: false,
+        established: false,
         payload: Bytes::from_static(b"lot 7"),
     }
 }
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -1,5 +1,6 @@
 //! Stand-in for a caller behind the fabric that sprays its datagrams over the entry hosts.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -39,6 +40,8 @@
     socket: UdpSocket,
     hosts: Vec<SocketAddr>,
     random: StdRng,
+    /// The flows that a host has confirmed.
+    opened: BTreeSet<FlowId>,
 }
 
 impl Caller {
@@ -48,6 +51,7 @@
             socket: UdpSocket::bind("127.0.0.1:0").await?,
             hosts,
             random: StdRng::seed_from_u64(seed),
+            opened: BTreeSet::new(),
         })
     }
 
@@ -68,6 +72,7 @@
             let pause = Instant::now() + RESEND_PAUSE;
             while let Some(reply) = self.receive(pause).await? {
                 if reply.flow == flow && reply.body == CallerBody::Opened {
+                    self.opened.insert(flow);
                     return Ok(true);
                 }
             }
@@ -93,6 +98,7 @@
                 age: start.elapsed(),
                 remaining: deadline.saturating_duration_since(Instant::now()),
                 idempotent: true,
+                established: self.opened.contains(&flow),
                 payload: payload.clone(),
             });
             self.spray(&CallerFrame {
