--- a/daemon/src/control_daemon.rs
+++ b/daemon/src/control_daemon.rs
@@ -11,6 +11,7 @@
 use lagoonproxy::ids::Version;
 use lagoonproxy::published_config::PublishedConfig;
 use lagoonproxy::published_config::PublishedHosts;
+use lagoonproxy::result_code::ResultCode;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -20,6 +21,7 @@
 
 use crate::control_link::ControlMessage;
 use crate::control_link::encode_message;
+use crate::daemon_exit::DaemonError;
 
 const POLL_PAUSE: Duration = Duration::from_millis(200);
 const BROADCAST_QUEUE: usize = 16;
@@ -43,6 +45,15 @@
     },
 }
 
+impl DaemonError for ControlError {
+    fn code(&self) -> ResultCode {
+        match self {
+            Self::Bind { .. } => ResultCode::AddressUnavailable,
+            Self::Listener { .. } => ResultCode::SocketFailed,
+        }
+    }
+}
+
 /// A control daemon whose listener is bound.
 pub struct ControlDaemon {
     platform_address: SocketAddr,
--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -32,6 +32,7 @@
 use crate::admin_server::serve_admin;
 use crate::control_link::ControlMessage;
 use crate::control_link::decode_message;
+use crate::daemon_exit::DaemonError;
 use crate::daemon_metrics::DatagramLink;
 use crate::entry_admin::EntryAdmin;
 
@@ -59,6 +60,15 @@
     },
 }
 
+impl DaemonError for EntryError {
+    fn code(&self) -> ResultCode {
+        match self {
+            Self::Bind { .. } => ResultCode::AddressUnavailable,
+            Self::Socket { .. } => ResultCode::SocketFailed,
+        }
+    }
+}
+
 /// An entry daemon whose sockets are bound.
 pub struct EntryDaemon {
     core: HostCore,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin_server;
 pub mod control_daemon;
 pub mod control_link;
+pub mod daemon_exit;
 pub mod daemon_metrics;
 pub mod entry_admin;
 pub mod entry_daemon;
--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines on standard error; a record about a result has its number as `code`.
 
 use logforth::append::Stderr;
 use logforth::layout::JsonLayout;
--- a/daemon/src/settings_file.rs
+++ b/daemon/src/settings_file.rs
@@ -3,10 +3,13 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::settings_reader::SettingsFaults;
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::daemon_exit::DaemonError;
+
 /// Why a settings file is refused.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -28,6 +31,15 @@
     },
 }
 
+impl DaemonError for SettingsError {
+    fn code(&self) -> ResultCode {
+        match self {
+            Self::Read { .. } => ResultCode::SourceUnreachable,
+            Self::Faulty { .. } => ResultCode::SettingsInvalid,
+        }
+    }
+}
+
 /// Reads a file and parses its text.
 pub fn read_settings<T>(
     path: &Path,
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -29,6 +29,10 @@
     SourceUnreachable = 104,
     /// The command's words name nothing that there is.
     UsageWrong = 105,
+    /// An address cannot be bound.
+    AddressUnavailable = 106,
+    /// A socket failed while it was in use.
+    SocketFailed = 107,
     /// The service address is not in the configuration in force.
     ServiceUnknown = 200,
     /// No upstream may carry the service's traffic at present.
@@ -89,6 +93,8 @@
         Self::NotCarried,
         Self::SourceUnreachable,
         Self::UsageWrong,
+        Self::AddressUnavailable,
+        Self::SocketFailed,
         Self::ServiceUnknown,
         Self::NoUpstream,
         Self::QueueFull,
