--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a caller behind the fabric: flows, requests, retransmission, and the check of each
 //! answer by its content.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -77,6 +78,8 @@
     zone: ZoneName,
     fabric: Fabric,
     waiting: Mutex<HashMap<FrameKey, mpsc::UnboundedSender<CallerBody>>>,
+    /// The flows that a host has confirmed and that were not closed.
+    opened: Mutex<BTreeSet<(ServiceAddress, FlowId)>>,
 }
 
 /// One caller with an address of its own; its flows and requests run side by side.
@@ -102,6 +105,7 @@
             zone: zone.into(),
             fabric: fabric.clone(),
             waiting: Mutex::default(),
+            opened: Mutex::default(),
         });
         let (sender, receiver) = mpsc::unbounded_channel();
         let tasks = [
@@ -131,7 +135,10 @@
             let mut resend = Instant::now() + pause;
             while let Some(body) = inbox.receive(resend.min(deadline)).await {
                 match body {
-                    CallerBody::Opened => return Ok(()),
+                    CallerBody::Opened => {
+                        self.shared.opened().insert((service, flow));
+                        return Ok(());
+                    }
                     CallerBody::Refusal(refusal) => {
                         resend = Instant::now() + with_jitter(refusal.retry_after.max(pause));
                         last_refusal = Some(refusal);
@@ -146,6 +153,7 @@
 
     /// Ends a flow; nothing is waited for.
     pub async fn close(&self, service: ServiceAddress, flow: FlowId) {
+        self.shared.opened().remove(&(service, flow));
         self.send(service, flow, CallerBody::Close).await;
     }
 
@@ -251,6 +259,7 @@
             age: start.elapsed(),
             remaining: call.deadline.saturating_duration_since(Instant::now()),
             idempotent: call.idempotent,
+            established: self.shared.opened().contains(&(call.service, call.flow)),
             payload: call.payload.clone(),
         });
         self.send(call.service, call.flow, body).await;
@@ -299,6 +308,12 @@
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
+
+    fn opened(&self) -> MutexGuard<'_, BTreeSet<(ServiceAddress, FlowId)>> {
+        self.opened
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
 }
 
 impl FrameInbox<'_> {
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -2,19 +2,22 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use lagoonproxy::config_snapshot::HostEntry;
 use lagoonproxy::config_snapshot::UpstreamState;
+use lagoonproxy::daemon_settings::ControlSettings;
+use lagoonproxy::daemon_settings::DEFAULT_REGION;
+use lagoonproxy::daemon_settings::EntrySettings;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::ServiceId;
 use lagoonproxy::ids::UpstreamId;
 use lagoonproxy::ids::ZoneName;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
+use lagoonproxy::shared_key::SharedKey;
 use lagoonproxy_daemon::control_daemon::ControlDaemon;
 use lagoonproxy_daemon::entry_daemon::EntryDaemon;
-use lagoonproxy_daemon::entry_settings::ControlSettings;
-use lagoonproxy_daemon::entry_settings::EntrySettings;
 use serde::Serialize;
 use smol_str::SmolStr;
 use tokio::task::JoinHandle;
@@ -30,7 +33,7 @@
 use crate::upstream_core::UpstreamSettings;
 
 /// Key of the demonstration's hosts.
-const SHARED_KEY: &str = "6c61676f6f6e70726f78792064656d6f";
+const SHARED_KEY: [u8; 16] = *b"lagoonproxy demo";
 /// Requests that an upstream of the demonstration runs at once.
 const SLOTS: u32 = 2;
 /// Flows that an upstream of the demonstration holds.
@@ -200,6 +203,11 @@
             host,
             control_address: any_port,
             platform_address,
+            zone: zone.into(),
+            region: DEFAULT_REGION.into(),
+            admin_address: None,
+            shared_key: SharedKey::new(SHARED_KEY),
+            byte_budget: 3_000,
         })
         .await?;
         let control_address = control.address()?;
@@ -210,7 +218,11 @@
             peer_address: any_port,
             upstream_address: any_port,
             control_address,
-            shared_key: SHARED_KEY.to_owned(),
+            admin_address: None,
+            shared_key: SharedKey::new(SHARED_KEY),
+            flow_idle: Duration::from_secs(7_200),
+            max_datagram_age: Duration::from_secs(1),
+            drain_limit: Duration::from_secs(30),
         })
         .await?;
         let addresses = entry.addresses()?;
