--- /dev/null
+++ b/standin/src/bin/lagoonload.rs
@@ -0,0 +1,144 @@
+//! The load tool as a program: sends load through a fabric of its own to entry hosts that run, and
+//! judges what came back together with what the upstreams counted.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use lagoonproxy_standin::fabric::Fabric;
+use lagoonproxy_standin::fabric::FabricHost;
+use lagoonproxy_standin::fabric::FabricSettings;
+use lagoonproxy_standin::load_report::LoadReport;
+use lagoonproxy_standin::load_run::LoadProgress;
+use lagoonproxy_standin::load_run::LoadRun;
+use lagoonproxy_standin::load_run::LoadSettings;
+use lagoonproxy_standin::upstream::RunReport;
+use serde::Deserialize;
+use serde_json::json;
+
+/// Time between two looks at a host that is not ready.
+const READY_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two lines of progress.
+const PROGRESS_PAUSE: Duration = Duration::from_secs(1);
+
+/// Sends load to entry hosts and exits with 0, or with 10 double run, 11 false 'not run',
+/// 12 foreign, 13 truncated, 14 lost, 15 broken flow: the first of these that was seen.
+#[derive(FromArgs)]
+struct LoadArgs {
+    /// settings file in YAML
+    #[argh(option)]
+    settings: PathBuf,
+    /// jobs to begin, in place of the settings' number
+    #[argh(option)]
+    requests: Option<u64>,
+    /// jobs a second, in place of the settings' number
+    #[argh(option)]
+    rate: Option<f64>,
+    /// print JSON lines in place of the table
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Settings of the program.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ToolSettings {
+    load: LoadSettings,
+    #[serde(default)]
+    fabric: FabricSettings,
+    /// Where entry hosts receive callers' datagrams.
+    hosts: Vec<FabricHost>,
+    /// Admin addresses that must call themselves ready before the load begins.
+    #[serde(default)]
+    ready: Vec<SocketAddr>,
+    /// Endpoints of the upstreams that are asked for what they ran.
+    #[serde(default)]
+    upstreams: Vec<SocketAddr>,
+}
+
+#[tokio::main]
+async fn main() -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let args: LoadArgs = argh::from_env();
+    let text = std::fs::read_to_string(&args.settings)?;
+    let mut settings: ToolSettings = serde_norway::from_str(&text)?;
+    let load = &mut settings.load;
+    load.requests = args.requests.unwrap_or(load.requests);
+    load.rate = args.rate.unwrap_or(load.rate);
+    for address in &settings.ready {
+        wait_until_ok(&format!("http://{address}/readyz")).await;
+    }
+    for address in &settings.upstreams {
+        wait_until_ok(&format!("http://{address}/load")).await;
+    }
+    let fabric = Fabric::new(settings.fabric, settings.hosts.clone());
+    let run = LoadRun::open(settings.load.clone(), &fabric).await?;
+    let progress = tokio::spawn(show_progress(run.progress(), settings.load.requests));
+    let mut report = run.run().await;
+    progress.abort();
+    judge(&mut report, &settings).await?;
+    if args.json {
+        print_json(&report, &fabric)?;
+    } else {
+        println!("fabric: {:?}\n\n{report}", fabric.counters());
+    }
+    Ok(ExitCode::from(report.exit_code()))
+}
+
+async fn wait_until_ok(url: &str) {
+    let mut told = false;
+    loop {
+        let answer = reqwest::get(url).await;
+        if answer.is_ok_and(|answer| answer.status().is_success()) {
+            return;
+        }
+        if !told {
+            eprintln!("waiting for {url}");
+            told = true;
+        }
+        tokio::time::sleep(READY_PAUSE).await;
+    }
+}
+
+async fn show_progress(progress: LoadProgress, requests: u64) {
+    loop {
+        tokio::time::sleep(PROGRESS_PAUSE).await;
+        let begun = progress.begun();
+        let ended = progress.ended();
+        eprintln!(
+            "{ended} of {requests} jobs ended, {} in progress",
+            begun - ended
+        );
+    }
+}
+
+async fn judge(report: &mut LoadReport, settings: &ToolSettings) -> reqwest::Result<()> {
+    let mut runs = Vec::new();
+    for address in &settings.upstreams {
+        let answer = reqwest::get(format!("http://{address}/standin/runs")).await?;
+        runs.push(answer.json::<RunReport>().await?);
+    }
+    let services = settings.load.services.iter();
+    let addresses: Vec<SocketAddr> = services.map(|service| service.address).collect();
+    report.judge(&addresses, &runs);
+    Ok(())
+}
+
+fn print_json(report: &LoadReport, fabric: &Fabric) -> serde_json::Result<()> {
+    for tally in &report.services {
+        let line = json!({"service": tally, "latency": tally.latency()});
+        println!("{}", serde_json::to_string(&line)?);
+    }
+    let line = json!({
+        "double_runs": report.double_runs,
+        "false_not_run": report.false_not_run,
+        "foreign_runs": report.foreign_runs,
+        "broken_flows": report.broken_flows,
+        "moved_flows": report.moved_flows,
+        "fabric": fabric.counters(),
+        "exit_code": report.exit_code(),
+    });
+    println!("{}", serde_json::to_string(&line)?);
+    Ok(())
+}
--- a/standin/src/service_time.rs
+++ b/standin/src/service_time.rs
@@ -10,7 +10,7 @@
 
 /// A distribution of service times in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum ServiceTime {
     /// Always the same.
     Fixed {
