control: read keys and watches, relay among hosts, feed the entry daemon at once

Cause: the daemon polled whole documents, and an entry daemon that connected late waited for the next poll. The daemon now is a shell around ControlCore: calls to the platform over HTTP, links to peers over websocket and CBOR on the control address, proved on both sides with the shared key, and the newest configuration and hosts for whoever connects. Metrics, readiness and status are served on the admin address.

--- a/daemon/src/control_daemon.rs
+++ b/daemon/src/control_daemon.rs
@@ -1,30 +1,52 @@
-//! The control daemon: reads what the platform publishes and hands it to the entry daemon.
+//! The control daemon: sockets around the control core.
+//!
+//! It calls the platform, keeps links to the control daemons of other hosts, and hands its entry
+//! daemon the newest configuration and list of hosts, at once when that connects.
 
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
 
-use futures_util::SinkExt;
-use lagoonproxy::config_snapshot::HostView;
+use lagoonproxy::config_scope::scope_prefixes;
+use lagoonproxy::control_core::CONTROL_TICK;
+use lagoonproxy::control_core::ControlCore;
+use lagoonproxy::control_core::ControlIdentity;
+use lagoonproxy::control_event::CallId;
+use lagoonproxy::control_event::ControlAction;
+use lagoonproxy::control_event::ControlEvent;
+use lagoonproxy::control_event::PlatformRequest;
 use lagoonproxy::daemon_settings::ControlSettings;
-use lagoonproxy::ids::Version;
-use lagoonproxy::published_config::PublishedConfig;
-use lagoonproxy::published_config::PublishedHosts;
+use lagoonproxy::ids::HostId;
 use lagoonproxy::result_code::ResultCode;
-use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::sync::broadcast;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::MissedTickBehavior;
 
+use crate::admin_server::bind_admin;
+use crate::admin_server::serve_admin;
+use crate::control_accept::accept_links;
+use crate::control_admin::ControlAdmin;
 use crate::control_link::ControlMessage;
-use crate::control_link::encode_message;
+use crate::control_link::EntryFeed;
 use crate::daemon_exit::DaemonError;
+use crate::peer_link::LinkEvent;
+use crate::peer_link::LinkIdentity;
+use crate::peer_link::open_link;
+use crate::peer_registry::PeerRegistry;
+use crate::platform_client::CallEnd;
+use crate::platform_client::PlatformClient;
 
-const POLL_PAUSE: Duration = Duration::from_millis(200);
-const BROADCAST_QUEUE: usize = 16;
+/// Events that may wait for the core.
+const EVENT_QUEUE: usize = 1_024;
+
+/// Pause between attempts to reach the peers that the settings name.
+const SEED_PAUSE: Duration = Duration::from_secs(5);
 
 /// Why the control daemon stops.
 #[derive(Debug, Snafu)]
@@ -54,22 +76,28 @@
     }
 }
 
-/// A control daemon whose listener is bound.
+/// A control daemon whose listeners are bound.
 pub struct ControlDaemon {
-    platform_address: SocketAddr,
+    settings: ControlSettings,
     listener: TcpListener,
+    admin_listener: Option<TcpListener>,
 }
 
 impl ControlDaemon {
-    /// Binds the listener that the settings name.
+    /// Binds the listeners that the settings name.
     pub async fn bind(settings: &ControlSettings) -> Result<Self, ControlError> {
         let address = settings.control_address;
         let listener = TcpListener::bind(address)
             .await
             .context(BindSnafu { address })?;
+        let admin_listener = match settings.admin_address {
+            Some(address) => Some(bind_admin(address).await.context(BindSnafu { address })?),
+            None => None,
+        };
         Ok(Self {
-            platform_address: settings.platform_address,
+            settings: settings.clone(),
             listener,
+            admin_listener,
         })
     }
 
@@ -78,93 +106,205 @@
         self.listener.local_addr().context(ListenerSnafu)
     }
 
+    /// The address of metrics, health and status, if the settings ask for them.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        let listener = self.admin_listener.as_ref()?;
+        listener.local_addr().ok()
+    }
+
     /// Serves until `shutdown` resolves.
     pub async fn run(self, shutdown: impl Future<Output = ()>) -> Result<(), ControlError> {
-        let (sender, _receiver) = broadcast::channel(BROADCAST_QUEUE);
-        let reader = tokio::spawn(poll_platform(self.platform_address, sender.clone()));
-        let accepting = accept_links(&self.listener, &sender);
+        let (links, link_events) = mpsc::channel(EVENT_QUEUE);
+        let mut shell = ControlShell::new(&self.settings, links.clone());
+        let admin = self.admin_listener.map(|listener| {
+            let source = Arc::clone(&shell.admin);
+            TaskGuard(tokio::spawn(serve_admin(listener, source)))
+        });
+        let feed = shell.entry_feed.clone();
+        let accepting = accept_links(&self.listener, shell.identity, &feed, links);
+        let accepting = async { accepting.await.context(ListenerSnafu) };
         let result = tokio::select! {
             result = accepting => result,
+            () = shell.serve(link_events) => Ok(()),
             () = shutdown => Ok(()),
         };
-        reader.abort();
+        drop(admin);
         result
     }
 }
 
-async fn accept_links(
-    listener: &TcpListener,
-    sender: &broadcast::Sender<ControlMessage>,
-) -> Result<(), ControlError> {
-    loop {
-        let (stream, _peer) = listener.accept().await.context(ListenerSnafu)?;
-        tokio::spawn(serve_link(stream, sender.subscribe()));
+/// Ends a task when it is dropped.
+struct TaskGuard(JoinHandle<()>);
+
+impl Drop for TaskGuard {
+    fn drop(&mut self) {
+        self.0.abort();
     }
 }
 
-async fn serve_link(stream: TcpStream, mut messages: broadcast::Receiver<ControlMessage>) {
-    let Ok(mut socket) = tokio_tungstenite::accept_async(stream).await else {
-        return;
-    };
-    while let Ok(message) = messages.recv().await {
-        let Ok(encoded) = encode_message(&message) else {
-            return;
-        };
-        if socket.send(encoded).await.is_err() {
-            return;
+/// The core with the sockets that carry out its actions.
+struct ControlShell {
+    core: ControlCore,
+    identity: LinkIdentity,
+    seed_peers: Vec<SocketAddr>,
+    next_seeds: Instant,
+    peers: PeerRegistry,
+    platform: PlatformClient,
+    entry_feed: EntryFeed,
+    admin: Arc<ControlAdmin>,
+    links: mpsc::Sender<LinkEvent>,
+    answer_sender: mpsc::Sender<(CallId, CallEnd)>,
+    answers: mpsc::Receiver<(CallId, CallEnd)>,
+    next_link: u64,
+}
+
+impl ControlShell {
+    fn new(settings: &ControlSettings, links: mpsc::Sender<LinkEvent>) -> Self {
+        let (answer_sender, answers) = mpsc::channel(EVENT_QUEUE);
+        Self {
+            core: ControlCore::new(Instant::now(), core_identity(settings)),
+            identity: LinkIdentity {
+                host: settings.host,
+                key: settings.shared_key,
+            },
+            seed_peers: settings.seed_peers.clone(),
+            next_seeds: Instant::now(),
+            peers: PeerRegistry::default(),
+            platform: PlatformClient::new(settings.platform_address),
+            entry_feed: EntryFeed::default(),
+            admin: Arc::default(),
+            links,
+            answer_sender,
+            answers,
+            next_link: 1,
         }
     }
-}
 
-async fn poll_platform(platform: SocketAddr, sender: broadcast::Sender<ControlMessage>) {
-    let client = reqwest::Client::new();
-    let mut newest: Version = 0;
-    loop {
-        let url = format!("http://{platform}/v1/config");
-        if let Some(config) = fetch::<PublishedConfig>(&client, &url).await {
-            publish_config(&config, &mut newest, &sender);
+    async fn serve(&mut self, mut link_events: mpsc::Receiver<LinkEvent>) {
+        let mut ticks = tokio::time::interval(CONTROL_TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                _ = ticks.tick() => {
+                    self.admin.observe(&self.core);
+                    self.ask_seeds();
+                    Some(ControlEvent::Tick)
+                }
+                Some(event) = link_events.recv() => self.link_event(event),
+                Some((call, end)) = self.answers.recv() => Some(ControlEvent::PlatformAnswer {
+                    call,
+                    answer: end.answer,
+                    bytes: end.bytes,
+                }),
+            };
+            if let Some(event) = event {
+                self.handle(event);
+            }
         }
-        let url = format!("http://{platform}/v1/hosts");
-        if let Some(hosts) = fetch::<PublishedHosts>(&client, &url).await {
-            let _no_entry_daemon = sender.send(ControlMessage::Hosts(Arc::new(view_of(hosts))));
+    }
+
+    fn link_event(&mut self, event: LinkEvent) -> Option<ControlEvent> {
+        match event {
+            LinkEvent::Opened(open) => {
+                let host = open.host;
+                let used = self.peers.insert(open);
+                used.then_some(ControlEvent::PeerUp(host))
+            }
+            LinkEvent::Failed(host) => Some(ControlEvent::PeerDown(host)),
+            LinkEvent::Closed { host, link } => {
+                let used = self.peers.remove(host, link);
+                used.then_some(ControlEvent::PeerDown(host))
+            }
+            LinkEvent::Message { host, link, bytes } => {
+                let current = self.peers.is_current(host, link);
+                current.then_some(ControlEvent::PeerMessage { host, bytes })
+            }
         }
-        tokio::time::sleep(POLL_PAUSE).await;
     }
-}
 
-async fn fetch<T: DeserializeOwned>(client: &reqwest::Client, url: &str) -> Option<T> {
-    let response = client.get(url).send().await.ok()?;
-    response.json().await.ok()
-}
+    fn handle(&mut self, event: ControlEvent) {
+        let mut actions = Vec::new();
+        self.core.handle(Instant::now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: ControlAction) {
+        match action {
+            ControlAction::Connect { host, address } => self.connect(host, address),
+            ControlAction::Disconnect(host) => self.peers.disconnect(host),
+            ControlAction::SendPeer { host, bytes, .. } => {
+                if !self.peers.send(host, bytes) {
+                    self.peers.disconnect(host);
+                    self.handle(ControlEvent::PeerDown(host));
+                }
+            }
+            ControlAction::CallPlatform { call, request } => self.call_platform(call, request),
+            ControlAction::Config(config) => {
+                log::info!(version = config.version; "configuration in force");
+                self.entry_feed.publish(&ControlMessage::Config(config));
+            }
+            ControlAction::Hosts(hosts) => {
+                self.entry_feed.publish(&ControlMessage::Hosts(hosts));
+            }
+            ControlAction::Refused { version, fault } => {
+                let code = ResultCode::ConfigInvalid.number();
+                log::error!(code, version; "published state refused whole: {fault}");
+            }
+            ControlAction::Count(code) => self.admin.count_result(code),
+        }
+    }
+
+    fn connect(&mut self, host: HostId, address: SocketAddr) {
+        let link = self.next_link();
+        let links = self.links.clone();
+        tokio::spawn(open_link(self.identity, Some(host), address, link, links));
+    }
 
-fn publish_config(
-    config: &PublishedConfig,
-    newest: &mut Version,
-    sender: &broadcast::Sender<ControlMessage>,
-) {
-    if config.version < *newest {
-        return;
-    }
-    match config.compile() {
-        Ok(snapshot) => {
-            *newest = snapshot.version;
-            let _no_entry_daemon = sender.send(ControlMessage::Config(Arc::new(snapshot)));
+    /// A host that starts while the platform is away knows no list of hosts; the settings may name
+    /// some to ask.
+    fn ask_seeds(&mut self) {
+        let now = Instant::now();
+        let status = self.core.status();
+        if status.ready || status.links > 0 || now < self.next_seeds {
+            return;
         }
-        Err(error) => log::error!("configuration {} refused: {error}", config.version),
+        self.next_seeds = now + SEED_PAUSE;
+        for address in self.seed_peers.clone() {
+            let link = self.next_link();
+            let links = self.links.clone();
+            tokio::spawn(open_link(self.identity, None, address, link, links));
+        }
+    }
+
+    /// Links that this side opens have odd numbers, accepted ones even numbers.
+    fn next_link(&mut self) -> u64 {
+        self.next_link += 2;
+        self.next_link
+    }
+
+    fn call_platform(&self, call: CallId, request: PlatformRequest) {
+        let client = self.platform.clone();
+        let answers = self.answer_sender.clone();
+        tokio::spawn(async move {
+            let end = client.call(&request).await;
+            // The receiver only goes away with the daemon.
+            let _daemon_ended = answers.send((call, end)).await;
+        });
     }
 }
 
-fn view_of(list: PublishedHosts) -> HostView {
-    let mut published = list.hosts;
-    published.sort_unstable_by_key(|host| host.id);
-    let alive = published
-        .iter()
-        .filter(|host| !host.leaving)
-        .map(|host| host.id)
-        .collect();
-    HostView {
-        version: list.version,
-        published,
-        alive,
+fn core_identity(settings: &ControlSettings) -> ControlIdentity {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    ControlIdentity {
+        host: settings.host,
+        zone: settings.zone.clone(),
+        prefixes: scope_prefixes(&settings.region, &settings.zones),
+        send_rate: u32::try_from(settings.byte_budget).unwrap_or(u32::MAX),
+        read_rate: u32::try_from(settings.read_budget).unwrap_or(u32::MAX),
+        // Grows with each start as long as the host's clock is not set back by days.
+        first_beat: since_epoch.map_or(0, |since| since.as_secs()),
+        seed: rand::random(),
     }
 }
--- a/daemon/src/control_link.rs
+++ b/daemon/src/control_link.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use futures_util::SinkExt;
+use futures_util::StreamExt;
 use lagoonproxy::config_snapshot::ConfigSnapshot;
 use lagoonproxy::config_snapshot::HostView;
 use serde::Deserialize;
@@ -9,6 +11,10 @@
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use snafu::Snafu;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::sync::watch;
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
 /// What the control daemon tells the entry daemon.
@@ -48,3 +54,61 @@
 pub fn decode_message<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, LinkError> {
     ciborium::from_reader(bytes).context(DecodeSnafu)
 }
+
+/// The newest of each message, encoded once, for every entry daemon that connects.
+///
+/// An entry daemon that restarts gets what is in force at once; with a queue of messages it would
+/// have waited for the next change.
+#[derive(Clone)]
+pub struct EntryFeed {
+    hosts: watch::Sender<Option<Message>>,
+    config: watch::Sender<Option<Message>>,
+}
+
+impl Default for EntryFeed {
+    fn default() -> Self {
+        Self {
+            hosts: watch::Sender::new(None),
+            config: watch::Sender::new(None),
+        }
+    }
+}
+
+impl EntryFeed {
+    /// Replaces the newest message of its kind.
+    pub fn publish(&self, message: &ControlMessage) {
+        let newest = match message {
+            ControlMessage::Config(_) => &self.config,
+            ControlMessage::Hosts(_) => &self.hosts,
+        };
+        match encode_message(message) {
+            Ok(encoded) => {
+                newest.send_replace(Some(encoded));
+            }
+            Err(error) => log::error!("{error}"),
+        }
+    }
+
+    /// Sends what is newest, and each newer message, until the link ends.
+    pub async fn serve<S: AsyncRead + AsyncWrite + Unpin>(&self, mut socket: WebSocketStream<S>) {
+        let mut hosts = self.hosts.subscribe();
+        let mut config = self.config.subscribe();
+        hosts.mark_changed();
+        config.mark_changed();
+        loop {
+            let newest = tokio::select! {
+                Ok(()) = hosts.changed() => hosts.borrow_and_update().clone(),
+                Ok(()) = config.changed() => config.borrow_and_update().clone(),
+                received = socket.next() => match received {
+                    Some(Ok(_)) => None,
+                    Some(Err(_)) | None => return,
+                },
+            };
+            if let Some(message) = newest
+                && socket.send(message).await.is_err()
+            {
+                return;
+            }
+        }
+    }
+}
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Serialize;
+
 use crate::byte_budget::ByteBudget;
 use crate::config_relay::ConfigRelay;
 use crate::config_snapshot::HostEntry;
@@ -129,7 +131,7 @@
 }
 
 /// What a control core reports of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ControlStatus {
     /// Whether the entry daemon was given a configuration.
     pub ready: bool,
@@ -210,6 +212,11 @@
         &self.store
     }
 
+    /// The reading of the platform, for its counts.
+    pub fn feed(&self) -> &PlatformFeed {
+        &self.feed
+    }
+
     /// The relay, for its counts.
     pub fn relay(&self) -> &ConfigRelay {
         &self.relay
@@ -347,7 +354,8 @@
         let replaces = heard < READERS_PER_ZONE
             && (READERS_PER_ZONE..MAX_READER_RANK).contains(&rank)
             && now.saturating_duration_since(self.covered) >= replacement_wait(rank);
-        self.reading = rank < READERS_PER_ZONE || replaces || alone;
+        let unlisted = self.readers.is_empty();
+        self.reading = rank < READERS_PER_ZONE || replaces || alone || unlisted;
         if self.reading && now >= self.beat_due {
             self.beat_due = now + BEAT_PAUSE;
             self.send_beat(now);
--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -64,6 +64,12 @@
     pub shared_key: SharedKey,
     /// Bytes a second that this daemon sends to other hosts; 3 KB by default.
     pub byte_budget: u64,
+    /// Bytes a second that this daemon reads from the platform; 12 KB by default.
+    pub read_budget: u64,
+    /// Zones whose upstreams and hosts it needs; none means all of them.
+    pub zones: Vec<ZoneName>,
+    /// Control addresses of peers to ask when the platform cannot be reached at the start.
+    pub seed_peers: Vec<SocketAddr>,
 }
 
 impl EntrySettings {
@@ -149,6 +155,9 @@
         let admin_address = reader.optional("admin_address", None);
         let shared_key = reader.required("shared_key");
         let byte_budget = reader.optional_as::<_, ByteText>("byte_budget", 3_000);
+        let read_budget = reader.optional_as::<_, ByteText>("read_budget", 12_000);
+        let zones = reader.optional("zones", Vec::new());
+        let seed_peers = reader.optional("seed_peers", Vec::new());
         Some(Self {
             host: host?,
             zone: zone?,
@@ -158,12 +167,21 @@
             admin_address,
             shared_key: shared_key?,
             byte_budget,
+            read_budget,
+            zones,
+            seed_peers,
         })
     }
 
     fn check(&self, reader: &mut SettingsReader<'_>) {
-        if self.byte_budget == 0 {
-            reader.fault("byte_budget", "must be more than zero");
+        let budgets = [
+            ("byte_budget", self.byte_budget),
+            ("read_budget", self.read_budget),
+        ];
+        for (field, bytes) in budgets {
+            if bytes == 0 {
+                reader.fault(field, "must be more than zero");
+            }
         }
         let addresses = [("control_address", Some(self.control_address))]
             .into_iter()
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -208,6 +208,9 @@
             admin_address: None,
             shared_key: SharedKey::new(SHARED_KEY),
             byte_budget: 3_000,
+            read_budget: 12_000,
+            zones: Vec::new(),
+            seed_peers: Vec::new(),
         })
         .await?;
         let control_address = control.address()?;
--- /dev/null
+++ b/standin/tests/test_control_plane.rs
@@ -0,0 +1,154 @@
+//! Control daemons against the platform stand-in and against each other, over loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lagoonproxy::config_snapshot::HostEntry;
+use lagoonproxy::daemon_settings::ControlSettings;
+use lagoonproxy::daemon_settings::DEFAULT_REGION;
+use lagoonproxy::ids::HostId;
+use lagoonproxy::published_config::ServiceDoc;
+use lagoonproxy::shared_key::SharedKey;
+use lagoonproxy_daemon::control_daemon::ControlDaemon;
+use lagoonproxy_standin::platform::Platform;
+use lagoonproxy_standin::platform::PlatformFaults;
+use serde_json::Value;
+use tokio::task::JoinHandle;
+
+/// Longest time that an event is waited for; far more than it takes.
+const LIMIT: Duration = Duration::from_secs(60);
+const KEY: [u8; 16] = [7; 16];
+
+/// A control daemon of a test.
+struct TestDaemon {
+    entry: HostEntry,
+    admin: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for TestDaemon {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl TestDaemon {
+    async fn start(host: HostId, platform: SocketAddr, key: [u8; 16], seeds: &[&Self]) -> Self {
+        let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let daemon = ControlDaemon::bind(&ControlSettings {
+            host,
+            zone: "zig-a".into(),
+            region: DEFAULT_REGION.into(),
+            control_address: any_port,
+            platform_address: platform,
+            admin_address: Some(any_port),
+            shared_key: SharedKey::new(key),
+            byte_budget: 3_000,
+            read_budget: 12_000,
+            zones: Vec::new(),
+            seed_peers: seeds
+                .iter()
+                .map(|seed| seed.entry.control_address)
+                .collect(),
+        })
+        .await
+        .unwrap();
+        let entry = HostEntry {
+            id: host,
+            zone: "zig-a".into(),
+            cell: 0,
+            peer_address: any_port,
+            control_address: daemon.address().unwrap(),
+            leaving: false,
+        };
+        let admin = daemon.admin_address().unwrap();
+        let task = tokio::spawn(async move {
+            daemon.run(std::future::pending()).await.unwrap();
+        });
+        Self { entry, admin, task }
+    }
+
+    async fn status(&self) -> Value {
+        let url = format!("http://{}/v1/status", self.admin);
+        let response = reqwest::get(url).await.unwrap();
+        serde_json::from_slice(&response.bytes().await.unwrap()).unwrap()
+    }
+
+    async fn wait_for(&self, what: &str, done: impl Fn(&Value) -> bool) {
+        let waiting = async {
+            while !done(&self.status().await) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let waited = tokio::time::timeout(LIMIT, waiting).await;
+        assert!(waited.is_ok(), "{what}: {}", self.status().await);
+    }
+}
+
+fn publish_service(platform: &Platform, selector: &str) {
+    let service = ServiceDoc {
+        id: 1,
+        name: "ledger".into(),
+        address: ([10, 0, 0, 1], 700).into(),
+        selector: selector.to_owned(),
+    };
+    platform.publish("services/main/0", &[service]);
+}
+
+/// The platform goes away for good just after two hosts read it. A third host starts: it can only
+/// learn from the two, whose addresses its settings name. Another user's host, with another key,
+/// must learn nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_host_without_platform_learns_from_peers_with_its_key() {
+    let platform = Platform::default();
+    let address = platform.start().await.unwrap();
+    let first = TestDaemon::start(1, address, KEY, &[]).await;
+    let second = TestDaemon::start(2, address, KEY, &[]).await;
+    publish_service(&platform, "service=ledger");
+    let entries = [&first, &second].map(|daemon| daemon.entry.clone());
+    platform.publish("hosts/zig-a", &entries);
+    for daemon in [&first, &second] {
+        daemon
+            .wait_for("reads the platform", |status| status["version"] == 2)
+            .await;
+    }
+    platform
+        .set_faults(PlatformFaults {
+            dead: true,
+            ..PlatformFaults::default()
+        })
+        .unwrap();
+    let stranger = TestDaemon::start(4, address, [8; 16], &[&first, &second]).await;
+    let third = TestDaemon::start(3, address, KEY, &[&first, &second]).await;
+    third
+        .wait_for("learns from peers", |status| status["version"] == 2)
+        .await;
+    let status = stranger.status().await;
+    assert_eq!(status["links"], 0);
+    assert_eq!(status["ready"], false);
+}
+
+/// One of two hosts loses the platform, and an operator changes a selector: the other host passes
+/// it on. A faulty selector afterwards is refused by both, and what was accepted stays in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_change_reaches_host_cut_from_platform() {
+    let platform = Platform::default();
+    let address = platform.start().await.unwrap();
+    let nowhere = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let first = TestDaemon::start(1, address, KEY, &[]).await;
+    let cut = TestDaemon::start(2, nowhere.local_addr().unwrap(), KEY, &[&first]).await;
+    let entries = [&first, &cut].map(|daemon| daemon.entry.clone());
+    platform.publish("hosts/zig-a", &entries);
+    publish_service(&platform, "service=ledger");
+    cut.wait_for("first", |status| status["version"] == 2).await;
+    publish_service(&platform, "service=ledger,tier=a");
+    cut.wait_for("changed", |status| status["version"] == 3)
+        .await;
+    publish_service(&platform, "service ! ledger");
+    for daemon in [&first, &cut] {
+        daemon
+            .wait_for("refused", |status| status["refused"] == 1)
+            .await;
+        assert_eq!(daemon.status().await["version"], 3);
+    }
+}
