--- a/bench/src/lab_platform.rs
+++ b/bench/src/lab_platform.rs
@@ -194,7 +194,8 @@
         })
     }
 
-    fn changes(&self, prefix: &str, after: Version) -> Vec<PublishedKey> {
+    /// The latest value of each key under a prefix that changed after a revision.
+    pub fn changes(&self, prefix: &str, after: Version) -> Vec<PublishedKey> {
         let changed =
             |key: &ConfigKey, version: Version| key.starts_with(prefix) && version > after;
         self.keys
--- a/check.sh
+++ b/check.sh
@@ -8,3 +8,4 @@
 step cargo clippy --locked --workspace --all-targets -- -D warnings
 step cargo doc --locked --workspace --no-deps --quiet
 step cargo test --locked --workspace
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-control-lab -- --check
--- a/lib/src/config_relay.rs
+++ b/lib/src/config_relay.rs
@@ -7,7 +7,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,62 +15,28 @@
 use crate::config_store::ConfigStore;
 use crate::config_store::JoinResult;
 use crate::config_store::KeyUpdate;
-use crate::config_store::UpdateBody;
-use crate::config_value::KeyValue;
 use crate::control_event::ControlAction;
 use crate::ids::ConfigKey;
 use crate::ids::HostId;
 use crate::ids::Version;
 use crate::key_fetch::KeyFetch;
+use crate::reader_duty::ReaderBeats;
+use crate::relay_link::PeerLink;
 use crate::relay_message::Announcement;
 use crate::relay_message::ReaderBeat;
 use crate::relay_message::RelayMessage;
 
-/// Pause between announcements when nothing changes.
-pub const ANNOUNCE_PAUSE: Duration = Duration::from_secs(2);
-/// Shortest time between two announcements of changes; bounds their bytes in a burst.
-const ANNOUNCE_GAP: Duration = Duration::from_millis(250);
 /// A link without a message for so long has ended without notice: three announcements missed.
-pub const LINK_SILENCE: Duration = Duration::from_secs(7);
+pub const LINK_SILENCE: Duration = Duration::from_secs(4);
 /// How long a part of an answer may take before another peer is asked.
 const WANT_PATIENCE: Duration = Duration::from_secs(3);
 /// How long a host waits for its own zone before it pulls over a costly link to another.
 const FAR_PATIENCE: Duration = Duration::from_secs(1);
 /// Pause between exchanges of whole version lists after digests differed.
 const REPAIR_PAUSE: Duration = Duration::from_secs(10);
-/// Beats older than this are not passed on, so that an old one cannot circulate for ever.
-const BEAT_FORWARD_AGE: Duration = Duration::from_secs(3);
-/// Beats are remembered for longer than one can circulate.
-const BEAT_MEMORY: Duration = Duration::from_secs(60);
-/// Entries in one part of an answer; about four kilobytes.
-const PART_ENTRIES: usize = 32;
 /// What a message costs beyond its bytes: headers of the link, TCP and IP.
 pub const MESSAGE_OVERHEAD: usize = 60;
 
-/// A link to a peer.
-struct PeerLink {
-    near: bool,
-    heard: Instant,
-    through: Version,
-    digest: u64,
-    /// What the peer asked for and has not been sent, most urgent first.
-    queue: VecDeque<QueuedUpdate>,
-    /// Revision that the peer is complete to after the queue.
-    queue_through: Version,
-    /// Whether a part has to be sent although the queue is empty, as the end of an answer.
-    owes_end: bool,
-    /// Order in which peers asked.
-    asked: u64,
-    announced: Option<Announcement>,
-    announce_due: Instant,
-    announce_from: Instant,
-}
-
-struct QueuedUpdate {
-    class: TrafficClass,
-    update: KeyUpdate,
-}
-
 /// What this host asked a peer for.
 struct OpenWant {
     peer: HostId,
@@ -82,11 +47,6 @@
     through: Version,
 }
 
-struct HeardBeat {
-    beat: ReaderBeat,
-    heard: Instant,
-}
-
 /// Counts of what the relay did.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RelayCounts {
@@ -114,7 +74,7 @@
     links: BTreeMap<HostId, PeerLink>,
     want: Option<OpenWant>,
     fetch: KeyFetch,
-    beats: BTreeMap<HostId, HeardBeat>,
+    beats: ReaderBeats,
     budget: ByteBudget,
     /// Since when a peer is known to hold more than this host.
     behind_since: Option<Instant>,
@@ -132,7 +92,7 @@
             links: BTreeMap::new(),
             want: None,
             fetch: KeyFetch::default(),
-            beats: BTreeMap::new(),
+            beats: ReaderBeats::default(),
             budget,
             behind_since: None,
             repair_from: now,
@@ -153,19 +113,7 @@
 
     /// Opens a link; `near` if the peer is in the same zone.
     pub fn open_link(&mut self, now: Instant, host: HostId, near: bool) {
-        let link = PeerLink {
-            near,
-            heard: now,
-            through: 0,
-            digest: 0,
-            queue: VecDeque::new(),
-            queue_through: 0,
-            owes_end: false,
-            asked: 0,
-            announced: None,
-            announce_due: now,
-            announce_from: now,
-        };
+        let link = PeerLink::new(now, near);
         self.links.insert(host, link);
     }
 
@@ -213,17 +161,14 @@
         self.fetch.need(missing);
     }
 
-    /// Takes note of a reader's beat, the own one included.
-    pub fn hear_beat(&mut self, now: Instant, host: HostId, beat: ReaderBeat) {
-        let newer = self.beats.get(&host).is_none_or(|heard| beat > heard.beat);
-        if newer {
-            self.beats.insert(host, HeardBeat { beat, heard: now });
-        }
+    /// The beats heard of the zone's readers.
+    pub fn beats(&self) -> &ReaderBeats {
+        &self.beats
     }
 
-    /// When a reader's beat last grew.
-    pub fn beat_heard(&self, host: HostId) -> Option<Instant> {
-        self.beats.get(&host).map(|heard| heard.heard)
+    /// Takes note of a reader's beat, the own one included.
+    pub fn hear_beat(&mut self, now: Instant, host: HostId, beat: ReaderBeat) {
+        self.beats.hear(now, host, beat);
     }
 
     /// Takes a message of a linked peer.
@@ -358,29 +303,17 @@
         }
     }
 
-    /// A newer request replaces what is left of an older one, except that single keys are added.
     fn queue_updates(&mut self, host: HostId, updates: Vec<KeyUpdate>, through: Version) {
-        let Some(link) = self.links.get_mut(&host) else {
-            return;
-        };
         self.asked += 1;
-        link.asked = self.asked;
-        link.owes_end = true;
-        let mut queue: Vec<QueuedUpdate> = updates.into_iter().map(queued).collect();
-        if through == 0 {
-            queue.extend(link.queue.drain(..));
-        } else {
-            link.queue_through = through;
+        if let Some(link) = self.links.get_mut(&host) {
+            link.queue_updates(self.asked, updates, through);
         }
-        queue.sort_by_key(|queued| queued.class);
-        link.queue = queue.into();
     }
 
     /// Sends what is due and lets time pass.
     pub fn tick(&mut self, now: Instant, store: &ConfigStore, actions: &mut Vec<ControlAction>) {
         self.want.take_if(|want| want.deadline <= now);
-        self.beats
-            .retain(|_host, heard| now.saturating_duration_since(heard.heard) < BEAT_MEMORY);
+        self.beats.forget_old(now);
         self.announce(now, store, actions);
         self.serve(now, actions);
         self.pull(now, store, actions);
@@ -389,7 +322,7 @@
     }
 
     fn announce(&mut self, now: Instant, store: &ConfigStore, actions: &mut Vec<ControlAction>) {
-        let beats = self.fresh_beats(now);
+        let beats = self.beats.fresh(now);
         let mut due = Vec::new();
         for (host, link) in &mut self.links {
             let announcement = Announcement {
@@ -397,13 +330,7 @@
                 digest: store.digest(),
                 beats: if link.near { beats.clone() } else { Vec::new() },
             };
-            let changed = link.announced.as_ref().is_none_or(|announced| {
-                announced.through != announcement.through || announced.digest != announcement.digest
-            });
-            if now >= link.announce_due || (changed && now >= link.announce_from) {
-                link.announce_due = now + ANNOUNCE_PAUSE;
-                link.announce_from = now + ANNOUNCE_GAP;
-                link.announced = Some(announcement.clone());
+            if link.announces(now, &announcement) {
                 due.push((*host, announcement));
             }
         }
@@ -412,14 +339,6 @@
         }
     }
 
-    fn fresh_beats(&self, now: Instant) -> Vec<(HostId, ReaderBeat)> {
-        self.beats
-            .iter()
-            .filter(|(_host, heard)| now.saturating_duration_since(heard.heard) <= BEAT_FORWARD_AGE)
-            .map(|(host, heard)| (*host, heard.beat))
-            .collect()
-    }
-
     /// Serves every link's most urgent parts before the less urgent ones of any.
     ///
     /// Within a class, the peer that asked first is served to the end, so that it can soon serve
@@ -447,16 +366,10 @@
         actions: &mut Vec<ControlAction>,
     ) {
         while let Some(link) = self.links.get_mut(&host) {
-            let head = link.queue.front().map(|queued| queued.class);
-            let due = match head {
-                Some(head) => head == class,
-                // The end of an answer that had nothing to send.
-                None => link.owes_end && class == TrafficClass::Removal,
-            };
-            if !due || !self.budget.allows(now, class) {
+            if !link.has_due(class) || !self.budget.allows(now, class) {
                 return;
             }
-            let message = next_part(link, class);
+            let message = link.next_part(class);
             self.send_classed(host, &message, class, actions);
         }
     }
@@ -550,43 +463,3 @@
         actions.push(ControlAction::SendPeer { host, bytes, class });
     }
 }
-
-fn queued(update: KeyUpdate) -> QueuedUpdate {
-    let class = match &update.body {
-        _ if update.takes_away() => TrafficClass::Removal,
-        UpdateBody::Whole(_) => TrafficClass::Repair,
-        UpdateBody::Delta { .. } | UpdateBody::Deleted => TrafficClass::Change,
-    };
-    QueuedUpdate { class, update }
-}
-
-/// Takes the next part off a link's queue; the last one says what the peer is complete to.
-fn next_part(link: &mut PeerLink, class: TrafficClass) -> RelayMessage {
-    let mut updates = Vec::new();
-    let mut entries = 0;
-    while entries < PART_ENTRIES
-        && let Some(queued) = link.queue.pop_front_if(|queued| queued.class == class)
-    {
-        entries += entry_count(&queued.update);
-        updates.push(queued.update);
-    }
-    let mut through = 0;
-    if link.queue.is_empty() {
-        through = std::mem::take(&mut link.queue_through);
-        link.owes_end = false;
-    }
-    RelayMessage::Updates { updates, through }
-}
-
-/// Entries that an update carries, at least one.
-fn entry_count(update: &KeyUpdate) -> usize {
-    let entries = match &update.body {
-        UpdateBody::Deleted => 0,
-        UpdateBody::Whole(value) => match &**value {
-            KeyValue::Rows(rows) => rows.len(),
-            KeyValue::Invalid(_) => 0,
-        },
-        UpdateBody::Delta { rows, .. } => rows.len(),
-    };
-    entries.max(1)
-}
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -12,6 +12,8 @@
 use serde::Serialize;
 
 use crate::byte_budget::ByteBudget;
+use crate::config_force::FORCE_GAP;
+use crate::config_force::ForceState;
 use crate::config_relay::ConfigRelay;
 use crate::config_snapshot::HostEntry;
 use crate::config_snapshot::HostView;
@@ -26,9 +28,10 @@
 use crate::ids::ZoneName;
 use crate::platform_feed::FeedDemand;
 use crate::platform_feed::PlatformFeed;
+use crate::reader_duty::READER_SILENCE;
+use crate::reader_duty::ReaderDuty;
 use crate::reader_rank::FAR_LINKS;
 use crate::reader_rank::NEAR_LINKS;
-use crate::reader_rank::READERS_PER_ZONE;
 use crate::reader_rank::link_rankings;
 use crate::reader_rank::reader_ranking;
 use crate::relay_message::ReaderBeat;
@@ -37,25 +40,8 @@
 
 /// Longest time between two [`ControlEvent::Tick`] events.
 pub const CONTROL_TICK: Duration = Duration::from_millis(50);
-/// How often a reader that is in touch with the platform says so.
-pub const BEAT_PAUSE: Duration = Duration::from_secs(2);
-/// A reader not heard of for so long is replaced: three beats missed.
-pub const READER_SILENCE: Duration = Duration::from_secs(7);
-/// How much longer each further host in rank waits, so that one replaces the reader, not all.
-pub const READER_STAGGER: Duration = Duration::from_secs(2);
-/// How many hosts of a zone may become readers while the platform answers nobody.
-///
-/// Without the bound a platform that comes back after hours meets 14,000 hosts that all try.
-pub const MAX_READER_RANK: usize = 16;
 /// How long an unreachable peer is left alone.
 const LINK_RETRY: Duration = Duration::from_secs(5);
-/// Shortest time between two configurations for the entry daemon; bounds the work of a burst.
-const FORCE_GAP: Duration = Duration::from_millis(500);
-/// How long a host waits for a state that was published as a whole.
-///
-/// Beyond it, drains and removals that have arrived are put in force although additions published
-/// before them are still under way.
-const WHOLE_PATIENCE: Duration = Duration::from_secs(2);
 /// Peers that a starting host hears before it serves while the platform does not answer.
 const BOOT_PEERS: usize = 3;
 /// How long a starting host waits for so many.
@@ -95,18 +81,14 @@
     relay: ConfigRelay,
     compiler: SnapshotCompiler,
     hosts: Arc<HostView>,
-    readers: Vec<HostId>,
     near_peers: Vec<HostId>,
     far_peers: Vec<HostId>,
     /// Peers that are not tried before a time.
     avoided: BTreeMap<HostId, Instant>,
     /// Peers that were asked for a link and have not answered.
     connecting: BTreeMap<HostId, Instant>,
-    beat: ReaderBeat,
-    beat_due: Instant,
+    duty: ReaderDuty,
     reading: bool,
-    /// When enough better readers were last heard.
-    covered: Instant,
     /// When a peer was last linked.
     accompanied: Instant,
     started: Instant,
@@ -114,22 +96,6 @@
     force: ForceState,
 }
 
-/// Which state the entry daemon has.
-struct ForceState {
-    /// Version last handed over.
-    version: Version,
-    /// Digest of the store when it was last compiled, successfully or not.
-    digest: u64,
-    /// Version of the last whole state that was handed over.
-    whole_version: Version,
-    next: Instant,
-    /// Since when the store has not been whole.
-    partial_since: Option<Instant>,
-    hosts_digest: Option<Version>,
-    mixed: u64,
-    refused: u64,
-}
-
 /// What a control core reports of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ControlStatus {
@@ -165,15 +131,12 @@
             relay: ConfigRelay::new(now, identity.host, budget),
             compiler: SnapshotCompiler::default(),
             hosts: Arc::default(),
-            readers: Vec::new(),
             near_peers: Vec::new(),
             far_peers: Vec::new(),
             avoided: BTreeMap::new(),
             connecting: BTreeMap::new(),
-            beat: identity.first_beat,
-            beat_due: now,
+            duty: ReaderDuty::new(now, identity.host, identity.first_beat),
             reading: false,
-            covered: now,
             accompanied: now,
             started: now,
             ready: false,
@@ -259,10 +222,10 @@
     /// Compiles the published lists of hosts when one of them changed.
     fn learn_hosts(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
         let version = hosts_version(&self.store);
-        if self.force.hosts_digest == Some(version) || version == 0 {
+        if self.force.hosts_version == Some(version) || version == 0 {
             return;
         }
-        self.force.hosts_digest = Some(version);
+        self.force.hosts_version = Some(version);
         let Some(published) = published_hosts(&self.store) else {
             self.refuse(
                 version,
@@ -271,11 +234,9 @@
             );
             return;
         };
-        if self.readers.is_empty() {
-            self.covered = now;
-        }
         let identity = &self.identity;
-        self.readers = reader_ranking(&identity.zone, &published);
+        let ranking = reader_ranking(&identity.zone, &published);
+        self.duty.learn_ranking(now, ranking);
         (self.near_peers, self.far_peers) =
             link_rankings(identity.host, &identity.zone, &published);
         self.hosts = Arc::new(view_of(version, published));
@@ -336,37 +297,16 @@
             .collect()
     }
 
-    /// Reads if among the first in rank, or when too few of the better ones are heard, or alone.
     fn decide_reading(&mut self, now: Instant) {
-        let host = self.identity.host;
-        let rank = self.readers.iter().position(|reader| *reader == host);
-        let rank = rank.unwrap_or(usize::MAX);
-        let silent = |reader: &HostId| {
-            let heard = self.relay.beat_heard(*reader);
-            heard.is_none_or(|heard| now.saturating_duration_since(heard) >= READER_SILENCE)
-        };
-        let better = self.readers.iter().take(rank);
-        let heard = better.filter(|reader| !silent(reader)).count();
-        if heard >= READERS_PER_ZONE {
-            self.covered = now;
-        }
         let alone = now.saturating_duration_since(self.accompanied) >= READER_SILENCE;
-        let replaces = heard < READERS_PER_ZONE
-            && (READERS_PER_ZONE..MAX_READER_RANK).contains(&rank)
-            && now.saturating_duration_since(self.covered) >= replacement_wait(rank);
-        let unlisted = self.readers.is_empty();
-        self.reading = rank < READERS_PER_ZONE || replaces || alone || unlisted;
-        if self.reading && now >= self.beat_due {
-            self.beat_due = now + BEAT_PAUSE;
-            self.send_beat(now);
-        }
-    }
-
-    /// Only a reader in touch with the platform says so: one that is cut off is replaced.
-    fn send_beat(&mut self, now: Instant) {
-        if self.feed.in_touch() {
-            self.beat += 1;
-            self.relay.hear_beat(now, self.identity.host, self.beat);
+        let beats = self.relay.beats();
+        self.reading = self.duty.decide(now, beats, alone);
+        // Only a reader in touch with the platform says so: one that is cut off is replaced.
+        if self.reading && self.feed.in_touch() {
+            let beat = self.duty.next_beat(now);
+            if let Some(beat) = beat {
+                self.relay.hear_beat(now, self.identity.host, beat);
+            }
         }
     }
 
@@ -419,54 +359,6 @@
     }
 }
 
-impl ForceState {
-    fn new(now: Instant) -> Self {
-        Self {
-            version: 0,
-            digest: 0,
-            whole_version: 0,
-            next: now,
-            partial_since: None,
-            hosts_digest: None,
-            mixed: 0,
-            refused: 0,
-        }
-    }
-
-    /// The version under which the store's present state is handed over, or `None` if it has to
-    /// wait: for a state that was published as a whole, the revision of its last change.
-    ///
-    /// A state with keys ahead of others gets a version between the last whole one and the next,
-    /// so that the next one replaces it: each key that is ahead has taken one revision at least.
-    fn next_version(&mut self, now: Instant, store: &ConfigStore) -> Option<Version> {
-        if store.is_whole() {
-            self.partial_since = None;
-            return Some(store.newest()).filter(|version| *version > self.version);
-        }
-        let since = *self.partial_since.get_or_insert(now);
-        if now.saturating_duration_since(since) < WHOLE_PATIENCE {
-            return None;
-        }
-        let ahead = store.ahead_of_through().len() as Version;
-        let version = (self.whole_version + ahead).max(self.version + 1);
-        Some(version).filter(|version| *version < store.newest())
-    }
-
-    fn accept(&mut self, version: Version, whole: bool) {
-        self.version = version;
-        if whole {
-            self.whole_version = version;
-        } else {
-            self.mixed += 1;
-        }
-    }
-}
-
-fn replacement_wait(rank: usize) -> Duration {
-    let later = (rank - READERS_PER_ZONE) as u32;
-    READER_STAGGER * later
-}
-
 fn hosts_version(store: &ConfigStore) -> Version {
     let lists = store.keys_under(HOSTS_PREFIX);
     lists
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer_buffer;
 pub mod byte_budget;
 pub mod config_check;
+mod config_force;
 pub mod config_relay;
 pub mod config_scope;
 pub mod config_snapshot;
@@ -33,7 +34,9 @@
 pub mod peer_proof;
 pub mod platform_feed;
 pub mod published_config;
+pub mod reader_duty;
 pub mod reader_rank;
+mod relay_link;
 pub mod relay_message;
 pub mod request_system;
 pub mod request_table;
--- a/lib/tests/test_snapshot_compiler.rs
+++ b/lib/tests/test_snapshot_compiler.rs
@@ -100,6 +100,8 @@
     let twice = json!([service(1, 1, "a=b"), service(2, 1, "a=b")]);
     let mut taken = ledger_config(1, 1).upstreams.remove(0);
     (taken.id, taken.name) = (9, "ledger-9".into());
+    let mut idle = ledger_config(1, 9).upstreams.remove(8);
+    idle.slots = 0;
     vec![
         RefusedCase {
             name: "address of two services",
@@ -119,6 +121,12 @@
             json: json!([taken]),
             named: "ledger-0",
         },
+        RefusedCase {
+            name: "upstream without slots",
+            key: SHARDS[1],
+            json: json!([idle]),
+            named: "slots",
+        },
         RefusedCase {
             name: "not a list",
             key: SERVICES,
