--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -14,6 +16,7 @@
 use lagoonproxy::host_core::HostCore;
 use lagoonproxy::host_core::TICK;
 use lagoonproxy::host_event::HostEvent;
+use lagoonproxy::ids::Incarnation;
 use lagoonproxy::least_busy_policy::LeastBusyPolicy;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::unit_text::format_duration;
@@ -92,6 +95,8 @@
         let key = settings.shared_key.bytes();
         let core_settings = CoreSettings {
             host: settings.host,
+            incarnation: incarnation(),
+            started: Instant::now(),
             flow_key: key,
             flow_idle: settings.flow_idle,
             max_datagram_age: settings.max_datagram_age,
@@ -306,3 +311,11 @@
         }
     }
 }
+
+/// Milliseconds since 1970, larger at each start of this host. Peers ignore a process whose number
+/// is smaller than one they have heard of, so a clock that was set back keeps a host out of claims
+/// until it has caught up, but never makes two processes look like one.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as Incarnation)
+}
--- a/lib/src/answer_buffer.rs
+++ b/lib/src/answer_buffer.rs
@@ -9,10 +9,11 @@
 
 /// The parts of one answer that have arrived.
 ///
-/// Invariant: the ranges of the parts neither overlap nor pass `total`.
+/// Invariant: the parts are of one run, and their ranges neither overlap nor pass `total`.
 #[derive(Clone, Debug)]
 pub struct AnswerBuffer {
     request: RequestId,
+    run: u64,
     total: u32,
     parts: BTreeMap<u32, Bytes>,
     received: u32,
@@ -23,6 +24,7 @@
     pub fn new(part: &AnswerPart) -> Self {
         let mut buffer = Self {
             request: part.request,
+            run: part.run,
             total: part.total,
             parts: BTreeMap::new(),
             received: 0,
@@ -35,7 +37,8 @@
     pub fn add(&mut self, part: &AnswerPart) -> bool {
         let len = part.payload.len() as u32;
         let end = u64::from(part.offset) + u64::from(len);
-        if part.total != self.total || end > u64::from(self.total) || self.overlaps(part) {
+        let same_answer = part.run == self.run && part.total == self.total;
+        if !same_answer || end > u64::from(self.total) || self.overlaps(part) {
             return false;
         }
         self.received += len;
@@ -43,6 +46,11 @@
         true
     }
 
+    /// The run that the parts come from.
+    pub fn run(&self) -> u64 {
+        self.run
+    }
+
     /// Whether every byte has arrived.
     pub fn is_whole(&self) -> bool {
         self.received == self.total
@@ -57,6 +65,7 @@
     pub fn parts(&self) -> impl Iterator<Item = AnswerPart> + '_ {
         self.parts.iter().map(|(offset, payload)| AnswerPart {
             request: self.request,
+            run: self.run,
             offset: *offset,
             total: self.total,
             payload: payload.clone(),
--- a/lib/src/host_core.rs
+++ b/lib/src/host_core.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::cell_heartbeat::CellHeartbeat;
 use crate::config_snapshot::ConfigSnapshot;
 use crate::config_snapshot::HostView;
 use crate::flow_hash::FlowHasher;
@@ -16,11 +17,21 @@
 use crate::host_action::HostAction;
 use crate::host_event::HostEvent;
 use crate::host_status::HostStatus;
+use crate::ids::CellId;
 use crate::ids::FlowDigest;
 use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::Version;
 use crate::load_policy::LoadDecision;
 use crate::load_policy::LoadPolicy;
+use crate::membership::CLAIM_LENGTH;
+use crate::membership::CLAIM_MARGIN;
+use crate::membership::Membership;
+use crate::owner_rank::flow_cell;
 use crate::owner_rank::flow_owner;
+use crate::request_system::waiting_outcome;
+use crate::request_table::RequestKey;
+use crate::request_table::RequestStage;
 use crate::request_table::RequestTable;
 use crate::result_code::ResultCode;
 use crate::wire_frame::CallerBody;
@@ -43,6 +54,10 @@
 pub struct CoreSettings {
     /// Its number in the published host list.
     pub host: HostId,
+    /// Larger with each start of the process, such as the milliseconds since 1970.
+    pub incarnation: Incarnation,
+    /// When the process started.
+    pub started: Instant,
     /// Key that the user's hosts share, for digests of flows.
     pub flow_key: [u8; 16],
     /// How long a silent flow is kept.
@@ -56,12 +71,17 @@
     pub(crate) settings: CoreSettings,
     pub(crate) hasher: FlowHasher,
     pub(crate) config: Option<Arc<ConfigSnapshot>>,
-    pub(crate) hosts: Arc<HostView>,
+    pub(crate) membership: Membership,
     pub(crate) flows: FlowTable,
     pub(crate) requests: RequestTable,
     pub(crate) policy: Box<dyn LoadPolicy>,
+    /// What the policy was last told of the hosts.
+    policy_view: Arc<HostView>,
     config_since: Option<Instant>,
     pub(crate) draining: bool,
+    /// Not drained before this: peers learn first that this host is leaving, and ask it for its
+    /// records.
+    linger_deadline: Option<Instant>,
     drained_reported: bool,
 }
 
@@ -70,14 +90,21 @@
     pub fn new(settings: CoreSettings, policy: Box<dyn LoadPolicy>) -> Self {
         Self {
             hasher: FlowHasher::new(settings.flow_key),
+            membership: Membership::new(
+                settings.started,
+                settings.host,
+                settings.incarnation,
+                settings.max_datagram_age,
+            ),
             settings,
             config: None,
-            hosts: Arc::default(),
             flows: FlowTable::default(),
             requests: RequestTable::default(),
             policy,
+            policy_view: Arc::default(),
             config_since: None,
             draining: false,
+            linger_deadline: None,
             drained_reported: false,
         }
     }
@@ -86,9 +113,11 @@
     ///
     /// `now` must not be smaller than in an earlier call.
     pub fn handle(&mut self, now: Instant, event: HostEvent, actions: &mut Vec<HostAction>) {
+        self.membership.observe(now);
         match event {
             HostEvent::CallerFrame { caller, frame } => {
-                self.route_caller(now, caller, frame, 0, actions);
+                let view = self.membership.view().version;
+                self.route_caller(now, caller, frame, view, 0, actions);
             }
             HostEvent::PeerFrame(frame) => self.take_peer(now, frame, actions),
             HostEvent::UpstreamFrame { source, frame } => {
@@ -96,14 +125,17 @@
             }
             HostEvent::Config(config) => self.put_in_force(now, config),
             HostEvent::Hosts(hosts) => {
-                self.policy.learn_hosts(now, &hosts);
-                self.hosts = hosts;
+                self.membership.learn_hosts(now, &hosts);
+                self.tell_hosts(now);
             }
             HostEvent::UpstreamReport(report) => self.policy.learn_report(now, report),
-            HostEvent::Drain => self.draining = true,
+            HostEvent::Drain => self.start_drain(now, actions),
             HostEvent::Tick => self.tick(now, actions),
         }
-        self.report_drained(actions);
+        if self.membership.usable() != self.policy_view.alive {
+            self.tell_hosts(now);
+        }
+        self.report_drained(now, actions);
     }
 
     /// What operators are told of this host.
@@ -114,8 +146,8 @@
             config_age: self
                 .config_since
                 .map(|since| now.saturating_duration_since(since)),
-            host_list_version: self.hosts.version,
-            hosts_alive: self.hosts.alive.len(),
+            host_list_version: self.membership.view().version,
+            hosts_alive: self.membership.usable().len(),
             draining: self.draining,
             flows: self.flows.len(),
             requests: self.requests.in_progress(),
@@ -123,7 +155,7 @@
     }
 
     /// The version of the configuration in force, if there is one.
-    pub fn config_version(&self) -> Option<crate::ids::Version> {
+    pub fn config_version(&self) -> Option<Version> {
         self.config.as_ref().map(|config| config.version)
     }
 
@@ -149,22 +181,65 @@
         self.config_since = Some(now);
     }
 
+    /// Handles a caller's frame here or passes it to the host that it belongs to.
+    ///
+    /// `view` is the version of the host list by which the frame was sent here. A newer view than
+    /// this host's wins: its sender knows better who owns the flow.
     fn route_caller(
         &mut self,
         now: Instant,
         caller: SocketAddr,
         frame: CallerFrame,
+        view: Version,
         hops: u8,
         actions: &mut Vec<HostAction>,
     ) {
         let digest = self.hasher.digest(frame.service, caller, frame.flow);
-        let owner = self.owner_of(digest);
-        if owner == self.settings.host || hops >= MAX_HOPS {
-            self.own_caller_frame(now, caller, digest, &frame, actions);
+        let is_recorded = self.has_record(digest, &frame.body);
+        if !is_recorded && self.may_be_stale(now, &frame.body) {
+            actions.push(HostAction::Count(ResultCode::FrameStale));
+            return;
+        }
+        let target = self.target_of(digest, &frame.body, hops);
+        let is_final = hops >= MAX_HOPS || view > self.membership.view().version;
+        if is_recorded || is_final || target == self.settings.host {
+            self.own_caller_frame(now, caller, digest, &frame, hops, actions);
             return;
         }
-        let body = PeerBody::FromCaller { caller, frame };
-        self.send_peer(owner, hops + 1, body, actions);
+        self.send_caller_frame(target, hops + 1, caller, frame, actions);
+    }
+
+    /// Whether this host remembers the request that a frame is about.
+    fn has_record(&self, flow: FlowDigest, body: &CallerBody) -> bool {
+        let request = match body {
+            CallerBody::Request(request) => request.request,
+            CallerBody::Ack { request } | CallerBody::Cancel { request } => *request,
+            _ => return false,
+        };
+        self.requests.get(RequestKey { flow, request }).is_some()
+    }
+
+    /// Whether a request that may not run twice could have waited here during a freeze.
+    ///
+    /// Its stated age would then be too small, and a request that a former owner has run would be
+    /// taken for a new one. Its caller sends it again with its true age.
+    fn may_be_stale(&self, now: Instant, body: &CallerBody) -> bool {
+        let CallerBody::Request(request) = body else {
+            return false;
+        };
+        !request.idempotent && self.membership.reads_backlog(now)
+    }
+
+    /// The host that a frame belongs to: for requests the one that may take them on, else the one
+    /// that holds the flow.
+    fn target_of(&self, digest: FlowDigest, body: &CallerBody, hops: u8) -> HostId {
+        match body {
+            CallerBody::Request(request) if !request.idempotent => self.actor_of(digest),
+            CallerBody::Ack { .. } | CallerBody::Cancel { .. } if hops == 0 => {
+                self.actor_of(digest)
+            }
+            _ => self.owner_of(digest),
+        }
     }
 
     fn take_peer(&mut self, now: Instant, frame: PeerFrame, actions: &mut Vec<HostAction>) {
@@ -172,24 +247,74 @@
             actions.push(HostAction::Count(ResultCode::HopsExceeded));
             return;
         }
+        let sender = frame.sender;
+        if self.membership.entry(sender).is_none() {
+            actions.push(HostAction::Count(ResultCode::PeerUnknown));
+            return;
+        }
         match frame.body {
             PeerBody::FromCaller {
                 caller,
+                view,
                 frame: inner,
-            } => self.route_caller(now, caller, inner, frame.hops, actions),
+            } => self.route_caller(now, caller, inner, view, frame.hops, actions),
             PeerBody::FromUpstream(inner) => self.match_answer(now, inner, actions),
             PeerBody::Load(message) => {
                 let mut decisions = Vec::new();
                 self.policy
-                    .take_message(now, frame.sender, &message, &mut decisions);
+                    .take_message(now, sender, &message, &mut decisions);
                 self.carry_out(now, decisions, actions);
             }
+            PeerBody::Heartbeat(heartbeat) => self.membership.take(now, sender, &heartbeat),
+            PeerBody::Query(query) => self.take_query(now, sender, &query, actions),
+            PeerBody::Reply(reply) => self.take_reply(now, sender, &reply, actions),
+        }
+    }
+
+    /// The host that holds a flow: the first in rank of those that are usable.
+    pub(crate) fn owner_of(&self, digest: FlowDigest) -> HostId {
+        let cell = flow_cell(digest, self.membership.cells());
+        let owner = match cell {
+            Some(cell) if cell != self.membership.cell() => self.owner_in(cell, digest),
+            _ => flow_owner(digest, self.membership.usable().iter().copied()),
+        };
+        owner.unwrap_or(self.settings.host)
+    }
+
+    /// The owner in another cell, by the control daemon's hint, for no heartbeats come from there.
+    fn owner_in(&self, cell: CellId, digest: FlowDigest) -> Option<HostId> {
+        let view = self.membership.view();
+        let alive = view.alive.iter().copied();
+        let in_cell = |id: &HostId| view.host(*id).is_some_and(|entry| entry.cell == cell);
+        flow_owner(digest, alive.filter(in_cell))
+    }
+
+    /// The host that may take on requests of a flow that may not run twice: the first in rank of
+    /// those that hold their claims.
+    pub(crate) fn actor_of(&self, digest: FlowDigest) -> HostId {
+        let cell = flow_cell(digest, self.membership.cells());
+        if cell.is_some_and(|cell| cell != self.membership.cell()) {
+            return self.owner_of(digest);
         }
+        let claimants = self.membership.claimants().iter().copied();
+        flow_owner(digest, claimants).unwrap_or_else(|| self.owner_of(digest))
     }
 
-    fn owner_of(&self, digest: FlowDigest) -> HostId {
-        let alive = self.hosts.alive.iter().copied();
-        flow_owner(digest, alive).unwrap_or(self.settings.host)
+    pub(crate) fn send_caller_frame(
+        &self,
+        host: HostId,
+        hops: u8,
+        caller: SocketAddr,
+        frame: CallerFrame,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let view = self.membership.view().version;
+        let body = PeerBody::FromCaller {
+            caller,
+            view,
+            frame,
+        };
+        self.send_peer(host, hops, body, actions);
     }
 
     pub(crate) fn send_peer(
@@ -199,7 +324,7 @@
         body: PeerBody,
         actions: &mut Vec<HostAction>,
     ) {
-        let Some(entry) = self.hosts.host(host) else {
+        let Some(entry) = self.membership.entry(host) else {
             actions.push(HostAction::Count(ResultCode::PeerUnknown));
             return;
         };
@@ -234,7 +359,7 @@
                     let refusal = RefusalBody {
                         request: Some(key.request),
                         code,
-                        outcome: RunOutcome::NotRun,
+                        outcome: self.outcome_now(key),
                         retry_after,
                     };
                     self.refuse_request(key, refusal, actions);
@@ -243,8 +368,63 @@
         }
     }
 
-    fn report_drained(&mut self, actions: &mut Vec<HostAction>) {
-        if self.draining && !self.drained_reported && self.requests.in_progress() == 0 {
+    /// Whether it is proved that a request has not run.
+    fn outcome_now(&self, key: RequestKey) -> RunOutcome {
+        match self.requests.get(key) {
+            Some(record) if matches!(record.stage, RequestStage::Waiting) => {
+                waiting_outcome(record)
+            }
+            _ => RunOutcome::Unknown,
+        }
+    }
+
+    /// Tells the policy which hosts it shares the upstreams with, by heartbeats.
+    fn tell_hosts(&mut self, now: Instant) {
+        let view = self.membership.view();
+        self.policy_view = Arc::new(HostView {
+            version: view.version,
+            published: view.published.clone(),
+            alive: self.membership.usable().to_vec(),
+        });
+        self.policy.learn_hosts(now, &self.policy_view);
+    }
+
+    fn start_drain(&mut self, now: Instant, actions: &mut Vec<HostAction>) {
+        if self.draining {
+            return;
+        }
+        self.draining = true;
+        let has_peers = self.membership.members().len() > 1;
+        if has_peers {
+            let linger = CLAIM_LENGTH + CLAIM_MARGIN + self.settings.max_datagram_age;
+            self.linger_deadline = Some(now + linger);
+        }
+        let heartbeats = self.membership.leave(now);
+        self.send_heartbeats(heartbeats, actions);
+    }
+
+    pub(crate) fn send_heartbeats(
+        &self,
+        heartbeats: Vec<(HostId, CellHeartbeat)>,
+        actions: &mut Vec<HostAction>,
+    ) {
+        for (host, heartbeat) in heartbeats {
+            self.send_peer(host, 1, PeerBody::Heartbeat(heartbeat), actions);
+        }
+    }
+
+    /// Reports a drain as complete once nothing is in progress and nobody can ask any more for a
+    /// request that only this host knows of.
+    fn report_drained(&mut self, now: Instant, actions: &mut Vec<HostAction>) {
+        if !self.draining || self.drained_reported {
+            return;
+        }
+        if self.linger_deadline.is_some_and(|deadline| now < deadline) {
+            return;
+        }
+        let has_peers = self.linger_deadline.is_some();
+        let answers_for_any = has_peers && self.requests.answers_for_any();
+        if self.requests.in_progress() == 0 && !answers_for_any {
             self.drained_reported = true;
             actions.push(HostAction::Drained);
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,8 @@
 //! the present time go in, actions come out. The daemons are thin shells around it.
 
 pub mod answer_buffer;
+pub mod cell_heartbeat;
+pub mod claim;
 pub mod config_check;
 pub mod config_snapshot;
 pub mod daemon_settings;
@@ -21,14 +23,17 @@
 pub mod least_busy_policy;
 pub mod load_message;
 pub mod load_policy;
+pub mod membership;
 pub mod owner_rank;
 pub mod published_config;
+pub mod record_query;
 pub mod request_system;
 pub mod request_table;
 pub mod result_code;
 pub mod selector_parser;
 pub mod settings_reader;
 pub mod shared_key;
+pub mod takeover_system;
 pub mod unit_text;
 pub mod upstream_system;
 pub mod wire_frame;
--- a/lib/src/request_system.rs
+++ b/lib/src/request_system.rs
@@ -7,6 +7,7 @@
 use crate::config_snapshot::ServiceEntry;
 use crate::host_action::HostAction;
 use crate::host_core::HostCore;
+use crate::host_core::MAX_HOPS;
 use crate::host_core::reply;
 use crate::ids::FlowDigest;
 use crate::ids::UpstreamId;
@@ -15,6 +16,8 @@
 use crate::request_table::RequestKey;
 use crate::request_table::RequestRecord;
 use crate::request_table::RequestStage;
+use crate::request_table::RunningAttempt;
+use crate::request_table::TakeoverState;
 use crate::result_code::ResultCode;
 use crate::wire_frame::CallerBody;
 use crate::wire_frame::CallerFrame;
@@ -25,9 +28,19 @@
 use crate::wire_frame::UpstreamBody;
 use crate::wire_frame::UpstreamFrame;
 
+/// How long an upstream's reply to a cancellation is waited for.
+const CANCEL_WAIT: Duration = Duration::from_millis(500);
 /// When to come back after a refusal that waits for a configuration.
 const CONFIG_RETRY: Duration = Duration::from_millis(500);
 
+/// How a caller's frame came here.
+#[derive(Clone, Copy)]
+struct FrameOrigin {
+    caller: SocketAddr,
+    /// How often hosts have forwarded it.
+    hops: u8,
+}
+
 impl HostCore {
     pub(crate) fn own_caller_frame(
         &mut self,
@@ -35,17 +48,22 @@
         caller: SocketAddr,
         digest: FlowDigest,
         frame: &CallerFrame,
+        hops: u8,
         actions: &mut Vec<HostAction>,
     ) {
+        let key_of = |request| RequestKey {
+            flow: digest,
+            request,
+        };
         match &frame.body {
             CallerBody::Open => self.open_flow(now, caller, digest, frame, actions),
             CallerBody::Request(body) => {
-                self.take_request(now, caller, digest, frame, body, actions);
-            }
-            CallerBody::Ack { request } => self.acknowledge(digest, *request),
-            CallerBody::Cancel { request } => {
-                self.cancel_request(now, digest, *request, actions);
+                let key = key_of(body.request);
+                let origin = FrameOrigin { caller, hops };
+                self.take_request(now, origin, key, frame, body, actions);
             }
+            CallerBody::Ack { request } => self.acknowledge(key_of(*request)),
+            CallerBody::Cancel { request } => self.cancel_request(now, key_of(*request), actions),
             CallerBody::Close => self.close_flow(caller, digest, frame, actions),
             CallerBody::Opened
             | CallerBody::Accepted { .. }
@@ -60,110 +78,174 @@
     fn take_request(
         &mut self,
         now: Instant,
-        caller: SocketAddr,
-        digest: FlowDigest,
+        origin: FrameOrigin,
+        key: RequestKey,
         frame: &CallerFrame,
         body: &RequestBody,
         actions: &mut Vec<HostAction>,
     ) {
         let request = body.request;
-        let key = RequestKey {
-            flow: digest,
-            request,
-        };
-        if let Some(record) = self.requests.get(key) {
-            return repeat_outcome(record, frame, request, actions);
+        let caller = origin.caller;
+        if self.requests.get(key).is_some() {
+            self.note_copy(now, key, body);
+            return self.take_copy(now, key, frame, actions);
         }
         let service = match self.service_of(frame) {
             Ok(service) => service.id,
             Err(code) => return refuse(caller, frame, Some(request), code, actions),
         };
-        let pinned = match self.flows.get_mut(digest) {
-            Some(flow) => {
-                flow.idle_deadline = now + self.settings.flow_idle;
-                Some(flow.upstream)
-            }
-            None => None,
-        };
+        if self.draining {
+            let code = ResultCode::HostDraining;
+            return refuse(caller, frame, Some(request), code, actions);
+        }
         let deadline = now + body.remaining;
-        self.requests.insert(
-            key,
-            RequestRecord {
-                caller,
-                address: frame.service,
-                service,
-                flow: frame.flow,
-                idempotent: body.idempotent,
-                payload: body.payload.clone(),
-                attempt: 0,
-                stage: RequestStage::Waiting,
-                deadline,
-                forget_deadline: deadline + self.settings.max_datagram_age,
-            },
-        );
-        let job = LoadJob {
-            key,
-            caller: caller.ip(),
+        let takeover = TakeoverState::new(now, frame.clone(), origin.hops < MAX_HOPS);
+        let record = RequestRecord {
+            caller,
+            address: frame.service,
             service,
-            pinned,
-            deadline,
+            flow: frame.flow,
             idempotent: body.idempotent,
+            payload: body.payload.clone(),
+            attempt: 0,
+            stage: RequestStage::Deciding(takeover),
+            sent_after: self.sent_after(now, body.age, 1),
+            taken: false,
+            exclusive: false,
+            may_have_run: false,
+            deadline,
+            forget_deadline: deadline + self.settings.max_datagram_age,
         };
-        let mut decisions = Vec::new();
-        self.policy.submit(now, job, &mut decisions);
-        self.carry_out(now, decisions, actions);
+        self.requests.insert(key, record);
+        self.decide(now, key, actions);
     }
 
-    fn acknowledge(&mut self, digest: FlowDigest, request: u64) {
-        let key = RequestKey {
-            flow: digest,
-            request,
-        };
+    /// Learns from a further copy: a later deadline, or a closer bound on the first sending.
+    fn note_copy(&mut self, now: Instant, key: RequestKey, body: &RequestBody) {
+        let sent_after = self.sent_after(now, body.age, 1);
+        let max_datagram_age = self.settings.max_datagram_age;
         let Some(record) = self.requests.get_mut(key) else {
             return;
         };
-        if matches!(record.stage, RequestStage::Answered(_)) {
-            record.stage = RequestStage::Acknowledged;
-        }
+        let deadline = now + body.remaining;
+        record.sent_after = record.sent_after.max(sent_after);
+        record.forget_deadline = record.forget_deadline.max(deadline + max_datagram_age);
     }
 
-    fn cancel_request(
+    /// Answers a further copy of a request from its record.
+    fn take_copy(
         &mut self,
         now: Instant,
-        digest: FlowDigest,
-        request: u64,
+        key: RequestKey,
+        frame: &CallerFrame,
         actions: &mut Vec<HostAction>,
     ) {
-        let key = RequestKey {
-            flow: digest,
-            request,
+        let Some(record) = self.requests.get(key) else {
+            return;
+        };
+        let caller = record.caller;
+        match &record.stage {
+            RequestStage::Deciding(_) | RequestStage::Waiting | RequestStage::Running(_) => {
+                let request = key.request;
+                let body = CallerBody::Accepted { request };
+                actions.push(to_caller(caller, reply(frame, body)));
+            }
+            RequestStage::HeldBy(holder) => {
+                let holder = *holder;
+                self.pass_to_holder(now, key, holder, frame, actions);
+            }
+            RequestStage::Answered(answer) => {
+                for part in answer.parts() {
+                    let body = CallerBody::Part(part);
+                    actions.push(to_caller(caller, reply(frame, body)));
+                }
+            }
+            RequestStage::Acknowledged => {}
+            RequestStage::Refused(refusal) => {
+                let body = CallerBody::Refusal(refusal.clone());
+                actions.push(to_caller(caller, reply(frame, body)));
+            }
+        }
+    }
+
+    /// Hands a request that this host has taken on to the load policy.
+    pub(crate) fn submit(&mut self, now: Instant, key: RequestKey, actions: &mut Vec<HostAction>) {
+        let idle_deadline = now + self.settings.flow_idle;
+        let pinned = match self.flows.get_mut(key.flow) {
+            Some(flow) => {
+                flow.idle_deadline = idle_deadline;
+                Some(flow.upstream)
+            }
+            None => None,
         };
         let Some(record) = self.requests.get(key) else {
             return;
         };
-        match record.stage {
+        let job = LoadJob {
+            key,
+            caller: record.caller.ip(),
+            service: record.service,
+            pinned,
+            deadline: record.deadline,
+            idempotent: record.idempotent,
+        };
+        let mut decisions = Vec::new();
+        self.policy.submit(now, job, &mut decisions);
+        self.carry_out(now, decisions, actions);
+    }
+
+    fn acknowledge(&mut self, key: RequestKey) {
+        self.requests
+            .release_answer(key, RequestStage::Acknowledged);
+    }
+
+    /// Gives a request up for its caller.
+    ///
+    /// One that waits has not run. One that was sent races its start: only the upstream's word
+    /// that it did not and will not start it proves that, so the host waits a little for it.
+    fn cancel_request(&mut self, now: Instant, key: RequestKey, actions: &mut Vec<HostAction>) {
+        let Some(record) = self.requests.get_mut(key) else {
+            return;
+        };
+        match &mut record.stage {
+            RequestStage::Deciding(_) => {
+                let refusal = cancelled(key.request, RunOutcome::Unknown);
+                self.refuse_request(key, refusal, actions);
+            }
             RequestStage::Waiting => {
+                let outcome = waiting_outcome(record);
                 self.policy.withdraw(now, key);
-                self.refuse_request(key, cancelled(request, RunOutcome::NotRun), actions);
+                self.refuse_request(key, cancelled(key.request, outcome), actions);
             }
-            RequestStage::Running { upstream, .. } => {
-                let frame = self.frame_of(key);
-                let caller = record.caller;
-                let attempt = record.attempt.saturating_sub(1);
-                if let Some(frame) = frame
-                    && let Some(tag) = self.routing_tag(caller, &frame, request, attempt, upstream)
-                {
-                    self.send_upstream(tag, UpstreamBody::Cancel, actions);
-                }
-                let mut decisions = Vec::new();
-                self.policy.end(now, key, JobEnd::Cancelled, &mut decisions);
-                self.refuse_request(key, cancelled(request, RunOutcome::Unknown), actions);
-                self.carry_out(now, decisions, actions);
+            RequestStage::Running(attempt) => {
+                let limit = record.deadline.min(now + CANCEL_WAIT);
+                let deadline = *attempt.cancel_deadline.get_or_insert(limit);
+                let upstream = attempt.upstream;
+                self.requests.remind(deadline, key);
+                self.send_cancel(key, upstream, actions);
             }
-            RequestStage::Answered(_) | RequestStage::Acknowledged | RequestStage::Refused(_) => {}
+            RequestStage::HeldBy(_)
+            | RequestStage::Answered(_)
+            | RequestStage::Acknowledged
+            | RequestStage::Refused(_) => {}
+        }
+    }
+
+    fn send_cancel(&self, key: RequestKey, upstream: UpstreamId, actions: &mut Vec<HostAction>) {
+        let Some(record) = self.requests.get(key) else {
+            return;
+        };
+        let Some(frame) = self.frame_of(key) else {
+            return;
+        };
+        let attempt = record.attempt.saturating_sub(1);
+        let caller = record.caller;
+        if let Some(tag) = self.routing_tag(caller, &frame, key.request, attempt, upstream) {
+            self.send_upstream(tag, UpstreamBody::Cancel, actions);
         }
     }
 
+    /// Sends a request that was taken on to an upstream.
     pub(crate) fn send_attempt(
         &mut self,
         now: Instant,
@@ -174,24 +256,45 @@
         let Some(frame) = self.frame_of(key) else {
             return;
         };
-        let Some(record) = self.requests.get_mut(key) else {
+        let Some(record) = self.requests.get(key) else {
             return;
         };
+        if !matches!(record.stage, RequestStage::Waiting) {
+            return;
+        }
         let attempt = record.attempt;
-        record.attempt = attempt.saturating_add(1);
-        record.stage = RequestStage::Running {
-            upstream,
-            answer: None,
-        };
-        let caller = record.caller;
         let body = UpstreamBody::Run {
             remaining: record.deadline.saturating_duration_since(now),
             idempotent: record.idempotent,
             payload: record.payload.clone(),
         };
-        if let Some(tag) = self.routing_tag(caller, &frame, key.request, attempt, upstream) {
-            self.send_upstream(tag, body, actions);
+        let caller = record.caller;
+        let Some(tag) = self.routing_tag(caller, &frame, key.request, attempt, upstream) else {
+            let refusal = RefusalBody {
+                request: Some(key.request),
+                code: ResultCode::NoUpstream,
+                outcome: waiting_outcome(record),
+                retry_after: CONFIG_RETRY,
+            };
+            self.refuse_request(key, refusal, actions);
+            return self.end_attempt(now, key, JobEnd::Cancelled, actions);
+        };
+        if let Some(record) = self.requests.get_mut(key) {
+            record.attempt = attempt.saturating_add(1);
+            record.stage = RequestStage::Running(RunningAttempt {
+                upstream,
+                incarnation: tag.incarnation,
+                answer: None,
+                cancel_deadline: None,
+            });
         }
+        self.send_upstream(tag, body, actions);
+    }
+
+    /// When a request that arrives at `now` was first sent, at the earliest, if it took `legs`
+    /// datagrams that were each under way for the longest allowed time; `None` for any time.
+    pub(crate) fn sent_after(&self, now: Instant, age: Duration, legs: u32) -> Option<Instant> {
+        now.checked_sub(age + legs * self.settings.max_datagram_age)
     }
 
     /// Records a refusal, so that later copies of the request get the same, and gives it at once.
@@ -247,6 +350,7 @@
             request,
             attempt,
             owner: self.settings.host,
+            owner_incarnation: self.settings.incarnation,
             upstream,
             incarnation: entry.incarnation,
         })
@@ -292,7 +396,7 @@
     actions.push(to_caller(caller, reply(frame, body)));
 }
 
-fn cancelled(request: u64, outcome: RunOutcome) -> RefusalBody {
+pub(crate) fn cancelled(request: u64, outcome: RunOutcome) -> RefusalBody {
     RefusalBody {
         request: Some(request),
         code: ResultCode::Cancelled,
@@ -301,28 +405,10 @@
     }
 }
 
-/// Answers a further copy of a request from its record.
-fn repeat_outcome(
-    record: &RequestRecord,
-    frame: &CallerFrame,
-    request: u64,
-    actions: &mut Vec<HostAction>,
-) {
-    match &record.stage {
-        RequestStage::Waiting | RequestStage::Running { .. } => {
-            let body = CallerBody::Accepted { request };
-            actions.push(to_caller(record.caller, reply(frame, body)));
-        }
-        RequestStage::Answered(answer) => {
-            for part in answer.parts() {
-                let body = CallerBody::Part(part);
-                actions.push(to_caller(record.caller, reply(frame, body)));
-            }
-        }
-        RequestStage::Acknowledged => {}
-        RequestStage::Refused(refusal) => {
-            let body = CallerBody::Refusal(refusal.clone());
-            actions.push(to_caller(record.caller, reply(frame, body)));
-        }
+/// Whether a request that no attempt is under way for has run.
+pub(crate) fn waiting_outcome(record: &RequestRecord) -> RunOutcome {
+    match record.is_proved_not_run() {
+        true => RunOutcome::NotRun,
+        false => RunOutcome::Unknown,
     }
 }
--- a/lib/src/request_table.rs
+++ b/lib/src/request_table.rs
@@ -1,6 +1,9 @@
 //! The requests that this host has decided on, by flow and number.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -9,12 +12,19 @@
 use crate::answer_buffer::AnswerBuffer;
 use crate::ids::FlowDigest;
 use crate::ids::FlowId;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::ids::ServiceAddress;
 use crate::ids::ServiceId;
 use crate::ids::UpstreamId;
+use crate::record_query::RecordState;
+use crate::wire_frame::CallerFrame;
 use crate::wire_frame::RefusalBody;
 
+/// Most bytes of whole answers that a host keeps for callers that have not acknowledged them.
+pub const ANSWER_BYTES: usize = 16 << 20;
+
 /// Identity of a request on every host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestKey {
@@ -24,21 +34,65 @@
     pub request: RequestId,
 }
 
+/// What is known so far of whether this host may take a request on.
+#[derive(Clone, Debug)]
+pub struct TakeoverState {
+    /// The frame that brought it.
+    pub frame: CallerFrame,
+    /// When that arrived.
+    pub arrived: Instant,
+    /// Whether it may be passed to the host that may take it on; not twice, or two hosts of
+    /// different views would pass it to and fro.
+    pub may_pass: bool,
+    /// When the peers were first asked, if they were.
+    pub queried: Option<Instant>,
+    /// When those that have not replied are asked again.
+    pub next_query: Instant,
+    /// What peers have replied.
+    pub replies: BTreeMap<HostId, RecordState>,
+}
+
+impl TakeoverState {
+    /// Starts with nothing known.
+    pub fn new(now: Instant, frame: CallerFrame, may_pass: bool) -> Self {
+        Self {
+            frame,
+            arrived: now,
+            may_pass,
+            queried: None,
+            next_query: now,
+            replies: BTreeMap::new(),
+        }
+    }
+}
+
+/// An attempt that was sent to an upstream.
+#[derive(Clone, Debug)]
+pub struct RunningAttempt {
+    /// Where it was sent.
+    pub upstream: UpstreamId,
+    /// The upstream process that it was meant for.
+    pub incarnation: Incarnation,
+    /// The parts that have arrived.
+    pub answer: Option<AnswerBuffer>,
+    /// When waiting for the upstream's reply to a cancellation ends, once the caller cancelled.
+    pub cancel_deadline: Option<Instant>,
+}
+
 /// How far a request has come.
 #[derive(Clone, Debug)]
 pub enum RequestStage {
-    /// It has not been sent to any upstream.
+    /// It is not known yet whether this host may take it on.
+    Deciding(TakeoverState),
+    /// Another host has taken it on; copies are passed there.
+    HeldBy(HostId),
+    /// It was taken on, and no attempt is under way.
     Waiting,
     /// It was sent, and its answer is not whole.
-    Running {
-        /// Where it was sent.
-        upstream: UpstreamId,
-        /// The parts that have arrived.
-        answer: Option<AnswerBuffer>,
-    },
+    Running(RunningAttempt),
     /// Its whole answer has arrived; kept so that the caller may ask for it again.
     Answered(AnswerBuffer),
-    /// The caller has said that it holds the answer.
+    /// Its answer has arrived and is no longer held: the caller has acknowledged it.
     Acknowledged,
     /// It was refused; every copy gets the same refusal.
     Refused(RefusalBody),
@@ -47,7 +101,10 @@
 impl RequestStage {
     /// Whether the host still owes the caller an outcome.
     pub fn is_in_progress(&self) -> bool {
-        matches!(self, Self::Waiting | Self::Running { .. })
+        match self {
+            Self::Deciding(_) | Self::Waiting | Self::Running(_) => true,
+            Self::HeldBy(_) | Self::Answered(_) | Self::Acknowledged | Self::Refused(_) => false,
+        }
     }
 }
 
@@ -70,16 +127,41 @@
     pub attempt: u8,
     /// How far it has come.
     pub stage: RequestStage,
+    /// No earlier than this the caller first sent it; `None` when it may be of any age.
+    pub sent_after: Option<Instant>,
+    /// This host has taken it on: it answers for every run of it.
+    pub taken: bool,
+    /// No other host has run it or will. Invariant: holds for every request that was taken on and
+    /// may not run twice.
+    pub exclusive: bool,
+    /// An attempt was given up without proof that it did not run.
+    pub may_have_run: bool,
     /// When the caller stops waiting.
     pub deadline: Instant,
     /// When the record may go: no copy of the request can arrive after this.
     pub forget_deadline: Instant,
 }
 
+impl RequestRecord {
+    /// Whether it is proved, while no attempt is under way, that the request has not run.
+    pub fn is_proved_not_run(&self) -> bool {
+        self.taken && self.exclusive && !self.may_have_run
+    }
+}
+
 /// The requests of one host.
 #[derive(Default)]
 pub struct RequestTable {
     requests: HashMap<RequestKey, RequestRecord>,
+    /// The requests in progress by the time at which something is due.
+    due: BTreeSet<(Instant, RequestKey)>,
+    /// Every record by the time at which it is looked at for removal.
+    ends: BTreeSet<(Instant, RequestKey)>,
+    /// Whole answers that are held, oldest first; some may have been acknowledged since.
+    answered: VecDeque<RequestKey>,
+    answer_bytes: usize,
+    /// Requests that another host was promised that this one will not take on, until when.
+    promises: BTreeMap<RequestKey, Instant>,
 }
 
 impl RequestTable {
@@ -95,25 +177,117 @@
 
     /// Adds a request.
     pub fn insert(&mut self, key: RequestKey, record: RequestRecord) {
+        self.due.insert((record.deadline, key));
+        self.ends.insert((record.forget_deadline, key));
         self.requests.insert(key, record);
     }
 
-    /// The requests in progress whose caller has stopped waiting, in ascending order.
-    pub fn overdue(&self, now: Instant) -> Vec<RequestKey> {
-        let mut keys: Vec<RequestKey> = self
-            .requests
-            .iter()
-            .filter(|(_key, record)| record.stage.is_in_progress() && record.deadline <= now)
-            .map(|(key, _record)| *key)
-            .collect();
-        keys.sort_unstable();
+    /// Removes a request that was not taken on.
+    pub fn remove(&mut self, key: RequestKey) -> Option<RequestRecord> {
+        self.requests.remove(&key)
+    }
+
+    /// Promises not to take a request on; the promise is kept until no copy can arrive.
+    pub fn promise(&mut self, key: RequestKey, forget_deadline: Instant) {
+        let promised = self.promises.entry(key).or_insert(forget_deadline);
+        *promised = forget_deadline.max(*promised);
+    }
+
+    /// Whether another host was promised that this one will not take the request on.
+    pub fn is_promised(&self, key: RequestKey) -> bool {
+        self.promises.contains_key(&key)
+    }
+
+    /// Has [`Self::take_due`] return the request once `time` has come.
+    pub fn remind(&mut self, time: Instant, key: RequestKey) {
+        self.due.insert((time, key));
+    }
+
+    /// The requests in progress for which something is due, in the order of time.
+    pub fn take_due(&mut self, now: Instant) -> Vec<RequestKey> {
+        let mut keys = Vec::new();
+        while let Some((time, key)) = self.due.first().copied() {
+            if time > now {
+                break;
+            }
+            self.due.pop_first();
+            let record = self.requests.get(&key);
+            if record.is_some_and(|record| record.stage.is_in_progress()) {
+                keys.push(key);
+            }
+        }
         keys
     }
 
+    /// Keeps a whole answer; returns the requests whose answers were given up for it, oldest
+    /// first, so that callers which never acknowledge cannot fill the memory.
+    pub fn keep_answer(&mut self, key: RequestKey, answer: AnswerBuffer) -> Vec<RequestKey> {
+        let Some(record) = self.requests.get_mut(&key) else {
+            return Vec::new();
+        };
+        self.answer_bytes += answer.received() as usize;
+        record.stage = RequestStage::Answered(answer);
+        self.answered.push_back(key);
+        let mut given_up = Vec::new();
+        while self.answer_bytes > ANSWER_BYTES {
+            let Some(oldest) = self.answered.pop_front() else {
+                break;
+            };
+            if self.release_answer(oldest, RequestStage::Acknowledged) {
+                given_up.push(oldest);
+            }
+        }
+        given_up
+    }
+
+    /// Replaces a whole answer by `stage`; `false` if none is held.
+    pub fn release_answer(&mut self, key: RequestKey, stage: RequestStage) -> bool {
+        let Some(record) = self.requests.get_mut(&key) else {
+            return false;
+        };
+        let RequestStage::Answered(answer) = &record.stage else {
+            return false;
+        };
+        self.answer_bytes -= answer.received() as usize;
+        record.stage = stage;
+        true
+    }
+
+    /// Bytes of whole answers that are held.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
     /// Forgets the requests of which no copy can arrive any more.
     pub fn expire(&mut self, now: Instant) {
-        self.requests
-            .retain(|_key, record| record.stage.is_in_progress() || now < record.forget_deadline);
+        self.promises
+            .retain(|_key, forget_deadline| now < *forget_deadline);
+        while let Some((time, key)) = self.ends.first().copied() {
+            if time > now {
+                break;
+            }
+            self.ends.pop_first();
+            self.expire_one(now, key);
+        }
+        while let Some(key) = self.answered.front() {
+            let record = self.requests.get(key);
+            if record.is_some_and(|record| matches!(record.stage, RequestStage::Answered(_))) {
+                break;
+            }
+            self.answered.pop_front();
+        }
+    }
+
+    fn expire_one(&mut self, now: Instant, key: RequestKey) {
+        let Some(record) = self.requests.get(&key) else {
+            return;
+        };
+        if now < record.forget_deadline {
+            self.ends.insert((record.forget_deadline, key));
+            return;
+        }
+        self.release_answer(key, RequestStage::Acknowledged);
+        self.requests.remove(&key);
     }
 
     /// How many requests have no outcome yet.
@@ -124,6 +298,14 @@
             .count()
     }
 
+    /// Whether a copy may still arrive of a request that this host has taken on and that may not
+    /// run twice.
+    pub fn answers_for_any(&self) -> bool {
+        self.requests
+            .values()
+            .any(|record| record.taken && !record.idempotent)
+    }
+
     /// How many requests are remembered.
     pub fn len(&self) -> usize {
         self.requests.len()
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -60,6 +60,8 @@
     FrameOversized = 304,
     /// The datagram claims to come from a peer but its code does not verify.
     FrameForged = 305,
+    /// The datagram may have waited in a frozen host for longer than a datagram may be under way.
+    FrameStale = 306,
     /// The datagram was forwarded more often than allowed.
     HopsExceeded = 400,
     /// The peer is not in the published host list.
@@ -96,6 +98,7 @@
         Self::FrameMalformed,
         Self::FrameOversized,
         Self::FrameForged,
+        Self::FrameStale,
         Self::HopsExceeded,
         Self::PeerUnknown,
         Self::PlatformUnreachable,
--- /dev/null
+++ b/lib/src/takeover_system.rs
@@ -0,0 +1,367 @@
+//! Decides whether this host may take a request on, which at most one host ever may.
+//!
+//! A host that acts on a flow takes on what was first sent after it began to. Of an older request
+//! another host may hold a record: every peer is asked, and promises not to take it on, before this
+//! host does. When a peer cannot tell, the outcome is unknown, and the caller hears so at once.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::host_action::HostAction;
+use crate::host_core::HostCore;
+use crate::host_core::MAX_HOPS;
+use crate::ids::HostId;
+use crate::owner_rank::ranked_ahead;
+use crate::record_query::RecordQuery;
+use crate::record_query::RecordReply;
+use crate::record_query::RecordState;
+use crate::request_table::RequestKey;
+use crate::request_table::RequestRecord;
+use crate::request_table::RequestStage;
+use crate::request_table::TakeoverState;
+use crate::result_code::ResultCode;
+use crate::wire_frame::CallerBody;
+use crate::wire_frame::CallerFrame;
+use crate::wire_frame::PeerBody;
+use crate::wire_frame::RefusalBody;
+use crate::wire_frame::RunOutcome;
+
+/// Time between two looks at a request that waits for a decision.
+const DECIDE_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which peers that have not replied are asked again.
+const QUERY_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which a peer's silence is taken for an answer.
+const QUERY_LIMIT: Duration = Duration::from_millis(500);
+/// How long a request waits for this host to become the one that acts; a takeover takes about
+/// 1.6 s, from the last heartbeat to the majority's fences.
+const ACT_LIMIT: Duration = Duration::from_millis(2_500);
+/// When to come back to a host that may not act: the length of a takeover.
+const ACT_RETRY: Duration = Duration::from_millis(1_500);
+
+/// What is to be done with a request.
+enum Verdict {
+    Wait,
+    TakeOn { exclusive: bool },
+    PassTo(HostId),
+    Query,
+    HeldBy(HostId),
+    Refuse(ResultCode),
+}
+
+impl HostCore {
+    /// Decides on a request that has not been taken on, if that is possible yet.
+    pub(crate) fn decide(&mut self, now: Instant, key: RequestKey, actions: &mut Vec<HostAction>) {
+        let Some(record) = self.requests.get(key) else {
+            return;
+        };
+        let RequestStage::Deciding(takeover) = &record.stage else {
+            return;
+        };
+        match self.verdict(now, key, record, takeover) {
+            Verdict::Wait => self.requests.remind(now + DECIDE_PAUSE, key),
+            Verdict::TakeOn { exclusive } => self.take_on(now, key, exclusive, actions),
+            Verdict::PassTo(host) => self.pass_on(now, key, host, actions),
+            Verdict::Query => {
+                self.query_peers(now, key, actions);
+                self.requests.remind(now + DECIDE_PAUSE, key);
+            }
+            Verdict::HeldBy(holder) => self.learn_holder(now, key, holder, actions),
+            Verdict::Refuse(code) => {
+                let refusal = RefusalBody {
+                    request: Some(key.request),
+                    code,
+                    outcome: RunOutcome::Unknown,
+                    retry_after: ACT_RETRY,
+                };
+                self.refuse_request(key, refusal, actions);
+            }
+        }
+    }
+
+    fn verdict(
+        &self,
+        now: Instant,
+        key: RequestKey,
+        record: &RequestRecord,
+        takeover: &TakeoverState,
+    ) -> Verdict {
+        let is_promised = self.requests.is_promised(key);
+        let since = self.acting_since(now, key);
+        let is_first = since.is_some_and(|since| record.sent_after >= Some(since));
+        if record.idempotent {
+            let exclusive = is_first && !is_promised;
+            return Verdict::TakeOn { exclusive };
+        }
+        let actor = self.actor_of(key.flow);
+        if actor != self.settings.host && takeover.may_pass {
+            return Verdict::PassTo(actor);
+        }
+        if is_promised {
+            return Verdict::Refuse(ResultCode::OutcomeUnknown);
+        }
+        if since.is_none() {
+            return self.verdict_inactive(now, takeover);
+        }
+        if is_first {
+            return Verdict::TakeOn { exclusive: true };
+        }
+        self.verdict_queried(now, record, takeover)
+    }
+
+    /// This host may not act at present: waits if it soon may.
+    fn verdict_inactive(&self, now: Instant, takeover: &TakeoverState) -> Verdict {
+        let book = self.membership.book();
+        let may_soon = book.holds_claim(now) || book.is_settling(now);
+        if may_soon && now < takeover.arrived + ACT_LIMIT {
+            return Verdict::Wait;
+        }
+        Verdict::Refuse(ResultCode::NotOwner)
+    }
+
+    /// This host acts, but the request may be older than that: every peer has to be asked.
+    fn verdict_queried(
+        &self,
+        now: Instant,
+        record: &RequestRecord,
+        takeover: &TakeoverState,
+    ) -> Verdict {
+        let held = |(_id, state): &(&HostId, &RecordState)| **state == RecordState::Held;
+        if let Some((holder, _state)) = takeover.replies.iter().find(held) {
+            return Verdict::HeldBy(*holder);
+        }
+        let Some(queried) = takeover.queried else {
+            return Verdict::Query;
+        };
+        let peers = self.peers_to_query();
+        let silent = peers
+            .iter()
+            .filter(|id| !takeover.replies.contains_key(id))
+            .count();
+        let hopeful = peers
+            .iter()
+            .any(|id| !takeover.replies.contains_key(id) && self.membership.is_heard(now, *id));
+        if silent == 0 && self.is_all_absent(record, takeover) {
+            return Verdict::TakeOn { exclusive: true };
+        }
+        if hopeful && now < queried + QUERY_LIMIT {
+            return match now < takeover.next_query {
+                true => Verdict::Wait,
+                false => Verdict::Query,
+            };
+        }
+        Verdict::Refuse(ResultCode::OutcomeUnknown)
+    }
+
+    fn is_all_absent(&self, record: &RequestRecord, takeover: &TakeoverState) -> bool {
+        let own_absent = record.sent_after >= Some(self.membership.removal_horizon());
+        let mut states = takeover.replies.values();
+        own_absent && states.all(|state| *state == RecordState::Absent)
+    }
+
+    fn peers_to_query(&self) -> Vec<HostId> {
+        let members = self.membership.members().iter().copied();
+        members.filter(|id| *id != self.settings.host).collect()
+    }
+
+    /// Since when this host has been the only one that may take on requests of a flow.
+    fn acting_since(&self, now: Instant, key: RequestKey) -> Option<Instant> {
+        let members = self.membership.members();
+        let ahead = ranked_ahead(key.flow, self.settings.host, members);
+        self.membership.book().acting_since(now, &ahead)
+    }
+
+    fn take_on(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        exclusive: bool,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let Some(record) = self.requests.get_mut(key) else {
+            return;
+        };
+        record.taken = true;
+        record.exclusive = exclusive;
+        record.stage = RequestStage::Waiting;
+        self.submit(now, key, actions);
+    }
+
+    /// Passes a request that was not taken on to the host that may, and forgets it.
+    fn pass_on(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        host: HostId,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let Some(record) = self.requests.remove(key) else {
+            return;
+        };
+        let RequestStage::Deciding(takeover) = record.stage else {
+            return;
+        };
+        let frame = aged_frame(
+            takeover.frame,
+            now.saturating_duration_since(takeover.arrived),
+        );
+        self.send_caller_frame(host, MAX_HOPS, record.caller, frame, actions);
+    }
+
+    fn learn_holder(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        holder: HostId,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let Some(record) = self.requests.get_mut(key) else {
+            return;
+        };
+        let stage = std::mem::replace(&mut record.stage, RequestStage::HeldBy(holder));
+        if let RequestStage::Deciding(takeover) = stage {
+            let waited = now.saturating_duration_since(takeover.arrived);
+            let frame = aged_frame(takeover.frame, waited);
+            self.pass_to_holder(now, key, holder, &frame, actions);
+        }
+    }
+
+    /// Passes a copy to the host that has taken the request on, or says that nobody can tell any
+    /// more when that one is gone.
+    pub(crate) fn pass_to_holder(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        holder: HostId,
+        frame: &CallerFrame,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let Some(record) = self.requests.get(key) else {
+            return;
+        };
+        if self.membership.is_heard(now, holder) {
+            let caller = record.caller;
+            return self.send_caller_frame(holder, MAX_HOPS, caller, frame.clone(), actions);
+        }
+        let refusal = RefusalBody {
+            request: Some(key.request),
+            code: ResultCode::OutcomeUnknown,
+            outcome: RunOutcome::Unknown,
+            retry_after: ACT_RETRY,
+        };
+        self.refuse_request(key, refusal, actions);
+    }
+
+    fn query_peers(&mut self, now: Instant, key: RequestKey, actions: &mut Vec<HostAction>) {
+        let peers = self.peers_to_query();
+        let member_set = self.membership.book().member_set();
+        let max_datagram_age = self.settings.max_datagram_age;
+        let Some(record) = self.requests.get_mut(key) else {
+            return;
+        };
+        let sent_before = record.sent_after.map(|sent| sent + max_datagram_age);
+        let age = sent_before.map_or(Duration::MAX, |sent| now.saturating_duration_since(sent));
+        let query = RecordQuery {
+            flow: key.flow,
+            request: key.request,
+            age: age.min(LONGEST_AGE),
+            remaining: record.forget_deadline.saturating_duration_since(now),
+            member_set,
+        };
+        let RequestStage::Deciding(takeover) = &mut record.stage else {
+            return;
+        };
+        takeover.queried.get_or_insert(now);
+        takeover.next_query = now + QUERY_PAUSE;
+        let unanswered: Vec<HostId> = peers
+            .into_iter()
+            .filter(|id| !takeover.replies.contains_key(id))
+            .collect();
+        for id in unanswered {
+            self.send_peer(id, 1, PeerBody::Query(query.clone()), actions);
+        }
+    }
+
+    /// Answers a peer that wants to take a request on; saying that there is no record of it is a
+    /// promise not to take it on later.
+    pub(crate) fn take_query(
+        &mut self,
+        now: Instant,
+        sender: HostId,
+        query: &RecordQuery,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let key = RequestKey {
+            flow: query.flow,
+            request: query.request,
+        };
+        let forget_deadline = now + query.remaining + self.settings.max_datagram_age;
+        let state = match self.requests.get(key) {
+            Some(record) if record.taken => RecordState::Held,
+            Some(record) => match record.stage {
+                RequestStage::HeldBy(holder) if holder != sender => RecordState::Unsure,
+                _ => RecordState::Absent,
+            },
+            None => self.state_unrecorded(now, query),
+        };
+        if state == RecordState::Absent {
+            self.requests.promise(key, forget_deadline);
+            let deciding = self.requests.get(key).is_some_and(|record| {
+                matches!(record.stage, RequestStage::Deciding(_)) && !record.idempotent
+            });
+            if deciding {
+                self.requests.remove(key);
+            }
+        }
+        let reply = RecordReply {
+            flow: query.flow,
+            request: query.request,
+            state,
+        };
+        self.send_peer(sender, 1, PeerBody::Reply(reply), actions);
+    }
+
+    /// What this host knows of a request that it has no record of: nothing, if the request may be
+    /// older than the process or than the removal of a member, or if the sender counts over other
+    /// members.
+    fn state_unrecorded(&self, now: Instant, query: &RecordQuery) -> RecordState {
+        let sent_after = self.sent_after(now, query.age, 2);
+        let same_set = query.member_set == self.membership.book().member_set();
+        let is_younger = sent_after >= Some(self.membership.removal_horizon());
+        match same_set && is_younger {
+            true => RecordState::Absent,
+            false => RecordState::Unsure,
+        }
+    }
+
+    pub(crate) fn take_reply(
+        &mut self,
+        now: Instant,
+        sender: HostId,
+        reply: &RecordReply,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let key = RequestKey {
+            flow: reply.flow,
+            request: reply.request,
+        };
+        let Some(record) = self.requests.get_mut(key) else {
+            return;
+        };
+        if let RequestStage::Deciding(takeover) = &mut record.stage {
+            takeover.replies.insert(sender, reply.state);
+            self.decide(now, key, actions);
+        }
+    }
+}
+
+/// Longest age that a query states; an older request is as unknown as one of this age.
+const LONGEST_AGE: Duration = Duration::from_secs(86_400);
+
+/// The frame as its caller would send it now.
+fn aged_frame(mut frame: CallerFrame, waited: Duration) -> CallerFrame {
+    if let CallerBody::Request(body) = &mut frame.body {
+        body.age += waited;
+        body.remaining = body.remaining.saturating_sub(waited);
+    }
+    frame
+}
--- a/lib/src/upstream_system.rs
+++ b/lib/src/upstream_system.rs
@@ -1,13 +1,16 @@
 //! What a host does with the frames of upstreams.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::answer_buffer::AnswerBuffer;
 use crate::host_action::HostAction;
 use crate::host_core::HostCore;
 use crate::load_policy::JobEnd;
+use crate::request_system::cancelled;
 use crate::request_system::to_caller;
+use crate::request_system::waiting_outcome;
 use crate::request_table::RequestKey;
 use crate::request_table::RequestStage;
 use crate::result_code::ResultCode;
@@ -15,7 +18,9 @@
 use crate::wire_frame::CallerBody;
 use crate::wire_frame::CallerFrame;
 use crate::wire_frame::PeerBody;
+use crate::wire_frame::RefusalBody;
 use crate::wire_frame::RoutingTag;
+use crate::wire_frame::RunOutcome;
 use crate::wire_frame::UpstreamBody;
 use crate::wire_frame::UpstreamFrame;
 
@@ -32,15 +37,17 @@
             self.match_answer(now, frame, actions);
             return;
         }
-        if self.hosts.alive.contains(&owner) {
+        if self.membership.is_heard(now, owner) {
             self.send_peer(owner, 1, PeerBody::FromUpstream(frame), actions);
             return;
         }
         deliver_unowned(&frame, actions);
     }
 
-    /// Matches an upstream's frame to the flow, request and attempt it belongs to; a frame of a
-    /// former attempt would mix two answers and is dropped.
+    /// Matches an upstream's frame to the flow, request and attempt it belongs to.
+    ///
+    /// A frame of a former attempt, or of a former process at the upstream's address, would mix two
+    /// answers and is dropped. One that a former process of this host asked for is delivered.
     pub(crate) fn match_answer(
         &mut self,
         now: Instant,
@@ -48,6 +55,9 @@
         actions: &mut Vec<HostAction>,
     ) {
         let tag = frame.tag;
+        if tag.owner_incarnation != self.settings.incarnation {
+            return deliver_unowned(&frame, actions);
+        }
         let key = RequestKey {
             flow: self.hasher.digest(tag.service, tag.caller, tag.flow),
             request: tag.request,
@@ -58,19 +68,21 @@
         if record.attempt != tag.attempt.saturating_add(1) {
             return;
         }
-        let RequestStage::Running { upstream, .. } = record.stage else {
+        let RequestStage::Running(attempt) = &record.stage else {
             return;
         };
-        if upstream != tag.upstream {
+        if attempt.upstream != tag.upstream || attempt.incarnation != tag.incarnation {
             return;
         }
         match frame.body {
             UpstreamBody::Started => {}
             UpstreamBody::NotStarted { retry_after, .. } => {
-                let end = JobEnd::NotStarted { retry_after };
-                self.end_attempt(now, key, end, actions);
+                self.take_not_started(now, key, retry_after, actions);
+            }
+            UpstreamBody::Part(part) => {
+                let run = tag.run_id();
+                self.take_part(now, key, &AnswerPart { run, ..part }, actions);
             }
-            UpstreamBody::Part(part) => self.take_part(now, key, &part, actions),
             UpstreamBody::Open
             | UpstreamBody::Close
             | UpstreamBody::Run { .. }
@@ -80,6 +92,30 @@
         }
     }
 
+    /// The upstream has proved that the attempt did not run: the request waits again, or is given
+    /// up if its caller has cancelled it.
+    fn take_not_started(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        retry_after: Duration,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let Some(record) = self.requests.get_mut(key) else {
+            return;
+        };
+        let stage = std::mem::replace(&mut record.stage, RequestStage::Waiting);
+        let outcome = waiting_outcome(record);
+        let RequestStage::Running(attempt) = stage else {
+            return;
+        };
+        if attempt.cancel_deadline.is_some() {
+            self.refuse_request(key, cancelled(key.request, outcome), actions);
+            return self.end_attempt(now, key, JobEnd::Cancelled, actions);
+        }
+        self.end_attempt(now, key, JobEnd::NotStarted { retry_after }, actions);
+    }
+
     fn take_part(
         &mut self,
         now: Instant,
@@ -90,29 +126,53 @@
         let Some(record) = self.requests.get_mut(key) else {
             return;
         };
-        let RequestStage::Running { answer, .. } = &mut record.stage else {
+        let RequestStage::Running(attempt) = &mut record.stage else {
             return;
         };
-        let is_new = match answer {
+        let is_new = match &mut attempt.answer {
             Some(buffer) => buffer.add(part),
             None => {
-                *answer = Some(AnswerBuffer::new(part));
+                attempt.answer = Some(AnswerBuffer::new(part));
                 true
             }
         };
         if !is_new {
             return;
         }
+        let whole = attempt.answer.take_if(|buffer| buffer.is_whole());
         let frame = CallerFrame {
             service: record.address,
             flow: record.flow,
             body: CallerBody::Part(part.clone()),
         };
         actions.push(to_caller(record.caller, frame));
-        if let Some(whole) = answer.take_if(|buffer| buffer.is_whole()) {
-            record.stage = RequestStage::Answered(whole);
-            self.end_attempt(now, key, JobEnd::Answered, actions);
+        if let Some(whole) = whole {
+            self.keep_answer(now, key, whole, actions);
+        }
+    }
+
+    /// Keeps a whole answer until its caller acknowledges it; the oldest give way when all
+    /// together take too much memory, and whoever asks for those again hears that they ran.
+    fn keep_answer(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        whole: AnswerBuffer,
+        actions: &mut Vec<HostAction>,
+    ) {
+        for lost in self.requests.keep_answer(key, whole) {
+            let Some(record) = self.requests.get_mut(lost) else {
+                continue;
+            };
+            actions.push(HostAction::Count(ResultCode::AnswerLost));
+            record.stage = RequestStage::Refused(RefusalBody {
+                request: Some(lost.request),
+                code: ResultCode::AnswerLost,
+                outcome: RunOutcome::Run,
+                retry_after: Duration::ZERO,
+            });
         }
+        self.end_attempt(now, key, JobEnd::Answered, actions);
     }
 
     pub(crate) fn end_attempt(
@@ -133,13 +193,17 @@
     let UpstreamBody::Part(part) = &frame.body else {
         return;
     };
+    let run = frame.tag.run_id();
     let RoutingTag {
         caller,
         service,
         flow,
         ..
     } = frame.tag;
-    let body = CallerBody::Part(part.clone());
+    let body = CallerBody::Part(AnswerPart {
+        run,
+        ..part.clone()
+    });
     actions.push(to_caller(
         caller,
         CallerFrame {
--- a/lib/src/wire_frame.rs
+++ b/lib/src/wire_frame.rs
@@ -17,13 +17,18 @@
 use siphasher::sip128::SipHasher24;
 use std::hash::Hasher;
 
+use crate::cell_heartbeat::CellHeartbeat;
+use crate::flow_hash::rendezvous_weight;
 use crate::ids::FlowId;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::ids::ServiceAddress;
 use crate::ids::UpstreamId;
+use crate::ids::Version;
 use crate::load_message::LoadMessage;
+use crate::record_query::RecordQuery;
+use crate::record_query::RecordReply;
 use crate::result_code::ResultCode;
 
 /// First two bytes of every datagram.
@@ -119,6 +124,9 @@
 pub struct AnswerPart {
     /// The request answered.
     pub request: RequestId,
+    /// The run that the part comes from, see [`RoutingTag::run_id`]; parts of two runs of an
+    /// idempotent request never make one answer.
+    pub run: u64,
     /// Position of the payload's first byte in the whole answer.
     pub offset: u32,
     /// Length of the whole answer in bytes.
@@ -157,12 +165,22 @@
     pub attempt: u8,
     /// The host that sent it and keeps its record.
     pub owner: HostId,
+    /// The process of that host; a later one has no record of it.
+    pub owner_incarnation: Incarnation,
     /// The upstream it was sent to.
     pub upstream: UpstreamId,
     /// The upstream's incarnation it was meant for.
     pub incarnation: Incarnation,
 }
 
+impl RoutingTag {
+    /// Names the attempt among all of the request's on any host.
+    pub fn run_id(&self) -> u64 {
+        let seed = (u64::from(self.owner) << 8) | u64::from(self.attempt);
+        rendezvous_weight(seed, self.owner_incarnation)
+    }
+}
+
 /// Between an entry host and an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamFrame {
@@ -239,6 +257,8 @@
     FromCaller {
         /// The caller that sent it.
         caller: SocketAddr,
+        /// Version of the host list by which the sender chose the receiver.
+        view: Version,
         /// Its frame.
         frame: CallerFrame,
     },
@@ -246,6 +266,12 @@
     FromUpstream(UpstreamFrame),
     /// Between the load policies of two hosts.
     Load(LoadMessage),
+    /// Sign of life, echo and votes, within a cell.
+    Heartbeat(CellHeartbeat),
+    /// Asks for a request's record before the sender takes it on.
+    Query(RecordQuery),
+    /// Answers a query.
+    Reply(RecordReply),
 }
 
 /// Which of the three frames a datagram holds; the fourth byte of its header.
--- a/lib/tests/test_host_core.rs
+++ b/lib/tests/test_host_core.rs
@@ -21,15 +21,12 @@
 use crate::world::host_view;
 use crate::world::ledger_config;
 use crate::world::ledger_frame;
+use crate::world::lone_core;
 use crate::world::transfer;
 use crate::world::upstream_address;
 
 fn ready_core(now: Instant) -> HostCore {
-    let mut core = host_core(1);
-    let config = ledger_config(1, 3).compile().unwrap();
-    step(&mut core, now, HostEvent::Config(Arc::new(config)));
-    step(&mut core, now, HostEvent::Hosts(host_view(&[1])));
-    core
+    lone_core(now, 3)
 }
 
 fn step(core: &mut HostCore, now: Instant, event: HostEvent) -> Vec<HostAction> {
@@ -87,6 +84,7 @@
     let tag = sent_upstream(&sent)[0].tag;
     let part = AnswerPart {
         request: 1,
+        run: tag.run_id(),
         offset: 0,
         total: 4,
         payload: Bytes::from_static(b"done"),
--- a/lib/tests/test_wire_frame.rs
+++ b/lib/tests/test_wire_frame.rs
@@ -36,6 +36,7 @@
     newer[2] = 9;
     let overlong_part = ledger_frame(CallerBody::Part(AnswerPart {
         request: 1,
+        run: 0,
         offset: 2,
         total: 3,
         payload: Bytes::from_static(b"ab"),
@@ -89,6 +90,7 @@
         hops: 1,
         body: PeerBody::FromCaller {
             caller: caller_address(),
+            view: 1,
             frame: ledger_frame(CallerBody::Open),
         },
     };
--- a/lib/tests/world.rs
+++ b/lib/tests/world.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use lagoonproxy::config_snapshot::HostEntry;
@@ -10,6 +11,8 @@
 use lagoonproxy::config_snapshot::UpstreamState;
 use lagoonproxy::host_core::CoreSettings;
 use lagoonproxy::host_core::HostCore;
+use lagoonproxy::host_core::TICK;
+use lagoonproxy::host_event::HostEvent;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::ServiceAddress;
 use lagoonproxy::least_busy_policy::LeastBusyPolicy;
@@ -20,6 +23,9 @@
 use lagoonproxy::wire_frame::CallerFrame;
 use lagoonproxy::wire_frame::RequestBody;
 
+/// How long [`lone_core`] has been up: longer than a new host stays on standby.
+const LONE_START: Duration = Duration::from_secs(10);
+
 /// Address of the service that the tests call.
 pub fn ledger_address() -> ServiceAddress {
     ([10, 0, 0, 1], 700).into()
@@ -81,17 +87,39 @@
     })
 }
 
-/// A host without configuration.
+/// A host that has just started, without configuration.
 pub fn host_core(host: HostId) -> HostCore {
+    host_core_at(Instant::now(), host)
+}
+
+/// A host that starts at `now`, without configuration.
+pub fn host_core_at(now: Instant, host: HostId) -> HostCore {
     let settings = CoreSettings {
         host,
+        incarnation: 1,
+        started: now,
         flow_key: [7; 16],
         flow_idle: Duration::from_secs(3_600),
-        max_datagram_age: Duration::from_secs(2),
+        max_datagram_age: Duration::from_secs(1),
     };
     HostCore::new(settings, Box::<LeastBusyPolicy>::default())
 }
 
+/// The only host of its cell, at `now` in a position to take on any request.
+pub fn lone_core(now: Instant, upstreams: u32) -> HostCore {
+    let mut time = now.checked_sub(LONE_START).expect("a machine that is up");
+    let mut core = host_core_at(time, 1);
+    let config = ledger_config(1, upstreams).compile().unwrap();
+    let mut actions = Vec::new();
+    core.handle(time, HostEvent::Config(Arc::new(config)), &mut actions);
+    core.handle(time, HostEvent::Hosts(host_view(&[1])), &mut actions);
+    while time < now {
+        time += TICK;
+        core.handle(time, HostEvent::Tick, &mut actions);
+    }
+    core
+}
+
 /// A caller's frame of flow 1.
 pub fn ledger_frame(body: CallerBody) -> CallerFrame {
     CallerFrame {
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -152,10 +152,10 @@
     match reply.body {
         CallerBody::Part(part) if part.request == request => {
             match answer {
-                Some(buffer) => {
+                Some(buffer) if buffer.run() == part.run => {
                     buffer.add(&part);
                 }
-                None => *answer = Some(AnswerBuffer::new(&part)),
+                _ => *answer = Some(AnswerBuffer::new(&part)),
             }
             let whole = answer.take_if(|buffer| buffer.is_whole())?;
             let bytes = whole.parts().flat_map(|part| part.payload).collect();
--- a/standin/src/upstream.rs
+++ b/standin/src/upstream.rs
@@ -72,6 +72,7 @@
         for (index, chunk) in answer.chunks(PART_LEN).enumerate() {
             let part = AnswerPart {
                 request: tag.request,
+                run: tag.run_id(),
                 offset: (index * PART_LEN) as u32,
                 total,
                 payload: Bytes::copy_from_slice(chunk),
