--- a/lib/tests/test_host_core.rs
+++ b/lib/tests/test_host_core.rs
@@ -110,7 +110,7 @@
 #[test]
 fn test_frame_for_other_owner_is_forwarded() {
     let now = Instant::now();
-    let mut core = ready_core(now);
+    let mut core = host_core(1);
     step(&mut core, now, HostEvent::Hosts(host_view(&[2])));
     let actions = step(&mut core, now, from_caller(CallerBody::Open));
     let [HostAction::ToPeer { host: 2, frame, .. }] = actions.as_slice() else {
