load: ask keepers for slots, and compare ways to decide under load

Cause: the policy sent each job at once to the upstream with the fewest own jobs; hosts share nothing, so several choose the same slot, and nothing queues, refuses or shares.

Change: each slot belongs to one host of its zone (its keeper, computed alike everywhere); jobs ask for a slot and run under a grant; keepers of full zones borrow from others. A bench in virtual time compares it with random, two choices, probing, late binding, a group decision and one omniscient queue, all behind LoadPolicy.

--- /dev/null
+++ b/bench/src/bin/lagoon-dispatch.rs
@@ -0,0 +1,209 @@
+//! Compares ways to decide under load, side by side, in virtual time.
+
+use std::io::Write;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use lagoonproxy::load_policy::LoadPolicy;
+use lagoonproxy::load_settings::LoadSettings;
+use lagoonproxy::service_policy::ServicePolicy;
+use lagoonproxy_bench::cluster_plan::ClusterPlan;
+use lagoonproxy_bench::late_binding_policy::LateBindingPolicy;
+use lagoonproxy_bench::outcome_report::RunFigures;
+use lagoonproxy_bench::probing_policy::ProbingPolicy;
+use lagoonproxy_bench::random_policy::RandomPolicy;
+use lagoonproxy_bench::single_queue::QueueOrder;
+use lagoonproxy_bench::single_queue::run_single_queue;
+use lagoonproxy_bench::two_choice_policy::TwoChoicePolicy;
+use lagoonproxy_bench::virtual_cluster::VirtualCluster;
+use lagoonproxy_bench::virtual_upstream::FullHabit;
+use lagoonproxy_bench::work_shape::WorkShape;
+use serde::Serialize;
+
+/// Compare ways to decide under load, side by side, in virtual time.
+#[derive(FromArgs)]
+struct DispatchArgs {
+    /// candidates, separated by commas
+    #[argh(option, default = "CANDIDATES.to_owned()")]
+    candidates: String,
+    /// loads in percent of all slots, separated by commas
+    #[argh(option, default = "\"50,80,95,120,200\".to_owned()")]
+    loads: String,
+    /// shapes of service times: exponential, pareto, fixed
+    #[argh(option, default = "\"exponential,pareto\".to_owned()")]
+    shapes: String,
+    /// mean service time in milliseconds
+    #[argh(option, default = "100")]
+    mean_ms: u64,
+    /// seconds of virtual time, of which 10 are not counted
+    #[argh(option, default = "310")]
+    seconds: u64,
+    /// fraction of jobs bound to an upstream
+    #[argh(option, default = "0.0")]
+    pinned: f64,
+    /// fraction of messages between hosts that is lost
+    #[argh(option, default = "0.0")]
+    loss: f64,
+    /// seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// slots a keeper
+    #[argh(option, default = "LoadSettings::default().pool_slots")]
+    pool_slots: u32,
+    /// zones
+    #[argh(option, default = "3")]
+    zones: u32,
+    /// wait in milliseconds that a trip to another zone must save
+    #[argh(
+        option,
+        default = "LoadSettings::default().spill_cost.as_millis() as u64"
+    )]
+    spill_cost_ms: u64,
+    /// free slots that a keeper does not lend
+    #[argh(option, default = "LoadSettings::default().spill_reserve")]
+    spill_reserve: u32,
+    /// print JSON lines in place of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+const CANDIDATES: &str = "random,two-choices,probing,late-binding,keepers,group,single-queue";
+
+#[derive(Serialize)]
+struct DispatchLine<'a> {
+    candidate: &'a str,
+    shape: &'a str,
+    load: f64,
+    #[serde(flatten)]
+    figures: RunFigures,
+}
+
+fn main() -> ExitCode {
+    let args: DispatchArgs = argh::from_env();
+    match compare(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn compare(args: &DispatchArgs) -> Result<(), String> {
+    let mut out = std::io::stdout().lock();
+    if !args.json {
+        print_header(&mut out).map_err(|error| error.to_string())?;
+    }
+    for shape in args.shapes.split(',') {
+        for load in args.loads.split(',') {
+            let load: f64 = load.parse().map_err(|_error| format!("load {load}"))?;
+            let plan = plan(args, load / 100.0, shape)?;
+            for candidate in args.candidates.split(',') {
+                let line = DispatchLine {
+                    candidate,
+                    shape,
+                    load,
+                    figures: figures(args, &plan, candidate)?,
+                };
+                print_line(&mut out, args.json, &line).map_err(|error| error.to_string())?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn plan(args: &DispatchArgs, load: f64, shape: &str) -> Result<ClusterPlan, String> {
+    let shape = match shape {
+        "exponential" => WorkShape::Exponential,
+        "pareto" => WorkShape::Pareto,
+        "fixed" => WorkShape::Fixed,
+        _ => return Err(format!("shape {shape}: exponential, pareto or fixed")),
+    };
+    let mut plan = ClusterPlan::standard(load, shape, args.seed);
+    plan.length = Duration::from_secs(args.seconds);
+    plan.loss = args.loss;
+    plan.zones = args.zones;
+    for class in &mut plan.classes {
+        class.mean = Duration::from_millis(args.mean_ms);
+        class.pinned_share = args.pinned;
+    }
+    Ok(plan)
+}
+
+fn figures(args: &DispatchArgs, plan: &ClusterPlan, candidate: &str) -> Result<RunFigures, String> {
+    let settings = LoadSettings {
+        pool_slots: args.pool_slots,
+        first_service_time: Duration::from_millis(args.mean_ms),
+        spill_reserve: args.spill_reserve,
+        spill_cost: Duration::from_millis(args.spill_cost_ms),
+        ..LoadSettings::default()
+    };
+    let seed = args.seed;
+    let run = |habit, make: &dyn Fn(u64) -> Box<dyn LoadPolicy>| {
+        let seed_of = |host| seed.wrapping_mul(1_000) + u64::from(host);
+        let cluster = VirtualCluster::new(plan.clone(), habit, |host| make(seed_of(host)));
+        let run = cluster.run();
+        match run.faults.first() {
+            Some(fault) => Err(format!("{candidate}: {} faults, {fault}", run.faults.len())),
+            None => Ok(RunFigures::of_run(plan, &run)),
+        }
+    };
+    let queue = FullHabit::Queue;
+    match candidate {
+        "random" => run(queue, &|seed| Box::new(RandomPolicy::new(seed))),
+        "two-choices" => run(queue, &|seed| Box::new(TwoChoicePolicy::new(seed))),
+        "probing" => run(queue, &|seed| Box::new(ProbingPolicy::new(seed))),
+        "late-binding" => run(FullHabit::Reserve, &|seed| {
+            Box::new(LateBindingPolicy::new(seed))
+        }),
+        "keepers" => run(FullHabit::Shed, &|seed| {
+            let host = (seed % 1_000) as u32;
+            Box::new(ServicePolicy::new(host, seed, settings.clone()))
+        }),
+        "group" => {
+            let tick = lagoonproxy::host_core::TICK;
+            Ok(run_single_queue(plan, QueueOrder::Group(tick)))
+        }
+        "single-queue" => Ok(run_single_queue(plan, QueueOrder::Arrival)),
+        _ => Err(format!("candidate {candidate}: {CANDIDATES}")),
+    }
+}
+
+fn print_header(out: &mut impl Write) -> std::io::Result<()> {
+    writeln!(
+        out,
+        "| shape | load % | candidate | goodput | answered | refused | missed in queue | \
+         missed running | wait p50 ms | wait p99 ms | slowdown | imbalance | messages/job | \
+         B/host/s | sends/job |"
+    )?;
+    writeln!(out, "|{}", "---|".repeat(15))
+}
+
+fn print_line(out: &mut impl Write, json: bool, line: &DispatchLine<'_>) -> std::io::Result<()> {
+    if json {
+        let text = serde_json::to_string(line).map_err(std::io::Error::other)?;
+        return writeln!(out, "{text}");
+    }
+    let f = &line.figures;
+    writeln!(
+        out,
+        "| {} | {} | {} | {:.3} | {:.3} | {:.3} | {:.4} | {:.4} | {:.1} | {:.1} | {:.2} | {:.3} \
+         | {:.2} | {:.0} | {:.3} |",
+        line.shape,
+        line.load,
+        line.candidate,
+        f.goodput,
+        f.answered,
+        f.refused,
+        f.missed_waiting,
+        f.missed_running,
+        f.wait_p50_ms,
+        f.wait_p99_ms,
+        f.slowdown,
+        f.imbalance,
+        f.messages_per_job,
+        f.bytes_per_host_second,
+        f.sends_per_job
+    )
+}
--- /dev/null
+++ b/bench/src/late_binding_policy.rs
@@ -0,0 +1,136 @@
+//! Late binding: jobs wait at their host, and upstreams with a free slot fetch them.
+//!
+//! After Sparrow (SOSP 2013): two reservations a job; the job runs where the first slot becomes
+//! free. It needs a queue of reservations at each upstream, and nothing of the users' systems may
+//! run there; it is here to be compared with keepers, which hold such queues on entry hosts.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::config_snapshot::ConfigSnapshot;
+use lagoonproxy::config_snapshot::HostView;
+use lagoonproxy::host_event::UpstreamReport;
+use lagoonproxy::ids::HostId;
+use lagoonproxy::ids::UpstreamId;
+use lagoonproxy::load_message::GrantEnd;
+use lagoonproxy::load_message::LoadBody;
+use lagoonproxy::load_message::LoadMessage;
+use lagoonproxy::load_message::SlotAsk;
+use lagoonproxy::load_policy::JobEnd;
+use lagoonproxy::load_policy::LoadDecision;
+use lagoonproxy::load_policy::LoadJob;
+use lagoonproxy::load_policy::LoadPolicy;
+use lagoonproxy::request_table::RequestKey;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::cluster_plan::SERVICE;
+use crate::random_policy::all_upstreams;
+use crate::virtual_cluster::UPSTREAM_HOST;
+
+const RESERVATIONS_PER_JOB: usize = 2;
+
+/// Binds each job to the first slot that becomes free among those it has reserved.
+pub struct LateBindingPolicy {
+    upstreams: Vec<UpstreamId>,
+    random: StdRng,
+    waiting: VecDeque<RequestKey>,
+    deadlines: BTreeMap<RequestKey, Instant>,
+}
+
+impl LateBindingPolicy {
+    /// A policy with its own randomness.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            upstreams: Vec::new(),
+            random: StdRng::seed_from_u64(seed),
+            waiting: VecDeque::new(),
+            deadlines: BTreeMap::new(),
+        }
+    }
+
+    fn next_waiting(&mut self) -> Option<RequestKey> {
+        while let Some(key) = self.waiting.pop_front() {
+            if self.deadlines.remove(&key).is_some() {
+                return Some(key);
+            }
+        }
+        None
+    }
+}
+
+impl LoadPolicy for LateBindingPolicy {
+    fn configure(&mut self, _now: Instant, config: &Arc<ConfigSnapshot>) {
+        self.upstreams = all_upstreams(config);
+    }
+
+    fn learn_hosts(&mut self, _now: Instant, _hosts: &Arc<HostView>) {}
+
+    fn learn_report(&mut self, _now: Instant, _report: UpstreamReport) {}
+
+    fn take_message(
+        &mut self,
+        _now: Instant,
+        sender: HostId,
+        message: &LoadMessage,
+        decisions: &mut Vec<LoadDecision>,
+    ) {
+        let LoadBody::Grant { upstream } = message.body else {
+            return;
+        };
+        if let Some(key) = self.next_waiting() {
+            decisions.push(LoadDecision::Send { key, upstream });
+            return;
+        }
+        let body = LoadBody::Release(GrantEnd::Unused);
+        decisions.push(LoadDecision::Tell {
+            host: sender,
+            message: LoadMessage {
+                body,
+                ..message.clone()
+            },
+        });
+    }
+
+    fn submit(&mut self, now: Instant, job: LoadJob, decisions: &mut Vec<LoadDecision>) {
+        self.waiting.push_back(job.key);
+        self.deadlines.insert(job.key, job.deadline);
+        for _reservation in 0..RESERVATIONS_PER_JOB {
+            let drawn = self.random.random_range(0..self.upstreams.len());
+            let ask = SlotAsk {
+                upstream: None,
+                caller: 0,
+                waited: Duration::ZERO,
+                remaining: job.deadline.saturating_duration_since(now),
+                spill: false,
+            };
+            decisions.push(LoadDecision::Tell {
+                host: UPSTREAM_HOST + self.upstreams[drawn],
+                message: LoadMessage {
+                    service: SERVICE,
+                    ask: 0,
+                    body: LoadBody::Ask(ask),
+                },
+            });
+        }
+    }
+
+    fn end(
+        &mut self,
+        _now: Instant,
+        _key: RequestKey,
+        _end: JobEnd,
+        _decisions: &mut Vec<LoadDecision>,
+    ) {
+    }
+
+    fn withdraw(&mut self, _now: Instant, key: RequestKey, _decisions: &mut Vec<LoadDecision>) {
+        self.deadlines.remove(&key);
+    }
+
+    fn tick(&mut self, _now: Instant, _decisions: &mut Vec<LoadDecision>) {}
+}
--- /dev/null
+++ b/bench/src/random_policy.rs
@@ -0,0 +1,82 @@
+//! The lower bound: any upstream, drawn at random, which queues what it cannot run.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use lagoonproxy::config_snapshot::ConfigSnapshot;
+use lagoonproxy::config_snapshot::HostView;
+use lagoonproxy::host_event::UpstreamReport;
+use lagoonproxy::ids::HostId;
+use lagoonproxy::ids::UpstreamId;
+use lagoonproxy::load_message::LoadMessage;
+use lagoonproxy::load_policy::JobEnd;
+use lagoonproxy::load_policy::LoadDecision;
+use lagoonproxy::load_policy::LoadJob;
+use lagoonproxy::load_policy::LoadPolicy;
+use lagoonproxy::request_table::RequestKey;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// Sends each job at once to an upstream drawn at random.
+pub struct RandomPolicy {
+    upstreams: Vec<UpstreamId>,
+    random: StdRng,
+}
+
+impl RandomPolicy {
+    /// A policy with its own randomness.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            upstreams: Vec::new(),
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+}
+
+/// The upstreams of all services in ascending order.
+pub(crate) fn all_upstreams(config: &ConfigSnapshot) -> Vec<UpstreamId> {
+    let mut ids: Vec<UpstreamId> = config.upstreams.keys().copied().collect();
+    ids.sort_unstable();
+    ids
+}
+
+impl LoadPolicy for RandomPolicy {
+    fn configure(&mut self, _now: Instant, config: &Arc<ConfigSnapshot>) {
+        self.upstreams = all_upstreams(config);
+    }
+
+    fn learn_hosts(&mut self, _now: Instant, _hosts: &Arc<HostView>) {}
+
+    fn learn_report(&mut self, _now: Instant, _report: UpstreamReport) {}
+
+    fn take_message(
+        &mut self,
+        _now: Instant,
+        _sender: HostId,
+        _message: &LoadMessage,
+        _decisions: &mut Vec<LoadDecision>,
+    ) {
+    }
+
+    fn submit(&mut self, _now: Instant, job: LoadJob, decisions: &mut Vec<LoadDecision>) {
+        let drawn = self.random.random_range(0..self.upstreams.len());
+        decisions.push(LoadDecision::Send {
+            key: job.key,
+            upstream: self.upstreams[drawn],
+        });
+    }
+
+    fn end(
+        &mut self,
+        _now: Instant,
+        _key: RequestKey,
+        _end: JobEnd,
+        _decisions: &mut Vec<LoadDecision>,
+    ) {
+    }
+
+    fn withdraw(&mut self, _now: Instant, _key: RequestKey, _decisions: &mut Vec<LoadDecision>) {}
+
+    fn tick(&mut self, _now: Instant, _decisions: &mut Vec<LoadDecision>) {}
+}
--- /dev/null
+++ b/bench/src/two_choice_policy.rs
@@ -0,0 +1,90 @@
+//! Power of two choices on the load that upstreams state with each answer.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use lagoonproxy::config_snapshot::ConfigSnapshot;
+use lagoonproxy::config_snapshot::HostView;
+use lagoonproxy::host_event::UpstreamReport;
+use lagoonproxy::ids::HostId;
+use lagoonproxy::ids::UpstreamId;
+use lagoonproxy::load_message::LoadMessage;
+use lagoonproxy::load_policy::JobEnd;
+use lagoonproxy::load_policy::LoadDecision;
+use lagoonproxy::load_policy::LoadJob;
+use lagoonproxy::load_policy::LoadPolicy;
+use lagoonproxy::request_table::RequestKey;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::random_policy::all_upstreams;
+
+/// Sends each job at once to the less loaded of two upstreams drawn at random.
+pub struct TwoChoicePolicy {
+    upstreams: Vec<UpstreamId>,
+    random: StdRng,
+    /// Last stated load, plus what was sent since.
+    loads: HashMap<UpstreamId, u32>,
+}
+
+impl TwoChoicePolicy {
+    /// A policy with its own randomness.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            upstreams: Vec::new(),
+            random: StdRng::seed_from_u64(seed),
+            loads: HashMap::new(),
+        }
+    }
+
+    fn draw(&mut self) -> (u32, UpstreamId) {
+        let drawn = self.random.random_range(0..self.upstreams.len());
+        let id = self.upstreams[drawn];
+        (self.loads.get(&id).copied().unwrap_or(0), id)
+    }
+}
+
+impl LoadPolicy for TwoChoicePolicy {
+    fn configure(&mut self, _now: Instant, config: &Arc<ConfigSnapshot>) {
+        self.upstreams = all_upstreams(config);
+    }
+
+    fn learn_hosts(&mut self, _now: Instant, _hosts: &Arc<HostView>) {}
+
+    fn learn_report(&mut self, _now: Instant, report: UpstreamReport) {
+        self.loads.insert(report.upstream, report.busy_slots);
+    }
+
+    fn take_message(
+        &mut self,
+        _now: Instant,
+        _sender: HostId,
+        _message: &LoadMessage,
+        _decisions: &mut Vec<LoadDecision>,
+    ) {
+    }
+
+    fn submit(&mut self, _now: Instant, job: LoadJob, decisions: &mut Vec<LoadDecision>) {
+        let (_load, upstream) = self.draw().min(self.draw());
+        *self.loads.entry(upstream).or_default() += 1;
+        decisions.push(LoadDecision::Send {
+            key: job.key,
+            upstream,
+        });
+    }
+
+    fn end(
+        &mut self,
+        _now: Instant,
+        _key: RequestKey,
+        _end: JobEnd,
+        _decisions: &mut Vec<LoadDecision>,
+    ) {
+    }
+
+    fn withdraw(&mut self, _now: Instant, _key: RequestKey, _decisions: &mut Vec<LoadDecision>) {}
+
+    fn tick(&mut self, _now: Instant, _decisions: &mut Vec<LoadDecision>) {}
+}
--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -1,6 +1,8 @@
 //! The data daemon: datagrams in and out, every decision by the core.
 
 use std::future::Future;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,8 +14,8 @@
 use lagoonproxy::host_core::HostCore;
 use lagoonproxy::host_core::TICK;
 use lagoonproxy::host_event::HostEvent;
-use lagoonproxy::least_busy_policy::LeastBusyPolicy;
 use lagoonproxy::result_code::ResultCode;
+use lagoonproxy::service_policy::ServicePolicy;
 use lagoonproxy::wire_frame;
 use lagoonproxy::wire_frame::MAX_DATAGRAM;
 use lagoonproxy::wire_frame::PeerKey;
@@ -89,8 +91,9 @@
             flow_idle: FLOW_IDLE,
             max_datagram_age: MAX_DATAGRAM_AGE,
         };
+        let policy = ServicePolicy::new(settings.host, start_seed(), settings.load.clone());
         Ok(Self {
-            core: HostCore::new(core_settings, Box::<LeastBusyPolicy>::default()),
+            core: HostCore::new(core_settings, Box::new(policy)),
             peer_key: PeerKey::new(key),
             control_address: settings.control_address,
             caller_socket: bind(settings.caller_address).await?,
@@ -195,6 +198,12 @@
     }
 }
 
+/// A seed that differs from start to start, so that hosts do not draw alike and numbers of asks
+/// from before a restart are not used again.
+fn start_seed() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
+
 async fn bind(address: SocketAddr) -> Result<UdpSocket, EntryError> {
     UdpSocket::bind(address)
         .await
--- a/daemon/src/entry_settings.rs
+++ b/daemon/src/entry_settings.rs
@@ -6,6 +6,7 @@
 
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::ZoneName;
+use lagoonproxy::load_settings::LoadSettings;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -30,6 +31,9 @@
     pub control_address: SocketAddr,
     /// Key that the user's hosts share, 32 hexadecimal digits.
     pub shared_key: String,
+    /// Decisions under load; the defaults are measured.
+    #[serde(default)]
+    pub load: LoadSettings,
 }
 
 /// Settings of `lagoon-control`.
--- a/lib/src/caller_system.rs
+++ b/lib/src/caller_system.rs
@@ -183,8 +183,10 @@
         };
         match record.stage {
             RequestStage::Waiting => {
-                self.policy.withdraw(now, key);
+                let mut decisions = Vec::new();
+                self.policy.withdraw(now, key, &mut decisions);
                 self.refuse_request(key, cancelled(request, RunOutcome::NotRun), actions);
+                self.carry_out(now, decisions, actions);
             }
             RequestStage::Running { upstream, .. } => {
                 let frame = self.frame_of(key);
--- a/lib/src/expiry_system.rs
+++ b/lib/src/expiry_system.rs
@@ -30,7 +30,9 @@
         };
         let outcome = match record.stage {
             RequestStage::Waiting => {
-                self.policy.withdraw(now, key);
+                let mut decisions = Vec::new();
+                self.policy.withdraw(now, key, &mut decisions);
+                self.carry_out(now, decisions, actions);
                 RunOutcome::NotRun
             }
             _ => {
--- a/lib/src/host_core.rs
+++ b/lib/src/host_core.rs
@@ -211,10 +211,14 @@
                     code,
                     retry_after,
                 } => {
+                    let outcome = match code {
+                        ResultCode::OutcomeUnknown => RunOutcome::Unknown,
+                        _ => RunOutcome::NotRun,
+                    };
                     let refusal = RefusalBody {
                         request: Some(key.request),
                         code,
-                        outcome: RunOutcome::NotRun,
+                        outcome,
                         retry_after,
                     };
                     self.refuse_request(key, refusal, actions);
--- a/lib/src/least_busy_policy.rs
+++ b/lib/src/least_busy_policy.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    fn withdraw(&mut self, _now: Instant, _key: RequestKey) {}
+    fn withdraw(&mut self, _now: Instant, _key: RequestKey, _decisions: &mut Vec<LoadDecision>) {}
 
     fn tick(&mut self, _now: Instant, _decisions: &mut Vec<LoadDecision>) {}
 }
--- a/lib/src/load_policy.rs
+++ b/lib/src/load_policy.rs
@@ -82,7 +82,9 @@
 /// Decides whom to serve, who waits, who is refused, and where work goes.
 ///
 /// Every job that was submitted gets exactly one `Refuse`, or a `Send` followed by one call of
-/// [`LoadPolicy::end`]; after `NotStarted` the job is as if submitted anew.
+/// [`LoadPolicy::end`], or is withdrawn. After `NotStarted`, and after `Lost` of an idempotent job
+/// before its deadline, the job is as if submitted anew. A `Refuse` with the code
+/// [`ResultCode::OutcomeUnknown`] is of a job that may have run; any other says that it did not.
 pub trait LoadPolicy: Send {
     /// Puts a configuration in force.
     fn configure(&mut self, now: Instant, config: &Arc<ConfigSnapshot>);
@@ -114,8 +116,8 @@
         decisions: &mut Vec<LoadDecision>,
     );
 
-    /// Withdraws a job that waits; no decision on it follows.
-    fn withdraw(&mut self, now: Instant, key: RequestKey);
+    /// Withdraws a job that waits; no decision on it follows, but on others may.
+    fn withdraw(&mut self, now: Instant, key: RequestKey, decisions: &mut Vec<LoadDecision>);
 
     /// Lets time pass; to be called each tick.
     fn tick(&mut self, now: Instant, decisions: &mut Vec<LoadDecision>);
--- /dev/null
+++ b/lib/src/slot_pool.rs
@@ -0,0 +1,545 @@
+//! A keeper's decisions for one service: which ask gets which slot, which waits, which is denied.
+//!
+//! Load pattern: bursts and overload. Without a bounded, deadline-aware queue, callers wait for
+//! answers that come too late, and the work is done for nobody. An ask that cannot be served in
+//! time is denied when it arrives. The grounds of each figure stand in the modules composed here.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::fair_queue::AskHolder;
+use crate::fair_queue::FairQueue;
+use crate::fair_queue::PoolAsk;
+use crate::ids::HostId;
+use crate::ids::UpstreamId;
+use crate::load_message::AskId;
+use crate::load_message::CallerTag;
+use crate::load_message::GrantEnd;
+use crate::load_settings::LoadSettings;
+use crate::result_code::ResultCode;
+use crate::service_estimate::ServiceEstimate;
+use crate::slot_table::PoolMember;
+use crate::slot_table::SlotTable;
+use crate::slot_table::TakenSlot;
+use crate::spill_desk::SlotLender;
+use crate::spill_desk::SpillDesk;
+
+/// How often grants that ran out and callers long gone are looked for.
+const SWEEP_PAUSE: Duration = Duration::from_millis(100);
+/// Most asks that a pool queues for each slot it has open: a bound on memory, above what any
+/// deadline lets wait at service times from 1/64 of it.
+const QUEUE_PER_SLOT: usize = 64;
+/// What a pool tells a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PoolReply {
+    /// A slot is granted.
+    Grant {
+        /// For this ask.
+        holder: AskHolder,
+        /// The slot's upstream.
+        upstream: UpstreamId,
+    },
+    /// The ask waits.
+    Queued {
+        /// The ask.
+        holder: AskHolder,
+    },
+    /// The ask is denied.
+    Deny {
+        /// The ask.
+        holder: AskHolder,
+        /// Why.
+        code: ResultCode,
+        /// How long the queue is.
+        wait: Duration,
+    },
+    /// Another keeper is asked for a slot, on behalf of the ask that waits longest.
+    Spill {
+        /// The other keeper and the number of the ask.
+        lender: SlotLender,
+        /// The caller it is for.
+        caller: CallerTag,
+        /// When the job arrived.
+        since: Instant,
+        /// When its caller stops waiting.
+        deadline: Instant,
+    },
+    /// A lent slot goes back, or a spilled ask is taken back.
+    Return {
+        /// The other keeper and the number of the ask.
+        lender: SlotLender,
+        /// What became of the slot.
+        end: GrantEnd,
+    },
+    /// A lent slot is still in use.
+    Renew {
+        /// The other keeper and the number of the ask.
+        lender: SlotLender,
+        /// The slot's upstream.
+        upstream: UpstreamId,
+    },
+}
+
+/// Whose slot a grant gives.
+#[derive(Clone, Copy, Debug)]
+enum GrantSource {
+    Own(TakenSlot),
+    Lent(SlotLender),
+}
+
+#[derive(Clone, Debug)]
+struct SlotGrant {
+    upstream: UpstreamId,
+    source: GrantSource,
+    since: Instant,
+    /// When the slot is taken back unless the holder says that it still uses it.
+    run_out: Instant,
+}
+
+/// The pool of one service at one keeper.
+pub struct SlotPool {
+    settings: Arc<LoadSettings>,
+    table: SlotTable,
+    queue: FairQueue,
+    /// Asks of other keepers.
+    spilled: FairQueue,
+    /// Asks for one upstream each; no entry is empty.
+    pinned: BTreeMap<UpstreamId, FairQueue>,
+    grants: BTreeMap<AskHolder, SlotGrant>,
+    /// Slots of lost jobs, which may still run, with the time from which they count as free.
+    lost: VecDeque<(Instant, TakenSlot)>,
+    estimate: ServiceEstimate,
+    spills: SpillDesk,
+    next_sweep: Option<Instant>,
+}
+
+impl SlotPool {
+    /// A pool without upstreams.
+    pub fn new(settings: Arc<LoadSettings>) -> Self {
+        Self {
+            table: SlotTable::new(Arc::clone(&settings)),
+            queue: FairQueue::default(),
+            spilled: FairQueue::default(),
+            pinned: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            lost: VecDeque::new(),
+            estimate: ServiceEstimate::new(settings.first_service_time),
+            spills: SpillDesk::default(),
+            next_sweep: None,
+            settings,
+        }
+    }
+
+    /// Replaces the upstreams and the keepers that may be asked for slots.
+    pub fn configure<'a>(
+        &mut self,
+        now: Instant,
+        members: impl Iterator<Item = PoolMember<'a>>,
+        peers: Vec<HostId>,
+    ) {
+        self.table.configure(now, members);
+        self.spills.configure(peers);
+    }
+
+    /// Whether the pool keeps no slots.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// How many asks wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+            + self.spilled.len()
+            + self.pinned.values().map(FairQueue::len).sum::<usize>()
+    }
+
+    /// How many grants are in use.
+    pub fn granted(&self) -> usize {
+        self.grants.len()
+    }
+
+    /// Learns what an upstream's health endpoint said.
+    pub fn report(&mut self, now: Instant, upstream: UpstreamId, healthy: bool) {
+        self.table.report(now, upstream, healthy);
+    }
+
+    /// Takes an ask; one that is known is answered again, for the first answer may be lost.
+    pub fn ask(&mut self, now: Instant, ask: PoolAsk, replies: &mut Vec<PoolReply>) {
+        let holder = ask.holder;
+        if let Some(grant) = self.grants.get(&holder) {
+            let upstream = grant.upstream;
+            replies.push(PoolReply::Grant { holder, upstream });
+            return;
+        }
+        if self.is_queued(&ask) {
+            replies.push(PoolReply::Queued { holder });
+            return;
+        }
+        if let Some(upstream) = self.free_slot(&ask) {
+            return self.grant_own(now, &ask, upstream, replies);
+        }
+        if let Some((code, wait)) = self.refusal(now, &ask) {
+            replies.push(PoolReply::Deny { holder, code, wait });
+            return;
+        }
+        match ask.upstream {
+            Some(upstream) => self.pinned.entry(upstream).or_default().push(ask),
+            None if ask.spill => self.spilled.push(ask),
+            None => self.queue.push(ask),
+        }
+        replies.push(PoolReply::Queued { holder });
+        self.adjust_spills(now, replies);
+    }
+
+    /// Takes back an ask or its grant.
+    pub fn release(
+        &mut self,
+        now: Instant,
+        holder: AskHolder,
+        end: GrantEnd,
+        replies: &mut Vec<PoolReply>,
+    ) {
+        if let Some(grant) = self.grants.remove(&holder) {
+            self.end_grant(now, &grant, end, replies);
+            self.serve(now, replies);
+            return;
+        }
+        self.queue.remove(holder);
+        self.spilled.remove(holder);
+        self.pinned.retain(|_upstream, queue| {
+            queue.remove(holder);
+            !queue.is_empty()
+        });
+        self.adjust_spills(now, replies);
+    }
+
+    /// Learns that a slot is in use, whether this pool granted it or a keeper before it.
+    pub fn hold(
+        &mut self,
+        now: Instant,
+        holder: AskHolder,
+        upstream: UpstreamId,
+        replies: &mut Vec<PoolReply>,
+    ) {
+        let run_out = now + self.settings.grant_length;
+        if let Some(grant) = self.grants.get_mut(&holder) {
+            grant.run_out = run_out;
+            if let GrantSource::Lent(lender) = grant.source {
+                replies.push(PoolReply::Renew { lender, upstream });
+            }
+            return;
+        }
+        let expected = self.estimate.service_time();
+        let Some(slot) = self.table.take(now, upstream, expected) else {
+            return;
+        };
+        let grant = SlotGrant {
+            upstream,
+            source: GrantSource::Own(slot),
+            since: now,
+            run_out,
+        };
+        self.grants.insert(holder, grant);
+    }
+
+    /// Takes a slot that another keeper lends; it goes back at once if nothing waits any more.
+    pub fn borrow(
+        &mut self,
+        now: Instant,
+        lender: SlotLender,
+        upstream: UpstreamId,
+        replies: &mut Vec<PoolReply>,
+    ) {
+        let was_open = self.spills.close(lender.ask);
+        let waiting = if was_open { self.queue.pop() } else { None };
+        let Some(ask) = waiting else {
+            let end = GrantEnd::Unused;
+            replies.push(PoolReply::Return { lender, end });
+            return;
+        };
+        let source = GrantSource::Lent(lender);
+        self.grant(now, &ask, upstream, source, replies);
+        self.adjust_spills(now, replies);
+    }
+
+    /// Learns that another keeper has no slot to lend.
+    pub fn borrow_denied(&mut self, now: Instant, ask: AskId, retry_after: Duration) {
+        self.spills.deny(now, ask, retry_after);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant, replies: &mut Vec<PoolReply>) {
+        self.table.tick(now);
+        self.free_lost(now);
+        self.drop_hopeless(now, replies);
+        if self.next_sweep.is_none_or(|at| at <= now) {
+            self.next_sweep = Some(now + SWEEP_PAUSE);
+            self.sweep(now, replies);
+        }
+        for lender in self.spills.tick(now) {
+            let end = GrantEnd::Unused;
+            replies.push(PoolReply::Return { lender, end });
+        }
+        self.serve(now, replies);
+    }
+
+    fn is_queued(&self, ask: &PoolAsk) -> bool {
+        match ask.upstream {
+            Some(upstream) => {
+                let queue = self.pinned.get(&upstream);
+                queue.is_some_and(|queue| queue.contains(ask.holder))
+            }
+            None => self.queue.contains(ask.holder) || self.spilled.contains(ask.holder),
+        }
+    }
+
+    /// A slot that the ask may have before all that wait.
+    fn free_slot(&self, ask: &PoolAsk) -> Option<UpstreamId> {
+        match ask.upstream {
+            Some(upstream) => {
+                let is_first = !self.pinned.contains_key(&upstream);
+                (is_first && self.table.has_room(upstream)).then_some(upstream)
+            }
+            None if !self.queue.is_empty() => None,
+            None if ask.spill && !self.may_lend() => None,
+            None => self.table.best(),
+        }
+    }
+
+    /// Why an ask that would have to wait is refused, if it is, and how long it would wait.
+    fn refusal(&self, now: Instant, ask: &PoolAsk) -> Option<(ResultCode, Duration)> {
+        let (queue, slots) = match ask.upstream {
+            Some(upstream) if !self.table.is_active(upstream) => {
+                return Some((ResultCode::NoUpstream, Duration::ZERO));
+            }
+            Some(upstream) => (self.pinned.get(&upstream), self.table.open_of(upstream)),
+            None if ask.spill => return None,
+            None => (Some(&self.queue), self.table.open_slots()),
+        };
+        let service_time = self.estimate.service_time();
+        let remaining = ask.deadline.saturating_duration_since(now);
+        let queued = queue.map_or(0, FairQueue::len);
+        let wait = self.estimate.wait(queued, slots);
+        if remaining < service_time {
+            return Some((ResultCode::DeadlineTooShort, wait));
+        }
+        let target = self.settings.queue_target;
+        let interval = self.settings.queue_interval;
+        let bound = self.estimate.longest_wait(now, target, interval);
+        let bound = bound.min(remaining - service_time);
+        if wait > bound || queued >= QUEUE_PER_SLOT * slots.max(1) as usize {
+            return Some((ResultCode::QueueFull, wait));
+        }
+        let places = self.estimate.places(bound, slots);
+        let is_hot = queue.is_some_and(|queue| queue.is_share_full(ask.caller, places));
+        is_hot.then_some((ResultCode::FairShareExceeded, wait))
+    }
+
+    /// Gives free slots to those that wait.
+    fn serve(&mut self, now: Instant, replies: &mut Vec<PoolReply>) {
+        self.serve_pinned(now, replies);
+        while let Some(upstream) = self.table.best() {
+            let Some(ask) = self.next_ask() else {
+                break;
+            };
+            self.grant_own(now, &ask, upstream, replies);
+        }
+        if self.queue.is_empty() {
+            self.estimate.drained();
+        }
+        self.adjust_spills(now, replies);
+    }
+
+    /// The ask to be served next: the own zone's oldest, unless another keeper's has waited longer
+    /// by more than the trip costs.
+    fn next_ask(&mut self) -> Option<PoolAsk> {
+        let cost = self.settings.spill_cost;
+        let spilled = self.spilled.first().map(|ask| ask.since + cost);
+        let own = self.queue.first().map(|ask| ask.since);
+        match (own, spilled) {
+            (Some(own), Some(spilled)) if spilled < own => self.spilled.pop(),
+            (Some(_own), _) => self.queue.pop(),
+            (None, Some(_spilled)) if self.may_lend() => self.spilled.pop(),
+            (None, _) => None,
+        }
+    }
+
+    /// Whether a slot may be lent: not the last free ones. A keeper that lends them makes its own
+    /// zone's next jobs wait, asks other keepers in turn, and soon most jobs run in another zone
+    /// than their host's, each slot idle for the longer trips (trunk reservation in telephony).
+    fn may_lend(&self) -> bool {
+        self.table.free_slots() > self.settings.spill_reserve
+    }
+
+    /// Gives upstreams' free slots to asks for just those that have waited longer than any other.
+    fn serve_pinned(&mut self, now: Instant, replies: &mut Vec<PoolReply>) {
+        let upstreams: Vec<UpstreamId> = self.pinned.keys().copied().collect();
+        for upstream in upstreams {
+            while self.table.has_room(upstream) {
+                let Some(ask) = self.pop_pinned(upstream) else {
+                    break;
+                };
+                self.grant_own(now, &ask, upstream, replies);
+            }
+        }
+    }
+
+    fn pop_pinned(&mut self, upstream: UpstreamId) -> Option<PoolAsk> {
+        let queue = self.pinned.get_mut(&upstream)?;
+        let since = queue.first()?.since;
+        let others = self.queue.first();
+        if others.is_some_and(|other| other.since < since) && self.table.open_of(upstream) > 0 {
+            // An older ask for any slot takes this one, unless another slot is free for it.
+            let is_only = self.table.best() == Some(upstream);
+            if is_only {
+                return None;
+            }
+        }
+        let ask = queue.pop();
+        if queue.is_empty() {
+            self.pinned.remove(&upstream);
+        }
+        ask
+    }
+
+    fn grant_own(
+        &mut self,
+        now: Instant,
+        ask: &PoolAsk,
+        upstream: UpstreamId,
+        replies: &mut Vec<PoolReply>,
+    ) {
+        let expected = self.estimate.service_time();
+        let Some(slot) = self.table.take(now, upstream, expected) else {
+            return;
+        };
+        self.grant(now, ask, upstream, GrantSource::Own(slot), replies);
+    }
+
+    fn grant(
+        &mut self,
+        now: Instant,
+        ask: &PoolAsk,
+        upstream: UpstreamId,
+        source: GrantSource,
+        replies: &mut Vec<PoolReply>,
+    ) {
+        if ask.upstream.is_none() && !ask.spill {
+            let wait = now.saturating_duration_since(ask.since);
+            let target = self.settings.queue_target;
+            self.estimate.waited(now, wait, target);
+        }
+        let grant = SlotGrant {
+            upstream,
+            source,
+            since: now,
+            run_out: now + self.settings.grant_length,
+        };
+        let holder = ask.holder;
+        self.grants.insert(holder, grant);
+        replies.push(PoolReply::Grant { holder, upstream });
+    }
+
+    /// Ends a grant. A lost job may still run, so its slot is given back only after a while.
+    fn end_grant(
+        &mut self,
+        now: Instant,
+        grant: &SlotGrant,
+        end: GrantEnd,
+        replies: &mut Vec<PoolReply>,
+    ) {
+        let held = now.saturating_duration_since(grant.since);
+        match grant.source {
+            GrantSource::Own(slot) if end == GrantEnd::Lost => {
+                let free_at = now + self.estimate.service_time();
+                self.lost.push_back((free_at, slot));
+            }
+            GrantSource::Own(slot) => {
+                let average = self.estimate.service_time();
+                self.table.give_back(now, slot, end, average);
+                if end == GrantEnd::Answered {
+                    self.estimate.learn(held);
+                }
+            }
+            GrantSource::Lent(lender) => replies.push(PoolReply::Return { lender, end }),
+        }
+    }
+
+    /// Asks other keepers for slots for those that would wait longer than fetching one costs, and
+    /// takes the asks back when nothing waits.
+    fn adjust_spills(&mut self, now: Instant, replies: &mut Vec<PoolReply>) {
+        if self.queue.is_empty() {
+            while let Some(lender) = self.spills.withdraw() {
+                let end = GrantEnd::Unused;
+                replies.push(PoolReply::Return { lender, end });
+            }
+        }
+        let cost = self.settings.spill_cost;
+        let soon_served = self.estimate.places(cost, self.table.open_slots());
+        while self.spills.open_count() + soon_served < self.queue.len() {
+            let Some(first) = self.queue.first() else {
+                break;
+            };
+            let Some(lender) = self.spills.open(now) else {
+                break;
+            };
+            replies.push(PoolReply::Spill {
+                lender,
+                caller: first.caller,
+                since: first.since,
+                deadline: first.deadline,
+            });
+        }
+    }
+
+    /// Denies asks whose job could not finish in time even if it were sent now.
+    fn drop_hopeless(&mut self, now: Instant, replies: &mut Vec<PoolReply>) {
+        let latest = now + self.estimate.service_time();
+        let mut holders = self.queue.hopeless(latest);
+        holders.extend(self.spilled.hopeless(latest));
+        for queue in self.pinned.values() {
+            holders.extend(queue.hopeless(latest));
+        }
+        for holder in holders {
+            self.release(now, holder, GrantEnd::Unused, replies);
+            replies.push(PoolReply::Deny {
+                holder,
+                code: ResultCode::DeadlineTooShort,
+                wait: self
+                    .estimate
+                    .wait(self.queue.len(), self.table.open_slots()),
+            });
+        }
+    }
+
+    /// Frees the slots of lost jobs. An upstream runs on after the caller has given up, and a slot
+    /// given away before it is free is shed: measured at twice the capacity with exponential
+    /// service times, that cost a quarter of the slots, since each shed lowers a limit.
+    fn free_lost(&mut self, now: Instant) {
+        while let Some((free_at, slot)) = self.lost.front().copied() {
+            if now < free_at {
+                break;
+            }
+            self.lost.pop_front();
+            let average = self.estimate.service_time();
+            self.table.give_back(now, slot, GrantEnd::Lost, average);
+        }
+    }
+
+    /// Takes back slots whose holder has fallen silent: it died, or its release was lost.
+    fn sweep(&mut self, now: Instant, replies: &mut Vec<PoolReply>) {
+        let silent = self
+            .grants
+            .iter()
+            .filter(|(_holder, grant)| grant.run_out <= now);
+        let holders: Vec<AskHolder> = silent.map(|(holder, _grant)| *holder).collect();
+        for holder in holders {
+            if let Some(grant) = self.grants.remove(&holder) {
+                self.end_grant(now, &grant, GrantEnd::Cancelled, replies);
+            }
+        }
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,6 @@
 //! The tests of the decisions, in one program so that linking is fast.
 
+mod test_choice_tree;
 mod test_host_core;
 mod test_result_code;
 mod test_wire_frame;
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -7,6 +7,7 @@
 use lagoonproxy::config_snapshot::UpstreamState;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::UpstreamId;
+use lagoonproxy::load_settings::LoadSettings;
 use lagoonproxy::published_config::PublishedConfig;
 use lagoonproxy::published_config::PublishedHosts;
 use lagoonproxy::published_config::ServiceDoc;
@@ -133,6 +134,7 @@
             upstream_address: any_port,
             control_address,
             shared_key: SHARED_KEY.to_owned(),
+            load: LoadSettings::default(),
         })
         .await?;
         let addresses = entry.addresses()?;
