--- a/lib/src/load_settings.rs
+++ b/lib/src/load_settings.rs
@@ -4,10 +4,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
-/// What operators may change of the decisions under load. Durations in milliseconds.
+use crate::unit_text::DurationText;
+
+/// What operators may change of the decisions under load. Durations are written with a unit.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -15,22 +16,22 @@
     /// Slots that one keeper holds before a second one in the zone takes a share.
     pub pool_slots: u32,
     /// Expected service time before any was seen.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub first_service_time: Duration,
     /// Longest wait admitted once a queue has stood for `queue_interval`.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub queue_target: Duration,
     /// How long a queue must stand above `queue_target` to count as overload.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub queue_interval: Duration,
     /// How long a keeper may leave an ask unanswered.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub ask_timeout: Duration,
     /// How long a grant holds its slot unless it is renewed.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub grant_length: Duration,
     /// How much longer a job of another zone must have waited to go before one of the own.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub spill_cost: Duration,
     /// Free slots that a keeper does not lend to other keepers.
     pub spill_reserve: u32,
@@ -39,26 +40,26 @@
     /// Retries allowed at once beyond the fraction.
     pub retry_burst: f64,
     /// Time over which a new upstream's slots are brought into use.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub ramp_length: Duration,
     /// Losses in a row after which an upstream is ejected.
     pub ejection_losses: u32,
     /// First ejection's length; each further one doubles it.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub ejection_length: Duration,
     /// Largest fraction of a pool's upstreams that may be ejected at once.
     pub ejection_bound: f64,
     /// Time after which a limit that an upstream's sheds have lowered is tried one higher.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub limit_probe: Duration,
     /// Shortest time to come back after a refusal.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub shortest_retry: Duration,
     /// Longest time to come back after a refusal.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub longest_retry: Duration,
     /// Time over which use of upstreams is evened out.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationText")]
     pub balance_length: Duration,
 }
 
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -1,30 +1,31 @@
 //! The whole path in one process: platform, entry hosts, upstreams.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use lagoonproxy::config_snapshot::HostEntry;
 use lagoonproxy::config_snapshot::UpstreamState;
+use lagoonproxy::daemon_settings::ControlSettings;
+use lagoonproxy::daemon_settings::DEFAULT_REGION;
+use lagoonproxy::daemon_settings::EntrySettings;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::UpstreamId;
+use lagoonproxy::ids::ZoneName;
 use lagoonproxy::load_settings::LoadSettings;
 use lagoonproxy::published_config::PublishedConfig;
-use lagoonproxy::published_config::PublishedHosts;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
+use lagoonproxy::shared_key::SharedKey;
 use lagoonproxy_daemon::control_daemon::ControlDaemon;
 use lagoonproxy_daemon::entry_daemon::EntryDaemon;
-use lagoonproxy_daemon::entry_settings::ControlSettings;
-use lagoonproxy_daemon::entry_settings::EntrySettings;
 use tokio::task::JoinHandle;
 
 use crate::platform::Platform;
 use crate::upstream::Upstream;
 
-/// Version of the first configuration.
-const FIRST_VERSION: u64 = 1;
 /// Key of the demonstration's hosts.
-const SHARED_KEY: &str = "6c61676f6f6e70726f78792064656d6f";
+const SHARED_KEY: [u8; 16] = *b"lagoonproxy demo";
 
 /// A service of the demonstration.
 #[derive(Clone, Copy, Debug)]
@@ -63,27 +64,46 @@
             tasks: Vec::new(),
         };
         let config = demo.start_upstreams(zones, services).await?;
-        demo.platform.publish_config(config);
+        demo.publish_config(&config);
         let mut entries = Vec::new();
         for (host, zone) in (0..hosts).zip(zones.iter().cycle()) {
             entries.push(demo.start_host(host, zone, platform_address).await?);
         }
-        demo.platform.publish_hosts(PublishedHosts {
-            version: FIRST_VERSION,
-            hosts: entries,
-        });
+        demo.publish_hosts(&entries);
         Ok(demo)
     }
 
+    fn publish_config(&self, config: &PublishedConfig) {
+        self.platform.publish("services/main/0", &config.services);
+        let mut by_zone: BTreeMap<ZoneName, Vec<&UpstreamDoc>> = BTreeMap::new();
+        for upstream in &config.upstreams {
+            by_zone
+                .entry(upstream.zone.clone())
+                .or_default()
+                .push(upstream);
+        }
+        for (zone, upstreams) in by_zone {
+            self.platform
+                .publish(&format!("upstreams/{zone}/0"), &upstreams);
+        }
+    }
+
+    fn publish_hosts(&self, hosts: &[HostEntry]) {
+        let mut by_zone: BTreeMap<ZoneName, Vec<&HostEntry>> = BTreeMap::new();
+        for host in hosts {
+            by_zone.entry(host.zone.clone()).or_default().push(host);
+        }
+        for (zone, hosts) in by_zone {
+            self.platform.publish(&format!("hosts/{zone}"), &hosts);
+        }
+    }
+
     async fn start_upstreams(
         &mut self,
         zones: &[&str],
         services: &[DemoService],
     ) -> Result<PublishedConfig, Box<dyn std::error::Error>> {
-        let mut config = PublishedConfig {
-            version: FIRST_VERSION,
-            ..PublishedConfig::default()
-        };
+        let mut config = PublishedConfig::default();
         for service in services {
             config.services.push(ServiceDoc {
                 id: service.id,
@@ -123,6 +143,11 @@
             host,
             control_address: any_port,
             platform_address,
+            zone: zone.into(),
+            region: DEFAULT_REGION.into(),
+            admin_address: None,
+            shared_key: SharedKey::new(SHARED_KEY),
+            byte_budget: 3_000,
         })
         .await?;
         let control_address = control.address()?;
@@ -133,7 +158,11 @@
             peer_address: any_port,
             upstream_address: any_port,
             control_address,
-            shared_key: SHARED_KEY.to_owned(),
+            admin_address: None,
+            shared_key: SharedKey::new(SHARED_KEY),
+            flow_idle: Duration::from_secs(7_200),
+            max_datagram_age: Duration::from_secs(1),
+            drain_limit: Duration::from_secs(30),
             load: LoadSettings::default(),
         })
         .await?;
