--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! The tests of the decisions, in one program so that linking is fast.
 
 mod fake_cell;
+mod test_choice_tree;
 mod test_config_check;
 mod test_daemon_settings;
 mod test_host_core;
