daemon: a host is ready once its claim is settled

The demonstration began while claims of a new cell were still being settled: 250 of 7,501 ledger requests got an unknown outcome and 80 flows moved (lagoon-demo, 1 % loss, duplication, reordering). A host that lost its claim in a cut stays ready, for it serves what it can.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -73,12 +73,10 @@
 }
 
 fn state_text(status: &HostStatus) -> &'static str {
-    if status.draining {
-        "draining"
-    } else if status.is_ready() {
-        "ready"
-    } else {
-        "not ready"
+    match status.unready_reason() {
+        Some(reason) => reason,
+        None if status.holds_claim => "ready",
+        None => "ready, without a claim",
     }
 }
 
--- a/cli/tests/test_hosts.rs
+++ b/cli/tests/test_hosts.rs
@@ -66,6 +66,7 @@
     let alive = start_host(HostStatus {
         host: 4,
         hosts_alive: 8,
+        holds_claim: true,
         ..HostStatus::default()
     });
     let alive = alive.await.to_string();
--- a/daemon/src/entry_admin.rs
+++ b/daemon/src/entry_admin.rs
@@ -37,18 +37,7 @@
     }
 
     fn unready_reason(&self) -> Option<String> {
-        let status = self.lock();
-        if status.is_ready() {
-            return None;
-        }
-        let reason = if status.draining {
-            "draining"
-        } else if status.config_version.is_none() {
-            "no configuration yet"
-        } else {
-            "no host list yet"
-        };
-        Some(reason.to_owned())
+        self.lock().unready_reason().map(str::to_owned)
     }
 
     fn status(&self) -> Value {
--- a/standin/src/bin/lagoonload.rs
+++ b/standin/src/bin/lagoonload.rs
@@ -14,12 +14,12 @@
 use lagoonproxy_standin::load_run::LoadProgress;
 use lagoonproxy_standin::load_run::LoadRun;
 use lagoonproxy_standin::load_run::LoadSettings;
+use lagoonproxy_standin::ready_wait::wait_until_ok;
+use lagoonproxy_standin::ready_wait::wait_until_ready;
 use lagoonproxy_standin::upstream::RunReport;
 use serde::Deserialize;
 use serde_json::json;
 
-/// Time between two looks at a host that is not ready.
-const READY_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two lines of progress.
 const PROGRESS_PAUSE: Duration = Duration::from_secs(1);
 
@@ -66,9 +66,7 @@
     let load = &mut settings.load;
     load.requests = args.requests.unwrap_or(load.requests);
     load.rate = args.rate.unwrap_or(load.rate);
-    for address in &settings.ready {
-        wait_until_ok(&format!("http://{address}/readyz")).await;
-    }
+    wait_until_ready(&settings.ready).await;
     for address in &settings.upstreams {
         wait_until_ok(&format!("http://{address}/load")).await;
     }
@@ -86,21 +84,6 @@
     Ok(ExitCode::from(report.exit_code()))
 }
 
-async fn wait_until_ok(url: &str) {
-    let mut told = false;
-    loop {
-        let answer = reqwest::get(url).await;
-        if answer.is_ok_and(|answer| answer.status().is_success()) {
-            return;
-        }
-        if !told {
-            eprintln!("waiting for {url}");
-            told = true;
-        }
-        tokio::time::sleep(READY_PAUSE).await;
-    }
-}
-
 async fn show_progress(progress: LoadProgress, requests: u64) {
     loop {
         tokio::time::sleep(PROGRESS_PAUSE).await;
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -27,6 +27,7 @@
 use crate::fabric::FabricHost;
 use crate::fabric::FabricSettings;
 use crate::platform::Platform;
+use crate::ready_wait::wait_until_ready;
 use crate::service_time::ServiceTime;
 use crate::upstream::RunReport;
 use crate::upstream::Upstream;
@@ -84,6 +85,8 @@
     pub platform: Platform,
     /// What sprays over the entry hosts.
     pub fabric: Fabric,
+    /// Where the hosts show their status.
+    pub admins: Vec<SocketAddr>,
     upstreams: Vec<UpstreamHandle>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -101,6 +104,7 @@
         let mut demo = Self {
             platform,
             fabric: Fabric::new(fabric, Vec::new()),
+            admins: Vec::new(),
             upstreams: Vec::new(),
             tasks: Vec::new(),
         };
@@ -122,6 +126,7 @@
         }
         publish_by_zone(&demo.platform, "hosts", "", &entries, |entry| &entry.zone);
         demo.fabric.set_hosts(behind_fabric);
+        wait_until_ready(&demo.admins).await;
         Ok(demo)
     }
 
@@ -219,7 +224,7 @@
             peer_address: any_port,
             upstream_address: any_port,
             control_address,
-            admin_address: None,
+            admin_address: Some(any_port),
             shared_key: SharedKey::new(SHARED_KEY),
             flow_idle: Duration::from_secs(7_200),
             max_datagram_age: Duration::from_secs(1),
@@ -228,6 +233,7 @@
         })
         .await?;
         let addresses = entry.addresses()?;
+        self.admins.extend(addresses.admin);
         self.tasks.push(tokio::spawn(async move {
             if let Err(error) = control.run(std::future::pending()).await {
                 log::error!("host {host}: control daemon: {error}");
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod platform;
 mod platform_legacy;
 pub mod platform_operator;
+pub mod ready_wait;
 pub mod run_records;
 pub mod service_time;
 pub mod upstream;
