--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,1 +1,19 @@
-//! x
+//! Experiments and benchmarks on lagoonproxy's decisions, in virtual time; not shipped.
+//!
+//! [`virtual_cluster`] drives one [`lagoonproxy::load_policy::LoadPolicy`] a host against small
+//! fakes of upstreams and links; [`control_lab`] drives the control cores of many hosts.
+
+pub mod cluster_plan;
+pub mod control_lab;
+pub mod lab_config;
+pub mod lab_platform;
+pub mod lab_scenario;
+pub mod late_binding_policy;
+pub mod outcome_report;
+pub mod probing_policy;
+pub mod random_policy;
+pub mod single_queue;
+pub mod two_choice_policy;
+pub mod virtual_cluster;
+pub mod virtual_upstream;
+pub mod work_shape;
--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -1,6 +1,8 @@
 //! The data daemon: datagrams in and out, every decision by the core.
 
 use std::future::Future;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,8 +19,8 @@
 use lagoonproxy::host_core::TICK;
 use lagoonproxy::host_event::HostEvent;
 use lagoonproxy::ids::Incarnation;
-use lagoonproxy::least_busy_policy::LeastBusyPolicy;
 use lagoonproxy::result_code::ResultCode;
+use lagoonproxy::service_policy::ServicePolicy;
 use lagoonproxy::unit_text::format_duration;
 use lagoonproxy::wire_frame;
 use lagoonproxy::wire_frame::MAX_DATAGRAM;
@@ -111,8 +113,9 @@
             flow_idle: settings.flow_idle,
             max_datagram_age: settings.max_datagram_age,
         };
+        let policy = ServicePolicy::new(settings.host, start_seed(), settings.load.clone());
         Ok(Self {
-            core: HostCore::new(core_settings, Box::<LeastBusyPolicy>::default()),
+            core: HostCore::new(core_settings, Box::new(policy)),
             peer_key: PeerKey::new(key),
             control_address: settings.control_address,
             admin: Arc::default(),
@@ -273,6 +276,12 @@
     }
 }
 
+/// A seed that differs from start to start, so that hosts do not draw alike and numbers of asks
+/// from before a restart are not used again.
+fn start_seed() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
+
 async fn bind(address: SocketAddr) -> Result<UdpSocket, EntryError> {
     UdpSocket::bind(address)
         .await
--- a/lib/src/expiry_system.rs
+++ b/lib/src/expiry_system.rs
@@ -68,8 +68,8 @@
         match record.stage {
             RequestStage::Waiting => {
                 refusal.outcome = waiting_outcome(record);
-                self.policy.withdraw(now, key);
                 self.refuse_request(key, refusal, actions);
+                self.withdraw_job(now, key, actions);
             }
             RequestStage::Running(_) => {
                 self.give_up_attempt(now, key, refusal, JobEnd::Lost, actions);
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -13,6 +13,7 @@
 use lagoonproxy::ids::ServiceId;
 use lagoonproxy::ids::UpstreamId;
 use lagoonproxy::ids::ZoneName;
+use lagoonproxy::load_settings::LoadSettings;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
 use lagoonproxy::shared_key::SharedKey;
@@ -26,6 +27,7 @@
 use crate::fabric::FabricHost;
 use crate::fabric::FabricSettings;
 use crate::platform::Platform;
+use crate::ready_wait::wait_until_ready;
 use crate::service_time::ServiceTime;
 use crate::upstream::RunReport;
 use crate::upstream::Upstream;
@@ -83,6 +85,8 @@
     pub platform: Platform,
     /// What sprays over the entry hosts.
     pub fabric: Fabric,
+    /// Where the hosts show their status.
+    pub admins: Vec<SocketAddr>,
     upstreams: Vec<UpstreamHandle>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -100,6 +104,7 @@
         let mut demo = Self {
             platform,
             fabric: Fabric::new(fabric, Vec::new()),
+            admins: Vec::new(),
             upstreams: Vec::new(),
             tasks: Vec::new(),
         };
@@ -121,6 +126,7 @@
         }
         publish_by_zone(&demo.platform, "hosts", "", &entries, |entry| &entry.zone);
         demo.fabric.set_hosts(behind_fabric);
+        wait_until_ready(&demo.admins).await;
         Ok(demo)
     }
 
@@ -218,14 +224,16 @@
             peer_address: any_port,
             upstream_address: any_port,
             control_address,
-            admin_address: None,
+            admin_address: Some(any_port),
             shared_key: SharedKey::new(SHARED_KEY),
             flow_idle: Duration::from_secs(7_200),
             max_datagram_age: Duration::from_secs(1),
             drain_limit: Duration::from_secs(30),
+            load: LoadSettings::default(),
         })
         .await?;
         let addresses = entry.addresses()?;
+        self.admins.extend(addresses.admin);
         self.tasks.push(tokio::spawn(async move {
             if let Err(error) = control.run(std::future::pending()).await {
                 log::error!("host {host}: control daemon: {error}");
