--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -1,10 +1,14 @@
 //! The data daemon: datagrams in and out, every decision by the core.
 
 use std::future::Future;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -14,8 +18,9 @@
 use lagoonproxy::host_core::HostCore;
 use lagoonproxy::host_core::TICK;
 use lagoonproxy::host_event::HostEvent;
-use lagoonproxy::least_busy_policy::LeastBusyPolicy;
+use lagoonproxy::ids::Incarnation;
 use lagoonproxy::result_code::ResultCode;
+use lagoonproxy::service_policy::ServicePolicy;
 use lagoonproxy::unit_text::format_duration;
 use lagoonproxy::wire_frame;
 use lagoonproxy::wire_frame::MAX_DATAGRAM;
@@ -102,12 +107,15 @@
         let key = settings.shared_key.bytes();
         let core_settings = CoreSettings {
             host: settings.host,
+            incarnation: incarnation(),
+            started: Instant::now(),
             flow_key: key,
             flow_idle: settings.flow_idle,
             max_datagram_age: settings.max_datagram_age,
         };
+        let policy = ServicePolicy::new(settings.host, start_seed(), settings.load.clone());
         Ok(Self {
-            core: HostCore::new(core_settings, Box::<LeastBusyPolicy>::default()),
+            core: HostCore::new(core_settings, Box::new(policy)),
             peer_key: PeerKey::new(key),
             control_address: settings.control_address,
             admin: Arc::default(),
@@ -268,6 +276,12 @@
     }
 }
 
+/// A seed that differs from start to start, so that hosts do not draw alike and numbers of asks
+/// from before a restart are not used again.
+fn start_seed() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
+
 async fn bind(address: SocketAddr) -> Result<UdpSocket, EntryError> {
     UdpSocket::bind(address)
         .await
@@ -316,3 +330,11 @@
         }
     }
 }
+
+/// Milliseconds since 1970, larger at each start of this host. Peers ignore a process whose number
+/// is smaller than one they have heard of, so a clock that was set back keeps a host out of claims
+/// until it has caught up, but never makes two processes look like one.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as Incarnation)
+}
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -230,10 +230,10 @@
         answer: &mut Option<AnswerBuffer>,
     ) -> Option<AnswerVerdict> {
         match answer {
-            Some(buffer) => {
+            Some(buffer) if buffer.run() == part.run => {
                 buffer.add(part);
             }
-            None => *answer = Some(AnswerBuffer::new(part)),
+            _ => *answer = Some(AnswerBuffer::new(part)),
         }
         let whole = answer.take_if(|buffer| buffer.is_whole())?;
         let received: Vec<u8> = whole.parts().flat_map(|part| part.payload).collect();
