--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_planned_change;
 mod test_reader_rank;
 mod test_request_faults;
+mod test_request_outcome;
 mod test_result_code;
 mod test_snapshot_compiler;
 mod test_takeover;
