--- a/lib/src/upstream_system.rs
+++ b/lib/src/upstream_system.rs
@@ -17,6 +17,7 @@
 use crate::wire_frame::AnswerPart;
 use crate::wire_frame::CallerBody;
 use crate::wire_frame::CallerFrame;
+use crate::wire_frame::NotStartedReason;
 use crate::wire_frame::PeerBody;
 use crate::wire_frame::RefusalBody;
 use crate::wire_frame::RoutingTag;
@@ -73,8 +74,11 @@
         }
         match frame.body {
             UpstreamBody::Started => {}
-            UpstreamBody::NotStarted { retry_after, .. } => {
-                self.take_not_started(now, key, retry_after, actions);
+            UpstreamBody::NotStarted {
+                reason,
+                retry_after,
+            } => {
+                self.take_not_started(now, key, reason, retry_after, actions);
             }
             UpstreamBody::Part(part) => {
                 let run = tag.run_id();
@@ -91,22 +95,30 @@
 
     /// The upstream has proved that the attempt did not run: the request waits again, or is given
     /// up if its caller has cancelled it.
+    ///
+    /// A process that was started at the upstream's address meanwhile may say so of the
+    /// cancellation, which is no word on what its predecessor ran.
     fn take_not_started(
         &mut self,
         now: Instant,
         key: RequestKey,
+        reason: NotStartedReason,
         retry_after: Duration,
         actions: &mut Vec<HostAction>,
     ) {
         let Some(record) = self.requests.get_mut(key) else {
             return;
         };
-        let stage = std::mem::replace(&mut record.stage, RequestStage::Waiting);
-        let outcome = waiting_outcome(record);
-        let RequestStage::Running(attempt) = stage else {
+        let RequestStage::Running(attempt) = &record.stage else {
             return;
         };
-        if attempt.cancel_deadline.is_some() {
+        let is_cancelled = attempt.cancel_deadline.is_some();
+        if is_cancelled && reason == NotStartedReason::WrongUpstream {
+            return;
+        }
+        record.stage = RequestStage::Waiting;
+        let outcome = waiting_outcome(record);
+        if is_cancelled {
             self.refuse_request(key, cancelled(key.request, outcome), actions);
             return self.end_attempt(now, key, JobEnd::Cancelled, actions);
         }
--- a/lib/tests/fake_cell.rs
+++ b/lib/tests/fake_cell.rs
@@ -11,6 +11,7 @@
 use lagoonproxy::answer_buffer::AnswerBuffer;
 use lagoonproxy::config_snapshot::ConfigSnapshot;
 use lagoonproxy::config_snapshot::HostView;
+use lagoonproxy::config_snapshot::UpstreamState;
 use lagoonproxy::flow_hash::FlowHasher;
 use lagoonproxy::host_action::HostAction;
 use lagoonproxy::host_core::CoreSettings;
@@ -18,6 +19,7 @@
 use lagoonproxy::host_event::HostEvent;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::least_busy_policy::LeastBusyPolicy;
+use lagoonproxy::published_config::PublishedConfig;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::wire_frame::AnswerPart;
 use lagoonproxy::wire_frame::CallerBody;
@@ -145,6 +147,9 @@
     pub changes_lists: bool,
     /// Encoded bytes of heartbeats that host 1 sent.
     pub heartbeat_bytes: usize,
+    published: PublishedConfig,
+    /// Incarnation of each upstream's process.
+    upstreams: Vec<u64>,
     config: Arc<ConfigSnapshot>,
     flying: BTreeMap<(u64, u64), Delivery>,
     next_delivery: u64,
@@ -168,6 +173,8 @@
             lagging: Vec::new(),
             changes_lists: false,
             heartbeat_bytes: 0,
+            published: ledger_config(1, UPSTREAMS),
+            upstreams: vec![0; UPSTREAMS as usize],
             config: Arc::new(ledger_config(1, UPSTREAMS).compile().unwrap()),
             flying: BTreeMap::new(),
             next_delivery: 0,
@@ -232,6 +239,37 @@
         self.hosts[index].core = None;
     }
 
+    /// Publishes that an upstream drains or is back; hosts learn of it one by one.
+    pub fn toggle_upstream(&mut self, index: usize) {
+        let doc = &mut self.published.upstreams[index];
+        doc.state = match doc.state {
+            UpstreamState::Active => UpstreamState::Draining,
+            UpstreamState::Draining => UpstreamState::Active,
+        };
+        self.publish();
+    }
+
+    /// Ends an upstream's process; another one starts at its address, and is published.
+    pub fn replace_upstream(&mut self, index: usize) {
+        self.upstreams[index] += 1;
+        self.running
+            .retain(|(id, _run), _since| *id != index as u32);
+        self.published.upstreams[index].incarnation = self.upstreams[index];
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        self.published.version += 1;
+        self.config = Arc::new(self.published.compile().unwrap());
+        for host in &self.hosts {
+            let delivery = Delivery::Host(host.id, HostEvent::Config(Arc::clone(&self.config)));
+            let lag = self.random.random_range(0..4_000);
+            self.next_delivery += 1;
+            self.flying
+                .insert((self.time + lag, self.next_delivery), delivery);
+        }
+    }
+
     /// Asks a host to stop.
     pub fn drain(&mut self, index: usize) {
         if self.hosts[index].core.is_some() {
@@ -483,6 +521,9 @@
         let tag = frame.tag;
         match &frame.body {
             UpstreamBody::Run { remaining, .. } => self.run_request(id, tag, *remaining),
+            UpstreamBody::Cancel if tag.incarnation != self.upstreams[id as usize] => {
+                self.reply(id, tag, not_started(NotStartedReason::WrongUpstream), 0);
+            }
             UpstreamBody::Cancel => {
                 let started = self.running.contains_key(&(id, tag.run_id() ^ tag.request));
                 if !started {
@@ -495,6 +536,9 @@
     }
 
     fn run_request(&mut self, id: u32, tag: RoutingTag, remaining: Duration) {
+        if tag.incarnation != self.upstreams[id as usize] {
+            return self.reply(id, tag, not_started(NotStartedReason::WrongUpstream), 0);
+        }
         if self.cancelled.contains(&(id, tag)) {
             return self.reply(id, tag, not_started(NotStartedReason::Cancelled), 0);
         }
--- a/lib/tests/test_request_faults.rs
+++ b/lib/tests/test_request_faults.rs
@@ -91,6 +91,8 @@
         9..16 => cell.cut_off.clear(),
         16..20 => cell.late_send = 0.0,
         20..24 => cell.faults = CALM_LINKS,
+        24..27 => cell.toggle_upstream(index % 3),
+        27 => cell.replace_upstream(index % 3),
         _ if cell.hosts[index].core.is_none() || cell.hosts[index].draining => cell.start(index),
         _ => {}
     }
@@ -156,7 +158,7 @@
 fn test_request_any_faults_keep_the_points() {
     // A transfer stands twice in the ledger, or a caller whose transfer was run is told that it was
     // not. Hosts crash, restart, freeze between decision and sending, are cut off, leave and join,
-    // and read lists late, while datagrams are lost, repeated and overtaken.
+    // and read lists and configurations late, upstreams drain and are replaced, while datagrams are lost, repeated and overtaken.
     let seeds = std::env::var("LAGOON_SEEDS").map_or(SEEDS, |text| text.parse().unwrap());
     let first = std::env::var("LAGOON_FIRST_SEED").map_or(0, |text| text.parse().unwrap());
     let total = std::thread::scope(|scope| {
--- a/lib/tests/test_request_outcome.rs
+++ b/lib/tests/test_request_outcome.rs
@@ -238,6 +238,11 @@
             reply: |_tag| Some(not_started(NotStartedReason::Cancelled)),
             refusals: &[(ResultCode::Cancelled, RunOutcome::NotRun)],
         },
+        CancelCase {
+            name: "a new process at the address does not know it",
+            reply: |_tag| Some(not_started(NotStartedReason::WrongUpstream)),
+            refusals: &[(ResultCode::Cancelled, RunOutcome::Unknown)],
+        },
         CancelCase {
             name: "no reply",
             reply: |_tag| None,
