--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_control_core;
 mod test_daemon_settings;
 mod test_host_core;
+mod test_invariants;
 mod test_label_selector;
 mod test_planned_change;
 mod test_reader_rank;
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -11,9 +11,11 @@
 use lagoonproxy::wire_frame::PeerBody;
 use lagoonproxy::wire_frame::PeerFrame;
 
+use crate::fake_cell::CALM_LINKS;
 use crate::fake_cell::FLOW_KEY;
 use crate::fake_cell::FLOWS;
 use crate::fake_cell::FakeCell;
+use crate::fake_cell::LinkFaults;
 use crate::fake_cell::STEP;
 use crate::fake_cell::caller_of;
 use crate::world::host_view;
@@ -74,6 +76,28 @@
     }
 }
 
+#[test]
+fn test_takeover_copy_under_way_is_not_new() {
+    // A transfer stands twice in the ledger. Its owner runs it and announces that it leaves; a copy
+    // that was under way meanwhile reaches the next owner, and seems to be sent after the change.
+    for seed in 0..20 {
+        let mut cell = FakeCell::new(seed, 3);
+        run(&mut cell, WARM_UP);
+        cell.faults = LinkFaults {
+            duplication: 0.9,
+            delay: 900,
+            ..CALM_LINKS
+        };
+        for request in 0..60 {
+            cell.request(request % FLOWS, 3_000, false, None);
+            run(&mut cell, STEP);
+        }
+        cell.faults.delay = 20;
+        cell.drain(seed as usize % 3);
+        run(&mut cell, 3_000);
+    }
+}
+
 #[test]
 fn test_takeover_promise_is_kept() {
     // A host tells a peer that it has no record of a request and will not take it on. A copy that
