--- /dev/null
+++ b/daemon/tests/process_host.rs
@@ -0,0 +1,177 @@
+//! One entry host: its two daemons as child processes. Signals go to the exact processes started.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use lagoonproxy::host_status::HostStatus;
+use lagoonproxy::ids::HostId;
+use lagoonproxy::ids::ZoneName;
+use tokio::process::Child;
+use tokio::process::Command;
+
+const SHARED_KEY: &str = "6c61676f6f6e70726f78792074657374";
+/// Time between two looks at something that is waited for.
+pub const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// Ends a wait that can only be a hang; no verdict depends on it otherwise.
+pub const HANG_LIMIT: Duration = Duration::from_secs(60);
+
+/// Numbers the hosts that this test program has started.
+static NEXT_HOST: AtomicU32 = AtomicU32::new(1);
+
+/// The addresses of a host, all on an IP number of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct HostAddresses {
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub upstream: SocketAddr,
+    pub control: SocketAddr,
+    pub entry_admin: SocketAddr,
+}
+
+/// A host that runs; its processes are killed when it is dropped.
+pub struct ProcessHost {
+    pub id: HostId,
+    pub zone: ZoneName,
+    pub addresses: HostAddresses,
+    entry: Child,
+    control: Child,
+    control_file: PathBuf,
+}
+
+impl ProcessHost {
+    pub fn start(id: HostId, zone: &str, platform: SocketAddr) -> Self {
+        let addresses = choose_addresses();
+        let entry_settings = format!(
+            "host: {id}\nzone: {zone}\ncaller_address: {}\npeer_address: {}\nupstream_address: {}\n\
+             control_address: {}\nadmin_address: {}\nshared_key: '{SHARED_KEY}'\n",
+            addresses.caller,
+            addresses.peer,
+            addresses.upstream,
+            addresses.control,
+            addresses.entry_admin,
+        );
+        let control_settings = format!(
+            "host: {id}\nzone: {zone}\ncontrol_address: {}\nplatform_address: {platform}\n\
+             shared_key: '{SHARED_KEY}'\n",
+            addresses.control,
+        );
+        let name = addresses.caller.to_string();
+        let control_file = write_settings(&format!("control-{name}.yaml"), &control_settings);
+        let entry_file = write_settings(&format!("entry-{name}.yaml"), &entry_settings);
+        Self {
+            id,
+            zone: zone.into(),
+            addresses,
+            control: spawn(env!("CARGO_BIN_EXE_lagoon-control"), &control_file),
+            control_file,
+            entry: spawn(env!("CARGO_BIN_EXE_lagoon-entry"), &entry_file),
+        }
+    }
+
+    /// Kills both daemons at once, as when the machine is lost.
+    pub async fn kill(&mut self) {
+        self.entry.start_kill().unwrap();
+        self.control.start_kill().unwrap();
+        self.entry.wait().await.unwrap();
+        self.control.wait().await.unwrap();
+    }
+
+    /// Stops both daemons in their tracks.
+    pub async fn freeze(&self) {
+        signal(&self.entry, "STOP").await;
+        signal(&self.control, "STOP").await;
+    }
+
+    /// Lets both daemons go on.
+    pub async fn thaw(&self) {
+        signal(&self.entry, "CONT").await;
+        signal(&self.control, "CONT").await;
+    }
+
+    /// Asks the entry daemon to drain and waits for its exit; `true` if that was a success.
+    pub async fn drain(&mut self) -> bool {
+        signal(&self.entry, "TERM").await;
+        let ended = self.entry.wait().await.unwrap();
+        signal(&self.control, "TERM").await;
+        ended.success() & self.control.wait().await.unwrap().success()
+    }
+
+    /// Replaces the control daemon by a fresh one that knows nothing.
+    pub async fn restart_control(&mut self) {
+        self.control.start_kill().unwrap();
+        self.control.wait().await.unwrap();
+        self.control = spawn(env!("CARGO_BIN_EXE_lagoon-control"), &self.control_file);
+    }
+
+    /// Waits until the entry daemon's status meets a condition.
+    pub async fn wait_for(&self, condition: impl Fn(&HostStatus) -> bool) -> HostStatus {
+        let waiting = self.look_until(condition);
+        let waited = tokio::time::timeout(HANG_LIMIT, waiting).await;
+        waited.expect("the entry daemon's status never met the condition")
+    }
+
+    async fn look_until(&self, condition: impl Fn(&HostStatus) -> bool) -> HostStatus {
+        let url = format!("http://{}/v1/status", self.addresses.entry_admin);
+        loop {
+            if let Ok(response) = reqwest::get(&url).await
+                && let Ok(status) = response.json::<HostStatus>().await
+                && condition(&status)
+            {
+                return status;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
+fn spawn(program: &str, settings: &Path) -> Child {
+    Command::new(program)
+        .arg("--settings")
+        .arg(settings)
+        .stderr(Stdio::null())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap()
+}
+
+/// Sends a signal to a child that has not been waited for, so that its number is still its own.
+async fn signal(child: &Child, name: &str) {
+    let id = child.id().unwrap().to_string();
+    let sent = Command::new("kill").args(["-s", name, &id]).status().await;
+    assert!(sent.unwrap().success());
+}
+
+fn write_settings(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name.replace(':', "-"));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// An IP number that no other host of any test uses, and ports on it that the system chose.
+fn choose_addresses() -> HostAddresses {
+    let process = std::process::id();
+    let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let octets = [
+        127,
+        64 + (process >> 8) as u8 % 128,
+        process as u8,
+        number as u8,
+    ];
+    let any_port = SocketAddr::from((octets, 0));
+    let datagram = [(); 3].map(|()| UdpSocket::bind(any_port).unwrap());
+    let stream = [(); 2].map(|()| TcpListener::bind(any_port).unwrap());
+    HostAddresses {
+        caller: datagram[0].local_addr().unwrap(),
+        peer: datagram[1].local_addr().unwrap(),
+        upstream: datagram[2].local_addr().unwrap(),
+        control: stream[0].local_addr().unwrap(),
+        entry_admin: stream[1].local_addr().unwrap(),
+    }
+}
--- /dev/null
+++ b/daemon/tests/runner.rs
@@ -0,0 +1,6 @@
+//! Tests of the real programs as separate processes, in one program so that linking is fast.
+
+mod process_cluster;
+mod process_host;
+mod test_process_changes;
+mod test_process_failures;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -73,7 +73,7 @@
 
 /// A kind of call, for counting.
 #[derive(Clone, Copy, Debug)]
-enum CallKind {
+pub(crate) enum CallKind {
     List,
     Read,
     Watch,
@@ -130,6 +130,12 @@
         self.change_now(key, value, expected).map(Some)
     }
 
+    /// The version of a key, zero if it is not there.
+    pub fn version_of(&self, key: &str) -> Version {
+        let state = self.lock();
+        state.store.get(key).map_or(0, |change| change.version)
+    }
+
     /// Publishes a value that is known to be valid.
     pub fn publish<T: Serialize>(&self, key: &str, value: &T) {
         let value = serde_json::to_value(value).unwrap_or_default();
@@ -228,7 +234,7 @@
         }
     }
 
-    fn count(&self, kind: CallKind) {
+    pub(crate) fn count(&self, kind: CallKind) {
         let counters = &mut self.lock().counters;
         counters.calls += 1;
         match kind {
--- a/standin/src/platform_legacy.rs
+++ b/standin/src/platform_legacy.rs
@@ -9,6 +9,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::key_store::KeyStore;
+use crate::platform::CallKind;
 use crate::platform::Platform;
 
 /// The routes of the whole documents.
@@ -19,6 +20,7 @@
 }
 
 async fn read_config(State(platform): State<Platform>) -> Json<PublishedConfig> {
+    platform.count(CallKind::Read);
     Json(platform.read(|store| PublishedConfig {
         version: store.revision(),
         services: join(store, "services/"),
@@ -27,6 +29,7 @@
 }
 
 async fn read_hosts(State(platform): State<Platform>) -> Json<PublishedHosts> {
+    platform.count(CallKind::Read);
     Json(platform.read(|store| PublishedHosts {
         version: store.revision(),
         hosts: join(store, "hosts/"),
