--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::HostId;
 use crate::ids::ZoneName;
+use crate::load_settings::LoadSettings;
 use crate::settings_reader::SettingsFaults;
 use crate::settings_reader::SettingsReader;
 use crate::shared_key::SharedKey;
@@ -43,6 +44,8 @@
     pub max_datagram_age: Duration,
     /// Longest time between the signal to stop and the exit; 30 s by default.
     pub drain_limit: Duration,
+    /// Decisions under load; the defaults are measured.
+    pub load: LoadSettings,
 }
 
 /// Settings of `lagoon-control`.
@@ -92,6 +95,7 @@
             reader.optional_as::<_, DurationText>("max_datagram_age", Duration::from_secs(1));
         let drain_limit =
             reader.optional_as::<_, DurationText>("drain_limit", Duration::from_secs(30));
+        let load = reader.optional("load", LoadSettings::default());
         Some(Self {
             host: host?,
             zone: zone?,
@@ -104,6 +108,7 @@
             flow_idle,
             max_datagram_age,
             drain_limit,
+            load,
         })
     }
 
--- a/lib/src/wire_frame.rs
+++ b/lib/src/wire_frame.rs
@@ -17,13 +17,19 @@
 use siphasher::sip128::SipHasher24;
 use std::hash::Hasher;
 
+use crate::cell_heartbeat::CellHeartbeat;
+use crate::cell_heartbeat::HeartbeatEcho;
+use crate::flow_hash::rendezvous_weight;
 use crate::ids::FlowId;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::ids::ServiceAddress;
 use crate::ids::UpstreamId;
+use crate::ids::Version;
 use crate::load_message::LoadMessage;
+use crate::record_query::RecordQuery;
+use crate::record_query::RecordReply;
 use crate::result_code::ResultCode;
 
 /// First two bytes of every datagram.
@@ -124,6 +130,9 @@
 pub struct AnswerPart {
     /// The request answered.
     pub request: RequestId,
+    /// The run that the part comes from, see [`RoutingTag::run_id`]; parts of two runs of an
+    /// idempotent request never make one answer.
+    pub run: u64,
     /// Position of the payload's first byte in the whole answer.
     pub offset: u32,
     /// Length of the whole answer in bytes.
@@ -158,16 +167,26 @@
     pub flow: FlowId,
     /// The request, zero for the flow's own frames.
     pub request: RequestId,
-    /// Which attempt of the owner's this is, from zero.
-    pub attempt: u8,
+    /// Which of all the attempts of the owner's process this is; zero for the flow's own frames.
+    pub attempt: u64,
     /// The host that sent it and keeps its record.
     pub owner: HostId,
+    /// The process of that host; a later one has no record of it.
+    pub owner_incarnation: Incarnation,
     /// The upstream it was sent to.
     pub upstream: UpstreamId,
     /// The upstream's incarnation it was meant for.
     pub incarnation: Incarnation,
 }
 
+impl RoutingTag {
+    /// Names the attempt among all of the request's on any host.
+    pub fn run_id(&self) -> u64 {
+        let process = rendezvous_weight(u64::from(self.owner), self.owner_incarnation);
+        rendezvous_weight(process, self.attempt)
+    }
+}
+
 /// Between an entry host and an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamFrame {
@@ -244,6 +263,12 @@
     FromCaller {
         /// The caller that sent it.
         caller: SocketAddr,
+        /// Version of the host list by which the sender chose the receiver.
+        view: Version,
+        /// The receiver's newest heartbeat that the sender had heard when it read the caller's
+        /// datagram. It dates this one: a sender that froze before it sent, or a replayed copy,
+        /// would otherwise pass for recent.
+        echo: Option<HeartbeatEcho>,
         /// Its frame.
         frame: CallerFrame,
     },
@@ -251,6 +276,12 @@
     FromUpstream(UpstreamFrame),
     /// Between the load policies of two hosts.
     Load(LoadMessage),
+    /// Sign of life, echo and votes, within a cell.
+    Heartbeat(CellHeartbeat),
+    /// Asks for a request's record before the sender takes it on.
+    Query(RecordQuery),
+    /// Answers a query.
+    Reply(RecordReply),
 }
 
 /// Which of the three frames a datagram holds; the fourth byte of its header.
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -13,6 +13,7 @@
 use lagoonproxy::ids::ServiceId;
 use lagoonproxy::ids::UpstreamId;
 use lagoonproxy::ids::ZoneName;
+use lagoonproxy::load_settings::LoadSettings;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
 use lagoonproxy::shared_key::SharedKey;
@@ -223,6 +224,7 @@
             flow_idle: Duration::from_secs(7_200),
             max_datagram_age: Duration::from_secs(1),
             drain_limit: Duration::from_secs(30),
+            load: LoadSettings::default(),
         })
         .await?;
         let addresses = entry.addresses()?;
