--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -14,5 +14,6 @@
 mod test_request_faults;
 mod test_result_code;
 mod test_snapshot_compiler;
+mod test_takeover;
 mod test_wire_frame;
 mod world;
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -9,7 +9,6 @@
 use lagoonproxy::daemon_settings::ControlSettings;
 use lagoonproxy::daemon_settings::DEFAULT_REGION;
 use lagoonproxy::daemon_settings::EntrySettings;
-use lagoonproxy::host_status::HostStatus;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::ServiceId;
 use lagoonproxy::ids::UpstreamId;
@@ -28,6 +27,7 @@
 use crate::fabric::FabricHost;
 use crate::fabric::FabricSettings;
 use crate::platform::Platform;
+use crate::ready_wait::wait_until_ready;
 use crate::service_time::ServiceTime;
 use crate::upstream::RunReport;
 use crate::upstream::Upstream;
@@ -41,9 +41,6 @@
 /// Flows that an upstream of the demonstration holds.
 const CONNECTIONS: u32 = 2_000;
 
-/// Time between two looks at a host that does not serve yet.
-const LOOK_PAUSE: Duration = Duration::from_millis(50);
-
 /// A service of the demonstration.
 #[derive(Clone, Copy, Debug)]
 pub struct DemoService {
@@ -88,8 +85,9 @@
     pub platform: Platform,
     /// What sprays over the entry hosts.
     pub fabric: Fabric,
+    /// Where the hosts show their status.
+    pub admins: Vec<SocketAddr>,
     upstreams: Vec<UpstreamHandle>,
-    admin_addresses: Vec<SocketAddr>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -106,8 +104,8 @@
         let mut demo = Self {
             platform,
             fabric: Fabric::new(fabric, Vec::new()),
+            admins: Vec::new(),
             upstreams: Vec::new(),
-            admin_addresses: Vec::new(),
             tasks: Vec::new(),
         };
         let upstreams = demo.start_upstreams(zones, services).await?;
@@ -128,9 +126,7 @@
         }
         publish_by_zone(&demo.platform, "hosts", "", &entries, |entry| &entry.zone);
         demo.fabric.set_hosts(behind_fabric);
-        for address in &demo.admin_addresses {
-            wait_until_serving(*address).await;
-        }
+        wait_until_ready(&demo.admins).await;
         Ok(demo)
     }
 
@@ -237,7 +233,7 @@
         })
         .await?;
         let addresses = entry.addresses()?;
-        self.admin_addresses.extend(addresses.admin);
+        self.admins.extend(addresses.admin);
         self.tasks.push(tokio::spawn(async move {
             if let Err(error) = control.run(std::future::pending()).await {
                 log::error!("host {host}: control daemon: {error}");
@@ -268,21 +264,6 @@
     }
 }
 
-/// Waits until a host is ready and may take on requests that may not run twice.
-pub async fn wait_until_serving(admin_address: SocketAddr) {
-    let url = format!("http://{admin_address}/v1/status");
-    loop {
-        if let Ok(answer) = reqwest::get(&url).await
-            && let Ok(status) = answer.json::<HostStatus>().await
-            && status.is_ready()
-            && status.holds_claim
-        {
-            return;
-        }
-        tokio::time::sleep(LOOK_PAUSE).await;
-    }
-}
-
 /// The addresses of services by name.
 pub fn service_addresses(services: &[DemoService]) -> BTreeMap<SmolStr, SocketAddr> {
     let named = services.iter();
