--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -204,6 +204,8 @@
         self.learn_hosts(now, actions);
         self.keep_links(now, actions);
         self.decide_reading(now);
+        self.feed.sweep(&mut self.store);
+        self.relay.need_keys(self.feed.missing());
         self.poll_platform(now, actions);
         self.relay.tick(now, &self.store, actions);
         self.become_ready(now);
@@ -215,8 +217,7 @@
             reading: self.reading,
             peers_deliver: self.relay.is_delivering(now),
         };
-        self.feed.poll(now, &mut self.store, demand, actions);
-        self.relay.need_keys(self.feed.missing());
+        self.feed.poll(now, &self.store, demand, actions);
     }
 
     /// Compiles the published lists of hosts when one of them changed.
--- a/lib/src/platform_feed.rs
+++ b/lib/src/platform_feed.rs
@@ -41,7 +41,12 @@
 /// How long a starting host leaves it to its peers to bring the values.
 const PEER_PATIENCE: Duration = Duration::from_secs(2);
 /// Shortest time between two calls that ask whether other prefixes changed too.
-const CONFIRM_GAP: Duration = Duration::from_millis(50);
+const CONFIRM_GAP: Duration = Duration::from_millis(200);
+/// Pause before the next watch after one that brought changes.
+///
+/// With 60 changes a second and a watch for each, the headers of the calls cost more than the
+/// changes, and the prefixes were never seen at one revision; in the pause changes gather.
+const WATCH_GAP: Duration = Duration::from_millis(200);
 
 /// A call in flight.
 struct OpenCall {
@@ -77,6 +82,7 @@
     /// A watch without wait, beside the waiting one.
     confirm: Option<OpenCall>,
     confirm_from: Instant,
+    watch_from: Instant,
 }
 
 /// Whether a host has reason to call the platform.
@@ -110,6 +116,7 @@
             open: None,
             confirm: None,
             confirm_from: now,
+            watch_from: now,
         };
         Self {
             feeds: prefixes.iter().map(feed).collect(),
@@ -170,19 +177,25 @@
         self.feeds.iter().all(listed)
     }
 
+    /// Takes note of listed keys that peers have brought; to be called each tick.
+    ///
+    /// At each answer it would make the start of a host cost the square of its keys.
+    pub fn sweep(&mut self, store: &mut ConfigStore) {
+        for feed in &mut self.feeds {
+            feed.drop_missing(store);
+        }
+        self.advance_through(store);
+    }
+
     /// Makes the calls that are due.
     pub fn poll(
         &mut self,
         now: Instant,
-        store: &mut ConfigStore,
+        store: &ConfigStore,
         demand: FeedDemand,
         actions: &mut Vec<ControlAction>,
     ) {
         self.expire_calls(now, actions);
-        for index in 0..self.feeds.len() {
-            self.feeds[index].drop_missing(store);
-        }
-        self.advance_through(store);
         if now < self.retry_from || !self.budget.allows(now, TrafficClass::Removal) {
             return;
         }
@@ -358,7 +371,7 @@
                 })?;
                 Some(PlatformRequest::Value { key: key.clone() })
             }
-            FeedStage::Listed if demand.reading => {
+            FeedStage::Listed if demand.reading && now >= self.watch_from => {
                 self.known = self.known.max(store.through());
                 Some(PlatformRequest::Watch {
                     prefix: self.prefix.clone(),
@@ -381,9 +394,16 @@
             PlatformAnswer::Keys { revision, keys } => {
                 self.take_keys(now, store, revision, keys);
             }
-            PlatformAnswer::Value(Some(published)) => join_published(store, published),
-            PlatformAnswer::Value(None) => self.forget_missing(request),
+            PlatformAnswer::Value(published) => {
+                if let Some(published) = published {
+                    join_published(store, published);
+                }
+                self.forget_missing(request);
+            }
             PlatformAnswer::Changes { revision, changes } => {
+                if !changes.is_empty() {
+                    self.watch_from = now + WATCH_GAP;
+                }
                 for published in changes {
                     join_published(store, published);
                 }
@@ -421,13 +441,22 @@
         self.drop_missing(store);
     }
 
-    /// The key was deleted after it was listed; the next list or watch says at which revision.
+    /// The key was read, or deleted after it was listed; then the next list or watch says at which
+    /// revision.
     fn forget_missing(&mut self, request: &PlatformRequest) {
         let PlatformRequest::Value { key } = request else {
             return;
         };
-        if let FeedStage::Fetching { missing, .. } = &mut self.stage {
-            missing.remove(key);
+        let FeedStage::Fetching {
+            revision, missing, ..
+        } = &mut self.stage
+        else {
+            return;
+        };
+        missing.remove(key);
+        if missing.is_empty() {
+            self.known = self.known.max(*revision);
+            self.stage = FeedStage::Listed;
         }
     }
 }
