--- /dev/null
+++ b/bench/src/flow_cell.rs
@@ -0,0 +1,349 @@
+//! A cell of flow directories over an in-memory network in virtual time, with exact byte counts.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::config_snapshot::ConfigSnapshot;
+use lagoonproxy::config_snapshot::ServiceEntry;
+use lagoonproxy::config_snapshot::UpstreamEntry;
+use lagoonproxy::config_snapshot::UpstreamState;
+use lagoonproxy::flow_binding::FlowBinding;
+use lagoonproxy::flow_directory::DirectorySettings;
+use lagoonproxy::flow_directory::FlowDirectory;
+use lagoonproxy::flow_directory::FlowLookup;
+use lagoonproxy::flow_directory::FlowOrder;
+use lagoonproxy::flow_message::FlowMessage;
+use lagoonproxy::flow_message::FlowParties;
+use lagoonproxy::flow_question::FlowIntent;
+use lagoonproxy::ids::FlowDigest;
+use lagoonproxy::ids::HostId;
+use lagoonproxy::ids::UpstreamId;
+use lagoonproxy::owner_view::OwnerView;
+
+/// The service of every flow.
+pub const SERVICE: u32 = 1;
+const TICK: Duration = Duration::from_millis(10);
+/// One way between hosts, as between the zones of today.
+const DELAY: Duration = Duration::from_millis(4);
+/// Bytes of a peer's datagram besides the message: IP, UDP, header, sender, hops, keyed code.
+const FRAME_BYTES: usize = 56;
+const FLOW_IDLE: Duration = Duration::from_secs(2 * 3_600);
+
+struct Letter {
+    arrival: Instant,
+    from: HostId,
+    to: HostId,
+    parties: FlowParties,
+    message: FlowMessage,
+}
+
+/// What the cell has sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CellCounts {
+    /// Bytes of copied records, baselines and their confirmations: the control traffic.
+    pub control_bytes: usize,
+    /// Bytes of questions and answers, each caused by a caller's frame.
+    pub question_bytes: usize,
+    /// Questions sent.
+    pub questions: usize,
+    /// Records copied.
+    pub copied: usize,
+}
+
+/// Entry hosts that share flows.
+pub struct FlowCell {
+    /// The present time.
+    pub now: Instant,
+    /// What was sent so far.
+    pub counts: CellCounts,
+    hosts: BTreeMap<HostId, FlowDirectory>,
+    leaving: BTreeSet<HostId>,
+    config: ConfigSnapshot,
+    letters: Vec<Letter>,
+    settled: BTreeMap<FlowDigest, FlowLookup>,
+    incarnation: u64,
+    copy_rate: u32,
+}
+
+impl FlowCell {
+    /// Starts `hosts` hosts before `upstreams` upstreams and lets them settle.
+    pub fn start(hosts: u32, upstreams: u32, copy_rate: u32) -> Self {
+        let mut cell = Self {
+            now: Instant::now(),
+            counts: CellCounts::default(),
+            hosts: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            config: service_config(1, &(0..upstreams).collect::<Vec<_>>(), &[]),
+            letters: Vec::new(),
+            settled: BTreeMap::new(),
+            incarnation: 0,
+            copy_rate,
+        };
+        for host in 1..=hosts {
+            cell.join(host);
+        }
+        cell.run(Duration::from_secs(15));
+        cell
+    }
+
+    /// Publishes the upstreams that match the service's selector, and which of them drain.
+    pub fn publish(&mut self, upstreams: &[UpstreamId], draining: &[UpstreamId]) {
+        self.config = service_config(self.config.version + 1, upstreams, draining);
+        for directory in self.hosts.values_mut() {
+            directory.configure(&self.config);
+        }
+    }
+
+    /// Starts a host.
+    pub fn join(&mut self, host: HostId) {
+        self.incarnation += 1;
+        let mut directory = FlowDirectory::new(DirectorySettings {
+            host,
+            incarnation: self.incarnation,
+            flow_idle: FLOW_IDLE,
+            copy_rate: self.copy_rate,
+            copy_burst: self.copy_rate,
+        });
+        directory.configure(&self.config);
+        self.hosts.insert(host, directory);
+        self.spread_views();
+    }
+
+    /// Kills a host; the others notice at once.
+    pub fn crash(&mut self, host: HostId) {
+        self.hosts.remove(&host);
+        self.leaving.remove(&host);
+        self.spread_views();
+    }
+
+    /// Announces that a host is leaving.
+    pub fn leave(&mut self, host: HostId) {
+        self.leaving.insert(host);
+        self.spread_views();
+    }
+
+    /// Ends the leaving hosts that have handed over; `true` once none is left.
+    pub fn end_leaving(&mut self) -> bool {
+        let done: Vec<HostId> = self
+            .leaving
+            .iter()
+            .copied()
+            .filter(|host| self.hosts[host].is_handed_over())
+            .collect();
+        for host in done {
+            self.crash(host);
+        }
+        self.leaving.is_empty()
+    }
+
+    /// Whether every host's flows could be taken over now.
+    pub fn is_settled(&self) -> bool {
+        self.letters.is_empty() && self.hosts.values().all(FlowDirectory::is_handed_over)
+    }
+
+    /// The owner of a flow.
+    pub fn owner(&self, digest: FlowDigest) -> HostId {
+        let view = self.view(0);
+        view.owner(digest)
+    }
+
+    /// Flows held, by host.
+    pub fn held(&self) -> Vec<usize> {
+        self.hosts.values().map(FlowDirectory::len).collect()
+    }
+
+    /// Looks a flow up at its owner; a question is waited for.
+    pub fn frame(&mut self, digest: FlowDigest, intent: FlowIntent) -> Option<FlowBinding> {
+        match self.lookup(digest, intent) {
+            FlowLookup::Found(binding) => Some(binding),
+            FlowLookup::Asking => self.await_settled(digest),
+            FlowLookup::Absent | FlowLookup::Unsure => None,
+        }
+    }
+
+    /// Looks a flow up at its owner without waiting.
+    pub fn lookup(&mut self, digest: FlowDigest, intent: FlowIntent) -> FlowLookup {
+        let host = self.owner(digest);
+        let mut orders = Vec::new();
+        let Some(directory) = self.hosts.get_mut(&host) else {
+            return FlowLookup::Absent;
+        };
+        let lookup = directory.lookup(self.now, digest, SERVICE, intent, &mut orders);
+        self.post(host, orders);
+        lookup
+    }
+
+    /// The outcome of a question that has been settled.
+    pub fn take_settled(&mut self, digest: FlowDigest) -> Option<FlowLookup> {
+        self.settled.remove(&digest)
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets one tick pass.
+    pub fn step(&mut self) {
+        self.now += TICK;
+        let (due, rest) = std::mem::take(&mut self.letters)
+            .into_iter()
+            .partition(|letter| letter.arrival <= self.now);
+        self.letters = rest;
+        for letter in due {
+            self.deliver(letter);
+        }
+        let hosts: Vec<HostId> = self.hosts.keys().copied().collect();
+        for host in hosts {
+            let mut orders = Vec::new();
+            if let Some(directory) = self.hosts.get_mut(&host) {
+                directory.tick(self.now, &mut orders);
+            }
+            self.post(host, orders);
+        }
+    }
+
+    fn await_settled(&mut self, digest: FlowDigest) -> Option<FlowBinding> {
+        for _tick in 0..200 {
+            if let Some(lookup) = self.take_settled(digest) {
+                let FlowLookup::Found(binding) = lookup else {
+                    return None;
+                };
+                return Some(binding);
+            }
+            self.step();
+        }
+        None
+    }
+
+    fn deliver(&mut self, letter: Letter) {
+        let mut orders = Vec::new();
+        if let Some(directory) = self.hosts.get_mut(&letter.to) {
+            directory.take_message(
+                self.now,
+                letter.from,
+                letter.parties,
+                &letter.message,
+                &mut orders,
+            );
+        }
+        self.post(letter.to, orders);
+    }
+
+    fn post(&mut self, from: HostId, orders: Vec<FlowOrder>) {
+        for order in orders {
+            match order {
+                FlowOrder::Tell {
+                    host,
+                    parties,
+                    message,
+                } => {
+                    self.count(&parties, &message);
+                    self.letters.push(Letter {
+                        arrival: self.now + DELAY,
+                        from,
+                        to: host,
+                        parties,
+                        message,
+                    });
+                }
+                FlowOrder::Settled { digest, lookup } => {
+                    self.settled.insert(digest, lookup);
+                }
+            }
+        }
+    }
+
+    fn count(&mut self, parties: &FlowParties, message: &FlowMessage) {
+        let encoded = postcard::to_allocvec(&(parties, message)).unwrap_or_default();
+        let bytes = encoded.len() + FRAME_BYTES;
+        match message {
+            FlowMessage::Ask { .. } => {
+                self.counts.questions += 1;
+                self.counts.question_bytes += bytes;
+            }
+            FlowMessage::Tell { .. } => self.counts.question_bytes += bytes,
+            FlowMessage::Records { notes, .. } => {
+                self.counts.copied += notes.len();
+                self.counts.control_bytes += bytes;
+            }
+            FlowMessage::Baselines { .. }
+            | FlowMessage::Confirm { .. }
+            | FlowMessage::Hello
+            | FlowMessage::HelloBack => self.counts.control_bytes += bytes,
+        }
+    }
+
+    fn view(&self, host: HostId) -> OwnerView {
+        let others = self.hosts.keys().copied();
+        let eligible = others.clone().filter(|other| !self.leaving.contains(other));
+        OwnerView {
+            host,
+            eligible: eligible.collect(),
+            reachable: others.filter(|other| *other != host).collect(),
+        }
+    }
+
+    fn spread_views(&mut self) {
+        let hosts: Vec<HostId> = self.hosts.keys().copied().collect();
+        for host in hosts {
+            let view = self.view(host);
+            let mut orders = Vec::new();
+            if let Some(directory) = self.hosts.get_mut(&host) {
+                directory.set_view(self.now, view, &mut orders);
+            }
+            self.post(host, orders);
+        }
+    }
+}
+
+fn service_config(
+    version: u64,
+    upstreams: &[UpstreamId],
+    draining: &[UpstreamId],
+) -> ConfigSnapshot {
+    let mut config = ConfigSnapshot {
+        version,
+        ..ConfigSnapshot::default()
+    };
+    let address: SocketAddr = ([10, 0, 0, 1], 700).into();
+    config.addresses.insert(address, SERVICE);
+    config.services.insert(
+        SERVICE,
+        ServiceEntry {
+            id: SERVICE,
+            name: "ledger".into(),
+            address,
+            upstreams: upstreams.to_vec(),
+        },
+    );
+    for id in upstreams {
+        let state = if draining.contains(id) {
+            UpstreamState::Draining
+        } else {
+            UpstreamState::Active
+        };
+        config.upstreams.insert(*id, upstream_entry(*id, state));
+    }
+    config
+}
+
+fn upstream_entry(id: UpstreamId, state: UpstreamState) -> UpstreamEntry {
+    UpstreamEntry {
+        id,
+        name: format!("ledger-{id}").into(),
+        address: ([127, 0, 1, 1], 5_000 + id as u16).into(),
+        health_address: None,
+        zone: "zig-a".into(),
+        incarnation: 0,
+        state,
+        slots: 2,
+        connections: 2_000,
+    }
+}
