--- a/bench/src/bin/lagoon-placement.rs
+++ b/bench/src/bin/lagoon-placement.rs
@@ -211,6 +211,7 @@
     run.open(args.flows);
     run.pass(1_000);
     let before = run.scheme.counts();
+    let started = run.scheme.elapsed();
     run.ticks = 0;
     for group in &scenario.groups {
         run.apply(group);
@@ -220,7 +221,11 @@
     let after = run.scheme.counts();
     let hosts = run.world.hosts.len();
     let control_bytes = (after.control_bytes - before.control_bytes) / hosts;
-    let seconds = run.ticks as f64 / 100.0;
+    let elapsed = run.scheme.elapsed().zip(started);
+    let seconds = match elapsed {
+        Some((end, start)) => (end - start).as_secs_f64(),
+        None => run.ticks as f64 / 100.0,
+    };
     PlacementResult {
         scenario: scenario.name,
         scheme: run.scheme.name(),
--- a/bench/src/placement_scheme.rs
+++ b/bench/src/placement_scheme.rs
@@ -1,6 +1,8 @@
 //! Ways to place flows that are compared over the same changes.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
 
 use lagoonproxy::flow_binding::FlowBinding;
 use lagoonproxy::flow_hash::rendezvous_weight;
@@ -41,6 +43,11 @@
     /// Lets the time of one tick pass.
     fn step(&mut self) {}
 
+    /// How much virtual time has passed by the scheme's own clock, if it has one.
+    fn elapsed(&self) -> Option<Duration> {
+        None
+    }
+
     /// Whether a host that leaves may end now.
     fn may_end(&mut self) -> bool {
         true
@@ -158,8 +165,11 @@
     slots: Vec<UpstreamId>,
 }
 
-/// Slots an upstream, as the published system advises.
+/// Slots an upstream at least, as the published system advises.
 const SLOTS_A_MEMBER: usize = 100;
+/// Slots of a table unless it has too many members; its size must not follow their number, for a
+/// table of another size moves nearly every flow.
+const SLOTS: usize = 65_537;
 
 impl SlotScheme {
     /// Fills the slots for some upstreams.
@@ -200,14 +210,15 @@
 /// The way of the product.
 pub struct DirectoryScheme {
     cell: FlowCell,
+    start: Instant,
 }
 
 impl DirectoryScheme {
     /// Starts a cell whose hosts may each send `copy_rate` bytes a second for copies.
     pub fn start(hosts: u32, upstreams: u32, copy_rate: u32) -> Self {
-        Self {
-            cell: FlowCell::start(hosts, upstreams, copy_rate),
-        }
+        let cell = FlowCell::start(hosts, upstreams, copy_rate);
+        let start = cell.now;
+        Self { cell, start }
     }
 }
 
@@ -242,6 +253,10 @@
         self.cell.step();
     }
 
+    fn elapsed(&self) -> Option<Duration> {
+        Some(self.cell.now - self.start)
+    }
+
     fn may_end(&mut self) -> bool {
         self.cell.end_leaving()
     }
@@ -266,7 +281,7 @@
     if members.is_empty() {
         return Vec::new();
     }
-    let count = next_prime(members.len() * SLOTS_A_MEMBER);
+    let count = next_prime(SLOTS.max(members.len() * SLOTS_A_MEMBER));
     let steps: Vec<(usize, usize)> = members
         .iter()
         .map(|id| {
--- a/lib/src/baseline_book.rs
+++ b/lib/src/baseline_book.rs
@@ -13,7 +13,7 @@
 use crate::ids::ServiceId;
 use crate::placement_table::TableId;
 
-/// What a process that is gone last said.
+/// What a host said of flows that it does not hold any more.
 #[derive(Clone, Debug)]
 struct FormerBaseline {
     host: HostId,
@@ -38,9 +38,30 @@
         Some(tables)
     }
 
-    /// Takes in what a host says of a service.
-    pub fn learn(&mut self, host: HostId, service: ServiceId, tables: &[TableId]) {
-        self.present.insert((host, service), tables.to_vec());
+    /// Takes in what a host says of a service; returns what it said before.
+    pub fn learn(
+        &mut self,
+        host: HostId,
+        service: ServiceId,
+        tables: &[TableId],
+    ) -> Option<Vec<TableId>> {
+        self.present.insert((host, service), tables.to_vec())
+    }
+
+    /// Keeps what a host said before for flows that this one has taken over from it.
+    pub fn keep(
+        &mut self,
+        host: HostId,
+        service: ServiceId,
+        tables: Vec<TableId>,
+        forget_deadline: Instant,
+    ) {
+        self.former.push(FormerBaseline {
+            host,
+            service,
+            tables,
+            forget_deadline,
+        });
     }
 
     /// The last known process on a host.
@@ -64,16 +85,11 @@
             let Some(tables) = self.present.remove(&key) else {
                 continue;
             };
-            self.former.push(FormerBaseline {
-                host,
-                service: key.1,
-                tables,
-                forget_deadline: now + flow_idle,
-            });
+            self.keep(host, key.1, tables, now + flow_idle);
         }
     }
 
-    /// What processes that are gone said of a service: host and tables, oldest first.
+    /// What hosts said of flows that they do not hold any more: host and tables, oldest first.
     pub fn former(&self, service: ServiceId) -> impl Iterator<Item = (HostId, &[TableId])> {
         self.former
             .iter()
--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -4,6 +4,7 @@
 //! derives its upstream from the former owner's baseline. Only exceptions are copied to the host
 //! that would take them over, and what remains in doubt is asked of the hosts that may know.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -127,6 +128,12 @@
     /// Until when an `Open` may be a copy of one that a former owner has answered.
     open_doubt_deadline: Option<Instant>,
     pub(crate) renew_deadline: Option<Instant>,
+    /// The hosts that owned this one's flows before it joined, in ascending order.
+    elders: Vec<HostId>,
+    /// Until when hosts that it meets are elders.
+    meeting_deadline: Option<Instant>,
+    /// When the last flow that it took over by joining, and never heard of, is idle.
+    pub(crate) inherited_deadline: Option<Instant>,
 }
 
 impl FlowDirectory {
@@ -149,6 +156,9 @@
             questions: QuestionTable::default(),
             open_doubt_deadline: None,
             renew_deadline: None,
+            elders: Vec::new(),
+            meeting_deadline: None,
+            inherited_deadline: None,
         }
     }
 
@@ -166,6 +176,7 @@
             return;
         }
         let former = std::mem::replace(&mut self.view, view);
+        self.meet_elders(now);
         if former.eligible != self.view.eligible {
             self.open_doubt_deadline = Some(now + OPEN_DOUBT);
         }
@@ -182,6 +193,29 @@
         self.sweep.restart();
     }
 
+    /// Remembers whose flows this host takes over by joining.
+    ///
+    /// Such a flow may stay silent for an hour while the tables change and its former owner, which
+    /// has been told that this host derives it, forgets it. Only what the former owner said when
+    /// this host joined still tells where it lives.
+    fn meet_elders(&mut self, now: Instant) {
+        let end = *self.meeting_deadline.get_or_insert(now + OPEN_DOUBT);
+        let inherited = *self
+            .inherited_deadline
+            .get_or_insert(now + self.settings.flow_idle);
+        if inherited <= now {
+            self.elders.clear();
+        }
+        if end <= now {
+            return;
+        }
+        let others = self.view.eligible.iter().copied();
+        let others = others.filter(|host| *host != self.settings.host);
+        let elders = self.elders.iter().copied();
+        let both: BTreeSet<HostId> = others.chain(elders).collect();
+        self.elders = both.into_iter().collect();
+    }
+
     /// Where a flow lives, after moving its idle deadline.
     pub fn lookup(
         &mut self,
@@ -423,14 +457,17 @@
         })
     }
 
-    /// Where the hosts that are gone and ranked ahead of this one say that a flow lived.
+    /// Where hosts from which this one took flows over, by their end or by joining, say that a
+    /// flow lived.
     ///
     /// The oldest table of the oldest process decides: a flow opened after that process was gone,
     /// and placed elsewhere, was copied by the rule of [`Self::heir_derives`], so that one without
     /// a copy is the older.
     pub(crate) fn legacy_place(&self, digest: FlowDigest, service: ServiceId) -> LegacyPlace {
         let mut former = self.book.former(service);
-        let oldest = former.find(|(host, _tables)| self.view.is_ahead(digest, *host));
+        let elder = OwnerView::first_of(digest, &self.elders);
+        let oldest = former
+            .find(|(host, _tables)| self.view.is_ahead(digest, *host) || elder == Some(*host));
         let Some((_host, tables)) = oldest else {
             return LegacyPlace::None;
         };
--- a/lib/src/flow_exchange.rs
+++ b/lib/src/flow_exchange.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use crate::flow_binding::FlowBinding;
 use crate::flow_directory::FlowDirectory;
 use crate::flow_directory::FlowLookup;
 use crate::flow_directory::FlowOrder;
@@ -56,7 +57,7 @@
                 self.confirm(sender, *sequence, orders);
             }
             FlowMessage::Baselines { sequence, tables } => {
-                self.learn_baselines(sender, tables);
+                self.learn_baselines(now, sender, tables);
                 self.confirm(sender, *sequence, orders);
             }
             FlowMessage::Confirm { sequence } => self.take_confirm(sender, *sequence),
@@ -193,10 +194,27 @@
             }
             (FlowIntent::Open, _) => self.place(now, digest, service),
             (FlowIntent::Established, LegacyPlace::At(binding)) => self.adopt(now, digest, binding),
-            (FlowIntent::Established, _) => FlowLookup::Absent,
+            (FlowIntent::Established, LegacyPlace::Unknown) => FlowLookup::Absent,
+            (FlowIntent::Established, LegacyPlace::None) => {
+                match self.vouched_place(digest, service) {
+                    Some(binding) => self.adopt(now, digest, binding),
+                    None => FlowLookup::Absent,
+                }
+            }
         }
     }
 
+    /// Where the table in force places a flow, if a host that was not asked says that it would
+    /// hold the flow there: those that were asked do not hold it.
+    fn vouched_place(&self, digest: FlowDigest, service: ServiceId) -> Option<FlowBinding> {
+        let place = self.tables.newest(service)?.place(digest);
+        let vouches = |host: &HostId| {
+            let baseline = self.book.present(*host, service);
+            baseline.is_some_and(|told| self.tables_agree(service, told, digest, place))
+        };
+        place.filter(|_binding| self.view.reachable.iter().any(vouches))
+    }
+
     fn known_record(
         &self,
         now: Instant,
@@ -225,7 +243,9 @@
         self.learn_address(note);
         let record = note.record(now, self.settings.flow_idle);
         if self.view.owner(digest) == self.settings.host {
-            if self.flows.get(now, digest).is_none() {
+            // A record that was about to be released is kept on: the sender relies on it now.
+            let kept = self.flows.touch(now, digest, record.idle_deadline);
+            if kept.is_none() {
                 self.flows.insert(now, digest, record);
                 self.sweep.restart();
             }
@@ -280,13 +300,18 @@
         }
     }
 
-    fn learn_baselines(&mut self, sender: HostId, tables: &[TableNote]) {
+    fn learn_baselines(&mut self, now: Instant, sender: HostId, tables: &[TableNote]) {
         for note in tables {
             let known = self.book.present(sender, note.service);
-            if known != Some(&note.tables) {
-                self.book.learn(sender, note.service, &note.tables);
-                self.sweep.restart();
+            if known == Some(&note.tables) {
+                continue;
             }
+            let former = self.book.learn(sender, note.service, &note.tables);
+            let inherited = self.inherited_deadline.filter(|deadline| now < *deadline);
+            if let Some((tables, deadline)) = former.zip(inherited) {
+                self.book.keep(sender, note.service, tables, deadline);
+            }
+            self.sweep.restart();
         }
     }
 
--- a/lib/src/flow_sweep.rs
+++ b/lib/src/flow_sweep.rs
@@ -106,14 +106,29 @@
                 self.sweep.dirty.insert((heir, binding.service));
                 let urgency = self.urgency(heir, &flow);
                 self.handover.copy(heir, flow.digest, urgency);
-            } else if self.view.owner(flow.digest) != self.view.host
-                && self.handover.told(heir, binding.service).is_some()
-            {
-                self.flows.limit_deadline(flow.digest, now + RELEASE_GRACE);
+            } else if self.view.owner(flow.digest) != self.view.host {
+                self.release(now, heir, &flow, copied);
             }
         }
     }
 
+    /// Ends this host's part in a flow that its owner holds or derives. An exception becomes a copy,
+    /// for this host may be its owner's heir; the others need no record any more.
+    fn release(&mut self, now: Instant, owner: HostId, flow: &HeldFlow, copied: bool) {
+        let service = flow.record.binding.service;
+        if copied {
+            self.flows.remove(flow.digest);
+            self.copies.insert(now, flow.digest, flow.record);
+            let mark = CopyMark {
+                host: owner,
+                period: self.handover.life(owner),
+            };
+            self.copies.mark_copied(flow.digest, mark);
+        } else if self.handover.told(owner, service).is_some() {
+            self.flows.limit_deadline(flow.digest, now + RELEASE_GRACE);
+        }
+    }
+
     /// A copy whose owner is gone becomes this host's flow; one whose owner is a process that
     /// never had it goes to that process, which would otherwise derive it wrongly.
     fn walk_copies(&mut self, now: Instant, segment: usize) {
--- a/lib/src/owner_view.rs
+++ b/lib/src/owner_view.rs
@@ -39,6 +39,12 @@
         rank(digest, host) > rank(digest, self.host)
     }
 
+    /// Which of `hosts` ranks first for a flow.
+    pub fn first_of(digest: FlowDigest, hosts: &[HostId]) -> Option<HostId> {
+        let hosts = hosts.iter().copied();
+        hosts.max_by_key(|host| rank(digest, *host))
+    }
+
     /// The other reachable hosts, those that rank first for a flow before the others.
     pub fn ranked_peers(&self, digest: FlowDigest) -> Vec<HostId> {
         let mut peers = self.reachable.clone();
