--- a/bench/src/flow_cell.rs
+++ b/bench/src/flow_cell.rs
@@ -197,7 +197,7 @@
             .partition(|letter| letter.arrival <= self.now);
         self.letters = rest;
         for letter in due {
-            self.deliver(letter);
+            self.deliver(&letter);
         }
         let hosts: Vec<HostId> = self.hosts.keys().copied().collect();
         for host in hosts {
@@ -222,7 +222,7 @@
         None
     }
 
-    fn deliver(&mut self, letter: Letter) {
+    fn deliver(&mut self, letter: &Letter) {
         let mut orders = Vec::new();
         if let Some(directory) = self.hosts.get_mut(&letter.to) {
             directory.take_message(
