--- a/bench/src/bin/lagoon-placement.rs
+++ b/bench/src/bin/lagoon-placement.rs
@@ -150,8 +150,8 @@
             "repeated",
             vec![
                 vec![drain.clone()],
-                vec![leave.clone(), selector.clone()],
-                vec![add.clone(), join.clone()],
+                vec![leave, selector],
+                vec![add.clone(), join],
                 vec![PlacementChange::Join(2), back.clone()],
                 vec![PlacementChange::Leave(3), drain],
                 vec![PlacementChange::Leave(2), back],
--- a/lib/tests/test_flow_table.rs
+++ b/lib/tests/test_flow_table.rs
@@ -52,7 +52,7 @@
     let now = Instant::now();
     let mut table = FlowTable::default();
     for flow in 0..50_000 {
-        let idle = Duration::from_secs(10 + flow as u64 % 2);
+        let idle = Duration::from_secs(10 + flow % 2);
         table.insert(now, flow_digest(flow), record(1, now + idle));
     }
     let full = table.bytes();
