bench: measure a change of owners; ask the owner when serving for it

Cause: requests that may not run twice go to the host that holds the claim, which may be neither the flow's owner nor its heir and so has no copies of its exceptions; it must not derive.

--- a/bench/src/flow_cell.rs
+++ b/bench/src/flow_cell.rs
@@ -150,6 +150,12 @@
         view.owner(digest)
     }
 
+    /// Whether a frame of an opened flow would have to wait for a question.
+    pub fn is_in_doubt(&self, digest: FlowDigest) -> bool {
+        let owner = self.hosts.get(&self.owner(digest));
+        owner.is_some_and(|directory| directory.is_in_doubt(self.now, digest, SERVICE))
+    }
+
     /// Flows held, by host.
     pub fn held(&self) -> Vec<usize> {
         self.hosts.values().map(FlowDirectory::len).collect()
--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -256,6 +256,16 @@
         own.or_else(|| self.copies.get(now, digest))
     }
 
+    /// Whether a frame of an opened flow would have to wait for other hosts' answers.
+    pub fn is_in_doubt(&self, now: Instant, digest: FlowDigest, service: ServiceId) -> bool {
+        let intent = FlowIntent::Established;
+        self.peek(now, digest).is_none()
+            && matches!(
+                self.judge(now, digest, service, intent),
+                FlowJudgement::Ask(_)
+            )
+    }
+
     /// Ends a flow and returns where it lived.
     pub fn close(&mut self, digest: FlowDigest) -> Option<FlowBinding> {
         let copy = self.copies.remove(digest);
@@ -415,6 +425,11 @@
         let newest = self.tables.newest(service);
         let place = newest.and_then(|table| table.place(digest));
         let mut hosts = self.view.ranked_peers(digest);
+        if self.view.owner(digest) != self.settings.host && !hosts.is_empty() {
+            // Exceptions are copied to the owner and its heir alone; a host that serves a frame
+            // because views differ, or because it holds the claim, has to ask.
+            return FlowJudgement::Ask(hosts);
+        }
         let legacy = self.legacy_place(digest, service);
         if legacy == LegacyPlace::None || Some(legacy) == place.map(LegacyPlace::At) {
             hosts.retain(|host| {
