--- a/bench/src/flow_cell.rs
+++ b/bench/src/flow_cell.rs
@@ -18,10 +18,14 @@
 use lagoonproxy::flow_message::FlowMessage;
 use lagoonproxy::flow_message::FlowParties;
 use lagoonproxy::flow_question::FlowIntent;
+use lagoonproxy::host_core::MAX_HOPS;
 use lagoonproxy::ids::FlowDigest;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::UpstreamId;
 use lagoonproxy::owner_view::OwnerView;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 /// The service of every flow.
 pub const SERVICE: u32 = 1;
@@ -40,6 +44,17 @@
     message: FlowMessage,
 }
 
+/// What the links between hosts do to messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LinkFaults {
+    /// Messages lost, in percent.
+    pub loss: u32,
+    /// Messages that arrive twice, in percent.
+    pub duplicates: u32,
+    /// Longest extra delay in milliseconds, drawn for each, so that messages overtake each other.
+    pub jitter: u32,
+}
+
 /// What the cell has sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CellCounts {
@@ -64,8 +79,12 @@
     config: ConfigSnapshot,
     letters: Vec<Letter>,
     settled: BTreeMap<FlowDigest, FlowLookup>,
+    /// What each host believes of the others; hosts may lag.
+    views: BTreeMap<HostId, OwnerView>,
     incarnation: u64,
     copy_rate: u32,
+    faults: LinkFaults,
+    random: StdRng,
 }
 
 impl FlowCell {
@@ -79,8 +98,11 @@
             config: service_config(1, &(0..upstreams).collect::<Vec<_>>(), &[]),
             letters: Vec::new(),
             settled: BTreeMap::new(),
+            views: BTreeMap::new(),
             incarnation: 0,
             copy_rate,
+            faults: LinkFaults::default(),
+            random: StdRng::seed_from_u64(1),
         };
         for host in 1..=hosts {
             cell.join(host);
@@ -97,6 +119,69 @@
         }
     }
 
+    /// Makes the links lossy from now on; `seed` decides what happens to which message.
+    pub fn set_faults(&mut self, faults: LinkFaults, seed: u64) {
+        self.faults = faults;
+        self.random = StdRng::seed_from_u64(seed);
+    }
+
+    /// Publishes as [`Self::publish`] does, but only some hosts hear of it yet.
+    pub fn publish_to(
+        &mut self,
+        upstreams: &[UpstreamId],
+        draining: &[UpstreamId],
+        hears: impl Fn(HostId) -> bool,
+    ) {
+        self.config = service_config(self.config.version + 1, upstreams, draining);
+        for (host, directory) in &mut self.hosts {
+            if hears(*host) {
+                directory.configure(&self.config);
+            }
+        }
+    }
+
+    /// Lets every host catch up with the configuration and with the others.
+    pub fn catch_up(&mut self) {
+        for directory in self.hosts.values_mut() {
+            directory.configure(&self.config);
+        }
+        self.spread_views();
+    }
+
+    /// The hosts that live and are not leaving.
+    pub fn eligible(&self) -> Vec<HostId> {
+        self.view(0).eligible
+    }
+
+    /// Passes a frame that arrived at `entry` on as the hosts' own views say, and looks its flow up
+    /// where it ends.
+    pub fn frame_at(
+        &mut self,
+        entry: HostId,
+        digest: FlowDigest,
+        intent: FlowIntent,
+    ) -> FlowLookup {
+        let mut host = entry;
+        for _hop in 0..MAX_HOPS {
+            let owner = self.views[&host].owner(digest);
+            if owner == host || !self.hosts.contains_key(&owner) {
+                break;
+            }
+            host = owner;
+        }
+        let lookup = self.lookup_at(host, digest, intent);
+        if lookup != FlowLookup::Asking {
+            return lookup;
+        }
+        for _tick in 0..200 {
+            if let Some(lookup) = self.take_settled(digest) {
+                return lookup;
+            }
+            self.step();
+        }
+        FlowLookup::Unsure
+    }
+
     /// Starts a host.
     pub fn join(&mut self, host: HostId) {
         self.incarnation += 1;
@@ -114,9 +199,15 @@
 
     /// Kills a host; the others notice at once.
     pub fn crash(&mut self, host: HostId) {
+        self.kill(host);
+        self.spread_views();
+    }
+
+    /// Kills a host; the others go on believing in it until [`Self::catch_up`].
+    pub fn kill(&mut self, host: HostId) {
         self.hosts.remove(&host);
         self.leaving.remove(&host);
-        self.spread_views();
+        self.views.remove(&host);
     }
 
     /// Announces that a host is leaving.
@@ -172,7 +263,10 @@
 
     /// Looks a flow up at its owner without waiting.
     pub fn lookup(&mut self, digest: FlowDigest, intent: FlowIntent) -> FlowLookup {
-        let host = self.owner(digest);
+        self.lookup_at(self.owner(digest), digest, intent)
+    }
+
+    fn lookup_at(&mut self, host: HostId, digest: FlowDigest, intent: FlowIntent) -> FlowLookup {
         let mut orders = Vec::new();
         let Some(directory) = self.hosts.get_mut(&host) else {
             return FlowLookup::Absent;
@@ -251,7 +345,7 @@
                     message,
                 } => {
                     self.count(&parties, &message);
-                    self.letters.push(Letter {
+                    self.send(Letter {
                         arrival: self.now + DELAY,
                         from,
                         to: host,
@@ -266,6 +360,23 @@
         }
     }
 
+    fn send(&mut self, letter: Letter) {
+        let mut copies = 1;
+        if self.random.random_range(0..100) < self.faults.loss {
+            copies = 0;
+        } else if self.random.random_range(0..100) < self.faults.duplicates {
+            copies = 2;
+        }
+        for _copy in 0..copies {
+            let extra = self.random.random_range(0..=self.faults.jitter);
+            self.letters.push(Letter {
+                arrival: letter.arrival + Duration::from_millis(u64::from(extra)),
+                message: letter.message.clone(),
+                ..letter
+            });
+        }
+    }
+
     fn count(&mut self, parties: &FlowParties, message: &FlowMessage) {
         let encoded = postcard::to_allocvec(&(parties, message)).unwrap_or_default();
         let bytes = encoded.len() + FRAME_BYTES;
@@ -300,6 +411,7 @@
         let hosts: Vec<HostId> = self.hosts.keys().copied().collect();
         for host in hosts {
             let view = self.view(host);
+            self.views.insert(host, view.clone());
             let mut orders = Vec::new();
             if let Some(directory) = self.hosts.get_mut(&host) {
                 directory.set_view(self.now, view, &mut orders);
--- a/lib/src/baseline_book.rs
+++ b/lib/src/baseline_book.rs
@@ -13,12 +13,26 @@
 use crate::ids::ServiceId;
 use crate::placement_table::TableId;
 
+/// How a baseline came to be a former one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BaselineEnd {
+    /// Its host is gone, and whoever ranks next has its flows.
+    HostGone,
+    /// Its host has said something newer, after copying what differs to those that rank next; a
+    /// host that took flows over by joining ranks before it and got no copies of silent ones.
+    Replaced,
+}
+
 /// What a host said of flows that it does not hold any more.
 #[derive(Clone, Debug)]
-struct FormerBaseline {
-    host: HostId,
+pub struct FormerBaseline {
+    /// The host.
+    pub host: HostId,
+    /// Why it holds them no more.
+    pub end: BaselineEnd,
+    /// The tables that they follow, the newest first.
+    pub tables: Vec<TableId>,
     service: ServiceId,
-    tables: Vec<TableId>,
     /// When its last flow is idle.
     forget_deadline: Instant,
 }
@@ -48,16 +62,18 @@
         self.present.insert((host, service), tables.to_vec())
     }
 
-    /// Keeps what a host said before for flows that this one has taken over from it.
+    /// Keeps what a host said for flows that this one may have taken over from it.
     pub fn keep(
         &mut self,
         host: HostId,
         service: ServiceId,
+        end: BaselineEnd,
         tables: Vec<TableId>,
         forget_deadline: Instant,
     ) {
         self.former.push(FormerBaseline {
             host,
+            end,
             service,
             tables,
             forget_deadline,
@@ -85,16 +101,15 @@
             let Some(tables) = self.present.remove(&key) else {
                 continue;
             };
-            self.keep(host, key.1, tables, now + flow_idle);
+            let end = BaselineEnd::HostGone;
+            self.keep(host, key.1, end, tables, now + flow_idle);
         }
     }
 
-    /// What hosts said of flows that they do not hold any more: host and tables, oldest first.
-    pub fn former(&self, service: ServiceId) -> impl Iterator<Item = (HostId, &[TableId])> {
-        self.former
-            .iter()
-            .filter(move |former| former.service == service)
-            .map(|former| (former.host, former.tables.as_slice()))
+    /// What hosts said of a service's flows that they do not hold any more, oldest first.
+    pub fn former(&self, service: ServiceId) -> impl DoubleEndedIterator<Item = &FormerBaseline> {
+        let former = self.former.iter();
+        former.filter(move |former| former.service == service)
     }
 
     /// Forgets processes whose last flow is idle.
--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -9,6 +9,8 @@
 use std::time::Instant;
 
 use crate::baseline_book::BaselineBook;
+use crate::baseline_book::BaselineEnd;
+use crate::baseline_book::FormerBaseline;
 use crate::byte_budget::ByteBudget;
 use crate::config_snapshot::ConfigSnapshot;
 use crate::flow_binding::FlowBinding;
@@ -345,7 +347,8 @@
         }
         let told = self.handover.told(heir, binding.service);
         let heard = self.book.present(heir, binding.service);
-        let mut sets = [told, heard].into_iter().flatten();
+        let own = self.baseline(binding.service);
+        let mut sets = [told, heard, Some(own.as_slice())].into_iter().flatten();
         sets.all(|tables| self.tables_agree(binding.service, tables, digest, Some(binding)))
     }
 
@@ -479,14 +482,19 @@
     /// and placed elsewhere, was copied by the rule of [`Self::heir_derives`], so that one without
     /// a copy is the older.
     pub(crate) fn legacy_place(&self, digest: FlowDigest, service: ServiceId) -> LegacyPlace {
-        let mut former = self.book.former(service);
         let elder = OwnerView::first_of(digest, &self.elders);
-        let oldest = former
-            .find(|(host, _tables)| self.view.is_ahead(digest, *host) || elder == Some(*host));
-        let Some((_host, tables)) = oldest else {
+        let inherits = |former: &&FormerBaseline| {
+            let is_ahead = self.view.is_ahead(digest, former.host);
+            match former.end {
+                BaselineEnd::HostGone => is_ahead || elder == Some(former.host),
+                BaselineEnd::Replaced => !is_ahead && elder == Some(former.host),
+            }
+        };
+        let Some(oldest) = self.book.former(service).find(inherits) else {
             return LegacyPlace::None;
         };
-        let table = tables.last().and_then(|id| self.tables.find(service, *id));
+        let last = oldest.tables.last();
+        let table = last.and_then(|id| self.tables.find(service, *id));
         let binding = table.and_then(|table| table.place(digest));
         binding.map_or(LegacyPlace::Unknown, LegacyPlace::At)
     }
--- a/lib/src/flow_exchange.rs
+++ b/lib/src/flow_exchange.rs
@@ -2,23 +2,27 @@
 
 use std::time::Instant;
 
+use crate::baseline_book::BaselineEnd;
 use crate::flow_binding::FlowBinding;
 use crate::flow_directory::FlowDirectory;
 use crate::flow_directory::FlowLookup;
 use crate::flow_directory::FlowOrder;
 use crate::flow_directory::LegacyPlace;
+use crate::flow_message::FlowAnswer;
 use crate::flow_message::FlowMessage;
 use crate::flow_message::FlowNote;
 use crate::flow_message::FlowParties;
 use crate::flow_message::FlowSequence;
 use crate::flow_message::TableNote;
 use crate::flow_question::FlowIntent;
+use crate::flow_question::FlowQuestion;
 use crate::flow_question::QuestionStep;
 use crate::flow_table::CopyMark;
 use crate::flow_table::FlowRecord;
 use crate::ids::FlowDigest;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
+use crate::owner_view::OwnerView;
 
 impl FlowDirectory {
     /// Takes a peer's message.
@@ -67,16 +71,15 @@
                 established,
             } => {
                 let flow = FlowDigest::from_le_bytes(*digest);
-                let record = self.known_record(now, flow, *service, *established);
                 let message = FlowMessage::Tell {
                     digest: *digest,
-                    note: record.map(|record| self.note(now, flow, &record)),
+                    answer: self.answer(now, flow, *service, *established),
                 };
                 self.tell(sender, message, orders);
             }
-            FlowMessage::Tell { digest, note } => {
+            FlowMessage::Tell { digest, answer } => {
                 let flow = FlowDigest::from_le_bytes(*digest);
-                self.take_answer(now, sender, flow, note.as_ref(), orders);
+                self.take_answer(now, sender, flow, answer, orders);
             }
             FlowMessage::Hello | FlowMessage::HelloBack => {}
         }
@@ -148,7 +151,7 @@
             }
             QuestionStep::Nobody => {
                 if let Some(question) = self.questions.close(digest) {
-                    let lookup = self.settle(now, digest, question.service, question.intent);
+                    let lookup = self.settle(now, digest, &question);
                     orders.push(FlowOrder::Settled { digest, lookup });
                 }
             }
@@ -160,11 +163,19 @@
         now: Instant,
         sender: HostId,
         digest: FlowDigest,
-        note: Option<&FlowNote>,
+        answer: &FlowAnswer,
         orders: &mut Vec<FlowOrder>,
     ) {
-        let Some(note) = note else {
-            return self.take_denial(now, sender, digest, orders);
+        let note = match answer {
+            FlowAnswer::Holds(note) => note,
+            FlowAnswer::Derives(note) => {
+                self.learn_address(note);
+                let is_better = |host, other| OwnerView::ranks_before(digest, host, other);
+                self.questions
+                    .derived(digest, sender, note.binding(), is_better);
+                return self.take_denial(now, sender, digest, orders);
+            }
+            FlowAnswer::Unknown => return self.take_denial(now, sender, digest, orders),
         };
         if self.questions.close(digest).is_none() {
             return;
@@ -178,24 +189,25 @@
     }
 
     /// Settles a flow of which no host that could be asked has a record.
-    fn settle(
-        &mut self,
-        now: Instant,
-        digest: FlowDigest,
-        service: ServiceId,
-        intent: FlowIntent,
-    ) -> FlowLookup {
+    fn settle(&mut self, now: Instant, digest: FlowDigest, question: &FlowQuestion) -> FlowLookup {
         if let Some(record) = self.held(now, digest) {
             return FlowLookup::Found(record.binding);
         }
-        match (intent, self.legacy_place(digest, service)) {
+        let service = question.service;
+        let derived = question.derived;
+        match (question.intent, self.legacy_place(digest, service)) {
             (FlowIntent::Open, LegacyPlace::At(binding)) if self.is_member(binding) => {
                 self.adopt(now, digest, binding)
             }
             (FlowIntent::Open, _) => self.place(now, digest, service),
             (FlowIntent::Established, LegacyPlace::At(binding)) => self.adopt(now, digest, binding),
-            (FlowIntent::Established, LegacyPlace::Unknown) => FlowLookup::Absent,
-            (FlowIntent::Established, LegacyPlace::None) => {
+            (FlowIntent::Established, legacy) => {
+                if let Some((_host, binding)) = derived {
+                    return self.adopt(now, digest, binding);
+                }
+                if legacy == LegacyPlace::Unknown {
+                    return FlowLookup::Absent;
+                }
                 match self.vouched_place(digest, service) {
                     Some(binding) => self.adopt(now, digest, binding),
                     None => FlowLookup::Absent,
@@ -215,24 +227,26 @@
         place.filter(|_binding| self.view.reachable.iter().any(vouches))
     }
 
-    fn known_record(
+    fn answer(
         &self,
         now: Instant,
         digest: FlowDigest,
         service: ServiceId,
         established: bool,
-    ) -> Option<FlowRecord> {
-        let record = self.peek(now, digest);
-        if record.is_some() || !established {
-            return record;
+    ) -> FlowAnswer {
+        if let Some(record) = self.peek(now, digest) {
+            return FlowAnswer::Holds(self.note(now, digest, &record));
+        }
+        match self.legacy_place(digest, service) {
+            LegacyPlace::At(binding) if established => {
+                let record = FlowRecord {
+                    binding,
+                    idle_deadline: now + self.settings.flow_idle,
+                };
+                FlowAnswer::Derives(self.note(now, digest, &record))
+            }
+            LegacyPlace::At(_) | LegacyPlace::None | LegacyPlace::Unknown => FlowAnswer::Unknown,
         }
-        let LegacyPlace::At(binding) = self.legacy_place(digest, service) else {
-            return None;
-        };
-        Some(FlowRecord {
-            binding,
-            idle_deadline: now + self.settings.flow_idle,
-        })
     }
 
     /// Keeps a copied record, or serves the flow if this host owns it by now.
@@ -309,7 +323,8 @@
             let former = self.book.learn(sender, note.service, &note.tables);
             let inherited = self.inherited_deadline.filter(|deadline| now < *deadline);
             if let Some((tables, deadline)) = former.zip(inherited) {
-                self.book.keep(sender, note.service, tables, deadline);
+                let end = BaselineEnd::Replaced;
+                self.book.keep(sender, note.service, end, tables, deadline);
             }
             self.sweep.restart();
         }
--- a/lib/src/flow_message.rs
+++ b/lib/src/flow_message.rs
@@ -70,8 +70,8 @@
     Tell {
         /// The flow.
         digest: DigestBytes,
-        /// Its record, if the sender has one.
-        note: Option<FlowNote>,
+        /// What the sender knows of it.
+        answer: FlowAnswer,
     },
     /// The sender has started; what it was told before is lost.
     Hello,
@@ -79,6 +79,17 @@
     HelloBack,
 }
 
+/// What a host knows of a flow that it is asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FlowAnswer {
+    /// It has this record.
+    Holds(FlowNote),
+    /// It has none, but if nobody has, the flow lives here, by what hosts that are gone have said.
+    Derives(FlowNote),
+    /// It knows nothing of it.
+    Unknown,
+}
+
 /// A flow's digest as 16 bytes; as a number it would take up to 19.
 pub type DigestBytes = [u8; 16];
 
--- a/lib/src/flow_question.rs
+++ b/lib/src/flow_question.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::flow_binding::FlowBinding;
 use crate::ids::FlowDigest;
 use crate::ids::HostId;
 use crate::ids::ServiceId;
@@ -41,6 +42,8 @@
     pub waiting: BTreeSet<HostId>,
     /// The hosts to ask when those have answered.
     pub later: Vec<HostId>,
+    /// Where the asked host that ranks first would derive the flow, if nobody holds it.
+    pub derived: Option<(HostId, FlowBinding)>,
     repeat_deadline: Instant,
     give_up_deadline: Instant,
 }
@@ -88,6 +91,7 @@
             intent,
             waiting: first.iter().copied().collect(),
             later: later.to_vec(),
+            derived: None,
             repeat_deadline: now + REPEAT_AFTER,
             give_up_deadline: now + GIVE_UP_AFTER,
         };
@@ -99,6 +103,23 @@
         self.questions.get(&digest)
     }
 
+    /// Takes in where a host would derive a flow; `is_better` compares it with the host before.
+    pub fn derived(
+        &mut self,
+        digest: FlowDigest,
+        host: HostId,
+        binding: FlowBinding,
+        is_better: impl Fn(HostId, HostId) -> bool,
+    ) {
+        let Some(question) = self.questions.get_mut(&digest) else {
+            return;
+        };
+        match question.derived {
+            Some((other, _binding)) if !is_better(host, other) => {}
+            _ => question.derived = Some((host, binding)),
+        }
+    }
+
     /// Takes in that a host does not hold a flow, or cannot be asked any more.
     pub fn denied(&mut self, now: Instant, digest: FlowDigest, host: HostId) -> QuestionStep {
         let Some(question) = self.questions.get_mut(&digest) else {
--- a/lib/src/flow_sweep.rs
+++ b/lib/src/flow_sweep.rs
@@ -198,15 +198,11 @@
 
     /// The tables that flows held here may follow: the one in force, then those of hosts that are
     /// gone, whose silent flows this host answers for.
-    fn baseline(&self, service: ServiceId) -> Vec<TableId> {
+    pub(crate) fn baseline(&self, service: ServiceId) -> Vec<TableId> {
         let newest = self.tables.newest(service).map(PlacementTable::id);
         let mut tables: Vec<TableId> = newest.into_iter().collect();
-        let former: Vec<&[TableId]> = self
-            .book
-            .former(service)
-            .map(|(_host, tables)| tables)
-            .collect();
-        for id in former.into_iter().rev().flatten() {
+        let former = self.book.former(service).rev();
+        for id in former.flat_map(|former| &former.tables) {
             if !tables.contains(id) {
                 tables.push(*id);
             }
--- a/lib/src/owner_view.rs
+++ b/lib/src/owner_view.rs
@@ -39,6 +39,11 @@
         rank(digest, host) > rank(digest, self.host)
     }
 
+    /// Whether `host` ranks ahead of `other` for a flow.
+    pub fn ranks_before(digest: FlowDigest, host: HostId, other: HostId) -> bool {
+        rank(digest, host) > rank(digest, other)
+    }
+
     /// Which of `hosts` ranks first for a flow.
     pub fn first_of(digest: FlowDigest, hosts: &[HostId]) -> Option<HostId> {
         let hosts = hosts.iter().copied();
