--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -427,23 +427,51 @@
         }
         let newest = self.tables.newest(service);
         let place = newest.and_then(|table| table.place(digest));
-        let mut hosts = self.view.ranked_peers(digest);
-        if self.view.owner(digest) != self.settings.host && !hosts.is_empty() {
-            // Exceptions are copied to the owner and its heir alone; a host that serves a frame
-            // because views differ, or because it holds the claim, has to ask.
-            return FlowJudgement::Ask(hosts);
-        }
+        let hosts = self.view.ranked_peers(digest);
+        // Exceptions are copied to the owner and its heir alone; a host that serves a frame because
+        // views differ, or because it holds the claim, has to ask.
+        let is_owner = self.view.owner(digest) == self.settings.host;
         let legacy = self.legacy_place(digest, service);
-        if legacy == LegacyPlace::None || Some(legacy) == place.map(LegacyPlace::At) {
-            hosts.retain(|host| {
-                let baseline = self.book.present(*host, service);
-                !baseline.is_some_and(|told| self.tables_agree(service, told, digest, place))
-            });
+        let is_derivable =
+            legacy == LegacyPlace::None || Some(legacy) == place.map(LegacyPlace::At);
+        let vouches = |host: &HostId| self.vouches(*host, digest, service, place);
+        if hosts.is_empty() || is_owner && is_derivable && hosts.iter().all(vouches) {
+            return self.unasked(intent, legacy, place);
         }
-        if !hosts.is_empty() {
-            return FlowJudgement::Ask(hosts);
+        // All are asked, not only those in doubt: the one that holds it mostly ranks first.
+        FlowJudgement::Ask(hosts)
+    }
+
+    /// Whether a host has said that its flows follow tables that place this one at `place`.
+    fn vouches(
+        &self,
+        host: HostId,
+        digest: FlowDigest,
+        service: ServiceId,
+        place: Option<FlowBinding>,
+    ) -> bool {
+        let baseline = self.book.present(host, service);
+        baseline.is_some_and(|told| self.tables_agree(service, told, digest, place))
+    }
+
+    /// Where this host would derive an opened flow that `asker` may have taken over from it, if it
+    /// is not in doubt itself.
+    pub(crate) fn derive_for(
+        &self,
+        asker: HostId,
+        digest: FlowDigest,
+        service: ServiceId,
+    ) -> Option<FlowBinding> {
+        match self.legacy_place(digest, service) {
+            LegacyPlace::At(binding) => Some(binding),
+            LegacyPlace::Unknown => None,
+            LegacyPlace::None => {
+                let place = self.tables.newest(service)?.place(digest);
+                let mut others = self.view.reachable.iter().filter(|host| **host != asker);
+                let is_certain = others.all(|host| self.vouches(*host, digest, service, place));
+                place.filter(|_binding| is_certain)
+            }
         }
-        self.unasked(intent, legacy, place)
     }
 
     fn unasked(
--- a/lib/src/flow_exchange.rs
+++ b/lib/src/flow_exchange.rs
@@ -3,7 +3,6 @@
 use std::time::Instant;
 
 use crate::baseline_book::BaselineEnd;
-use crate::flow_binding::FlowBinding;
 use crate::flow_directory::FlowDirectory;
 use crate::flow_directory::FlowLookup;
 use crate::flow_directory::FlowOrder;
@@ -73,7 +72,7 @@
                 let flow = FlowDigest::from_le_bytes(*digest);
                 let message = FlowMessage::Tell {
                     digest: *digest,
-                    answer: self.answer(now, flow, *service, *established),
+                    answer: self.answer(now, sender, flow, *service, *established),
                 };
                 self.tell(sender, message, orders);
             }
@@ -201,35 +200,17 @@
             }
             (FlowIntent::Open, _) => self.place(now, digest, service),
             (FlowIntent::Established, LegacyPlace::At(binding)) => self.adopt(now, digest, binding),
-            (FlowIntent::Established, legacy) => {
-                if let Some((_host, binding)) = derived {
-                    return self.adopt(now, digest, binding);
-                }
-                if legacy == LegacyPlace::Unknown {
-                    return FlowLookup::Absent;
-                }
-                match self.vouched_place(digest, service) {
-                    Some(binding) => self.adopt(now, digest, binding),
-                    None => FlowLookup::Absent,
-                }
-            }
+            (FlowIntent::Established, _) => match derived {
+                Some((_host, binding)) => self.adopt(now, digest, binding),
+                None => FlowLookup::Absent,
+            },
         }
     }
 
-    /// Where the table in force places a flow, if a host that was not asked says that it would
-    /// hold the flow there: those that were asked do not hold it.
-    fn vouched_place(&self, digest: FlowDigest, service: ServiceId) -> Option<FlowBinding> {
-        let place = self.tables.newest(service)?.place(digest);
-        let vouches = |host: &HostId| {
-            let baseline = self.book.present(*host, service);
-            baseline.is_some_and(|told| self.tables_agree(service, told, digest, place))
-        };
-        place.filter(|_binding| self.view.reachable.iter().any(vouches))
-    }
-
     fn answer(
         &self,
         now: Instant,
+        asker: HostId,
         digest: FlowDigest,
         service: ServiceId,
         established: bool,
@@ -237,16 +218,15 @@
         if let Some(record) = self.peek(now, digest) {
             return FlowAnswer::Holds(self.note(now, digest, &record));
         }
-        match self.legacy_place(digest, service) {
-            LegacyPlace::At(binding) if established => {
-                let record = FlowRecord {
-                    binding,
-                    idle_deadline: now + self.settings.flow_idle,
-                };
-                FlowAnswer::Derives(self.note(now, digest, &record))
-            }
-            LegacyPlace::At(_) | LegacyPlace::None | LegacyPlace::Unknown => FlowAnswer::Unknown,
-        }
+        let derived = established.then(|| self.derive_for(asker, digest, service));
+        let Some(binding) = derived.flatten() else {
+            return FlowAnswer::Unknown;
+        };
+        let record = FlowRecord {
+            binding,
+            idle_deadline: now + self.settings.flow_idle,
+        };
+        FlowAnswer::Derives(self.note(now, digest, &record))
     }
 
     /// Keeps a copied record, or serves the flow if this host owns it by now.
