--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -27,6 +27,7 @@
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServiceId;
+use crate::ids::UpstreamId;
 use crate::owner_view::OwnerView;
 use crate::placement_table::PlacementTable;
 use crate::placement_table::TableHistory;
@@ -36,6 +37,10 @@
 /// How long after a change of owners a copy of an `Open` may still arrive that the former owner has
 /// answered: the callers' retransmissions and the lag between hosts.
 const OPEN_DOUBT: Duration = Duration::from_secs(10);
+/// Bytes a second for copies and baselines, of the few kilobytes that a host may use for control.
+const COPY_RATE: u32 = 2_048;
+/// When a host that has not replied is greeted again.
+const GREET_AGAIN: Duration = Duration::from_millis(500);
 /// How many hosts are asked at first; the former and the next owner are nearly always among them.
 const FIRST_ASKED: usize = 2;
 /// Largest share of a service's flows on one upstream, in percent of the mean, for flows opened
@@ -60,6 +65,19 @@
     pub copy_burst: u32,
 }
 
+impl DirectorySettings {
+    /// Settings with the usual bounds for copies.
+    pub fn new(host: HostId, incarnation: Incarnation, flow_idle: Duration) -> Self {
+        Self {
+            host,
+            incarnation,
+            flow_idle,
+            copy_rate: COPY_RATE,
+            copy_burst: COPY_RATE,
+        }
+    }
+}
+
 /// What is known of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FlowLookup {
@@ -130,6 +148,9 @@
     /// Until when an `Open` may be a copy of one that a former owner has answered.
     open_doubt_deadline: Option<Instant>,
     pub(crate) renew_deadline: Option<Instant>,
+    /// The reachable hosts that know what this process has not been told.
+    pub(crate) greeted: BTreeSet<HostId>,
+    greet_deadline: Option<Instant>,
     /// The hosts that owned this one's flows before it joined, in ascending order.
     elders: Vec<HostId>,
     /// Until when hosts that it meets are elders.
@@ -158,6 +179,8 @@
             questions: QuestionTable::default(),
             open_doubt_deadline: None,
             renew_deadline: None,
+            greeted: BTreeSet::new(),
+            greet_deadline: None,
             elders: Vec::new(),
             meeting_deadline: None,
             inherited_deadline: None,
@@ -187,14 +210,24 @@
                 self.lose_peer(now, *host, orders);
             }
         }
-        let is_new = |host: &&HostId| former.reachable.binary_search(host).is_err();
-        let met: Vec<HostId> = self.view.reachable.iter().filter(is_new).copied().collect();
-        for host in met {
-            self.tell(host, FlowMessage::Hello, orders);
-        }
+        self.greet_deadline = None;
+        self.greet(now, orders);
         self.sweep.restart();
     }
 
+    /// Tells hosts that have not replied yet that this one has forgotten what they told it.
+    pub(crate) fn greet(&mut self, now: Instant, orders: &mut Vec<FlowOrder>) {
+        if self.greet_deadline.is_some_and(|deadline| now < deadline) {
+            return;
+        }
+        self.greet_deadline = Some(now + GREET_AGAIN);
+        for host in &self.view.reachable {
+            if !self.greeted.contains(host) {
+                self.tell(*host, FlowMessage::Hello, orders);
+            }
+        }
+    }
+
     /// Remembers whose flows this host takes over by joining.
     ///
     /// Such a flow may stay silent for an hour while the tables change and its former owner, which
@@ -277,7 +310,17 @@
 
     /// Where frames of a binding's flows go.
     pub fn reach(&self, binding: FlowBinding) -> UpstreamReach {
-        self.addresses.reach(binding.upstream, binding.incarnation)
+        self.process_reach(binding.upstream, binding.incarnation)
+    }
+
+    /// Where an upstream process is reached.
+    pub fn process_reach(&self, upstream: UpstreamId, incarnation: Incarnation) -> UpstreamReach {
+        self.addresses.reach(upstream, incarnation)
+    }
+
+    /// Where a flow that this host has a record of lives, overdue or not.
+    pub fn binding(&self, digest: FlowDigest) -> Option<FlowBinding> {
+        self.flows.binding(digest)
     }
 
     /// How many flows are held, copies not included.
@@ -531,6 +574,7 @@
     fn lose_peer(&mut self, now: Instant, host: HostId, orders: &mut Vec<FlowOrder>) {
         self.book.bury(now, host, self.settings.flow_idle);
         self.handover.restart_peer(host);
+        self.greeted.remove(&host);
         for digest in self.questions.flows() {
             self.take_denial(now, host, digest, orders);
         }
--- a/lib/src/flow_exchange.rs
+++ b/lib/src/flow_exchange.rs
@@ -43,9 +43,13 @@
         if self.book.meet(sender, parties.from) {
             self.book.bury(now, sender, self.settings.flow_idle);
             self.handover.restart_peer(sender);
+            self.greeted.remove(&sender);
             self.sweep.restart();
         }
         if *message == FlowMessage::Hello {
+            // It may be the same process that had lost sight of this host.
+            self.handover.restart_peer(sender);
+            self.sweep.restart();
             self.tell(sender, FlowMessage::HelloBack, orders);
             return;
         }
@@ -80,7 +84,10 @@
                 let flow = FlowDigest::from_le_bytes(*digest);
                 self.take_answer(now, sender, flow, answer, orders);
             }
-            FlowMessage::Hello | FlowMessage::HelloBack => {}
+            FlowMessage::HelloBack => {
+                self.greeted.insert(sender);
+            }
+            FlowMessage::Hello => {}
         }
     }
 
--- a/lib/src/flow_sweep.rs
+++ b/lib/src/flow_sweep.rs
@@ -59,6 +59,7 @@
         self.flows.expire(now);
         self.copies.expire(now);
         self.book.expire(now);
+        self.greet(now, orders);
         self.renew(now);
         self.walk(now);
         self.end_questions(now, orders);
--- a/lib/src/flow_table.rs
+++ b/lib/src/flow_table.rs
@@ -87,6 +87,12 @@
         (now < record.idle_deadline).then_some(record)
     }
 
+    /// Where a flow lives, overdue or not.
+    pub fn binding(&self, digest: FlowDigest) -> Option<FlowBinding> {
+        let packed = self.segments[segment_of(digest)].get(digest)?;
+        Some(self.bindings.get(packed.binding))
+    }
+
     /// The record of a flow that is not overdue, after moving its deadline.
     pub fn touch(
         &mut self,
--- a/standin/src/upstream_core.rs
+++ b/standin/src/upstream_core.rs
@@ -377,6 +377,7 @@
             let end = answer.len().min(offset + PART_LEN);
             let part = AnswerPart {
                 request: job.tag.request,
+                run: job.tag.run_id(),
                 offset: offset as u32,
                 total,
                 payload: answer.slice(offset..end),
--- a/standin/tests/test_upstream_core.rs
+++ b/standin/tests/test_upstream_core.rs
@@ -44,6 +44,7 @@
         request,
         attempt: 0,
         owner: 1,
+        owner_incarnation: 1,
         upstream: 1,
         incarnation: 0,
     };
