--- a/bench/tests/test_flow_cell.rs
+++ b/bench/tests/test_flow_cell.rs
@@ -16,7 +16,6 @@
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::Strategy;
 use proptest::prelude::any;
-use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::prop_oneof;
 use proptest::proptest;
@@ -177,6 +176,52 @@
     FlowHasher::new([5; 16]).digest(service, caller, flow)
 }
 
+/// Runs a history and returns the flows whose frames reached another upstream, or none for good.
+fn faults_of(steps: &[CellStep], seed: u64) -> Vec<String> {
+    let faults = LinkFaults {
+        loss: 10,
+        duplicates: 10,
+        jitter: 60,
+    };
+    let mut model = CellModel::new(faults, seed);
+    for step in steps {
+        model.take(step);
+    }
+    model.cell.set_faults(LinkFaults::default(), seed);
+    model.cell.catch_up();
+    model.cell.run(Duration::from_secs(20));
+    let mut found = Vec::new();
+    for index in 0..model.opened.len() {
+        let lookup = model.speak(index);
+        if !matches!(lookup, FlowLookup::Found(_)) {
+            found.push(format!("flow {index} is {lookup:?}"));
+        }
+    }
+    for (digest, binding, reached) in model.strays {
+        let (from, to) = (binding.upstream, reached.upstream);
+        found.push(format!("flow {digest} of {from} reached {to}"));
+    }
+    found
+}
+
+#[test]
+fn test_flow_opened_under_a_newer_table_stays_when_its_host_leaves() {
+    // A door stream that was opened on a host which heard of a change of selectors before the
+    // others moves when that host leaves: the others derive it from what they knew before.
+    let steps = [
+        CellStep::Open(3),
+        CellStep::Join,
+        CellStep::Publish {
+            matching: 0,
+            draining: 0,
+            hears: 160,
+        },
+        CellStep::Open(1),
+        CellStep::Leave(4),
+    ];
+    assert_eq!(faults_of(&steps, 0), Vec::<String>::new());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
 
@@ -188,19 +233,7 @@
         steps in vec(any_step(), 1..40),
         seed in any::<u64>(),
     ) {
-        let faults = LinkFaults { loss: 10, duplicates: 10, jitter: 60 };
-        let mut model = CellModel::new(faults, seed);
-        for step in &steps {
-            model.take(step);
-        }
-        model.cell.set_faults(LinkFaults::default(), seed);
-        model.cell.catch_up();
-        model.cell.run(Duration::from_secs(20));
-        for index in 0..model.opened.len() {
-            let lookup = model.speak(index);
-            prop_assert!(matches!(lookup, FlowLookup::Found(_)), "flow {index} is {lookup:?}");
-        }
-        prop_assert_eq!(model.strays, vec![]);
+        prop_assert_eq!(faults_of(&steps, seed), Vec::<String>::new());
     }
 }
 
