--- a/bench/src/flow_cell.rs
+++ b/bench/src/flow_cell.rs
@@ -393,7 +393,7 @@
             FlowMessage::Baselines { .. }
             | FlowMessage::Confirm { .. }
             | FlowMessage::Hello
-            | FlowMessage::HelloBack => self.counts.control_bytes += bytes,
+            | FlowMessage::HelloBack { .. } => self.counts.control_bytes += bytes,
         }
     }
 
--- a/lib/src/baseline_book.rs
+++ b/lib/src/baseline_book.rs
@@ -5,7 +5,6 @@
 //! it held, and is kept as long as one of them may still be open.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::ids::HostId;
@@ -32,6 +31,9 @@
     pub end: BaselineEnd,
     /// The tables that they follow, the newest first.
     pub tables: Vec<TableId>,
+    /// Whether the host knew all tables that this one keeps for flows of others, so that it has
+    /// copied each flow here that they place elsewhere.
+    pub informed: bool,
     service: ServiceId,
     /// When its last flow is idle.
     forget_deadline: Instant,
@@ -69,13 +71,26 @@
         service: ServiceId,
         end: BaselineEnd,
         tables: Vec<TableId>,
+        informed: bool,
         forget_deadline: Instant,
     ) {
+        let same = self.former.iter_mut().find(|former| {
+            former.host == host
+                && former.service == service
+                && former.end == end
+                && former.tables == tables
+                && former.informed == informed
+        });
+        if let Some(former) = same {
+            former.forget_deadline = former.forget_deadline.max(forget_deadline);
+            return;
+        }
         self.former.push(FormerBaseline {
             host,
             end,
             service,
             tables,
+            informed,
             forget_deadline,
         });
     }
@@ -91,7 +106,12 @@
     }
 
     /// Keeps what a host said for the flows it leaves behind.
-    pub fn bury(&mut self, now: Instant, host: HostId, flow_idle: Duration) {
+    pub fn bury(
+        &mut self,
+        host: HostId,
+        forget_deadline: Instant,
+        informed: impl Fn(ServiceId) -> bool,
+    ) {
         let keys: Vec<(HostId, ServiceId)> = self
             .present
             .range((host, ServiceId::MIN)..=(host, ServiceId::MAX))
@@ -102,7 +122,8 @@
                 continue;
             };
             let end = BaselineEnd::HostGone;
-            self.keep(host, key.1, end, tables, now + flow_idle);
+            let informed = informed(key.1);
+            self.keep(host, key.1, end, tables, informed, forget_deadline);
         }
     }
 
--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -129,6 +129,9 @@
     At(FlowBinding),
     /// The table that the oldest follows is not kept.
     Unknown,
+    /// A younger one places it elsewhere, and did not know of the oldest, so that it may not have
+    /// copied the flow.
+    Conflict,
 }
 
 /// The flows of one host and what it knows of others'.
@@ -151,6 +154,8 @@
     /// The reachable hosts that know what this process has not been told.
     pub(crate) greeted: BTreeSet<HostId>,
     greet_deadline: Option<Instant>,
+    /// The peers that have said that there are tables they have yet to tell this host of.
+    pub(crate) unheard: BTreeSet<HostId>,
     /// The hosts that owned this one's flows before it joined, in ascending order.
     elders: Vec<HostId>,
     /// Until when hosts that it meets are elders.
@@ -181,6 +186,7 @@
             renew_deadline: None,
             greeted: BTreeSet::new(),
             greet_deadline: None,
+            unheard: BTreeSet::new(),
             elders: Vec::new(),
             meeting_deadline: None,
             inherited_deadline: None,
@@ -201,7 +207,7 @@
             return;
         }
         let former = std::mem::replace(&mut self.view, view);
-        self.meet_elders(now);
+        self.start_meeting(now);
         if former.eligible != self.view.eligible {
             self.open_doubt_deadline = Some(now + OPEN_DOUBT);
         }
@@ -215,7 +221,8 @@
         self.sweep.restart();
     }
 
-    /// Tells hosts that have not replied yet that this one has forgotten what they told it.
+    /// Tells hosts that have not replied yet that this one has forgotten what they told it, and asks
+    /// those that had more to say whether they have said it.
     pub(crate) fn greet(&mut self, now: Instant, orders: &mut Vec<FlowOrder>) {
         if self.greet_deadline.is_some_and(|deadline| now < deadline) {
             return;
@@ -224,6 +231,13 @@
         for host in &self.view.reachable {
             if !self.greeted.contains(host) {
                 self.tell(*host, FlowMessage::Hello, orders);
+            } else if self.unheard.contains(host) {
+                // An empty message is confirmed like any other, with whether all is said by now.
+                let message = FlowMessage::Baselines {
+                    sequence: 0,
+                    tables: Vec::new(),
+                };
+                self.tell(*host, message, orders);
             }
         }
     }
@@ -233,22 +247,23 @@
     /// Such a flow may stay silent for an hour while the tables change and its former owner, which
     /// has been told that this host derives it, forgets it. Only what the former owner said when
     /// this host joined still tells where it lives.
-    fn meet_elders(&mut self, now: Instant) {
-        let end = *self.meeting_deadline.get_or_insert(now + OPEN_DOUBT);
-        let inherited = *self
+    pub(crate) fn meet_elder(&mut self, now: Instant, host: HostId) {
+        let is_new = self.meeting_deadline.is_some_and(|end| now < end);
+        if let Err(index) = self.elders.binary_search(&host)
+            && is_new
+        {
+            self.elders.insert(index, host);
+        }
+    }
+
+    fn start_meeting(&mut self, now: Instant) {
+        self.meeting_deadline.get_or_insert(now + OPEN_DOUBT);
+        let inherited = self
             .inherited_deadline
             .get_or_insert(now + self.settings.flow_idle);
-        if inherited <= now {
+        if *inherited <= now {
             self.elders.clear();
         }
-        if end <= now {
-            return;
-        }
-        let others = self.view.eligible.iter().copied();
-        let others = others.filter(|host| *host != self.settings.host);
-        let elders = self.elders.iter().copied();
-        let both: BTreeSet<HostId> = others.chain(elders).collect();
-        self.elders = both.into_iter().collect();
     }
 
     /// Where a flow lives, after moving its idle deadline.
@@ -345,7 +360,7 @@
             .eligible
             .iter()
             .all(|host| *host == self.view.host);
-        alone || (self.sweep.is_clean() && self.handover.is_idle())
+        alone || (self.sweep.is_clean() && self.handover.is_idle() && self.unheard.is_empty())
     }
 
     pub(crate) fn held(&mut self, now: Instant, digest: FlowDigest) -> Option<FlowRecord> {
@@ -507,7 +522,7 @@
     ) -> Option<FlowBinding> {
         match self.legacy_place(digest, service) {
             LegacyPlace::At(binding) => Some(binding),
-            LegacyPlace::Unknown => None,
+            LegacyPlace::Unknown | LegacyPlace::Conflict => None,
             LegacyPlace::None => {
                 let place = self.tables.newest(service)?.place(digest);
                 let mut others = self.view.reachable.iter().filter(|host| **host != asker);
@@ -529,7 +544,9 @@
             }
             (FlowIntent::Open, _) => FlowJudgement::Place,
             (FlowIntent::Established, LegacyPlace::At(binding)) => FlowJudgement::Derive(binding),
-            (FlowIntent::Established, LegacyPlace::Unknown) => FlowJudgement::Nowhere,
+            (FlowIntent::Established, LegacyPlace::Unknown | LegacyPlace::Conflict) => {
+                FlowJudgement::Nowhere
+            }
             (FlowIntent::Established, LegacyPlace::None) => {
                 place.map_or(FlowJudgement::Nowhere, FlowJudgement::Derive)
             }
@@ -561,20 +578,55 @@
                 BaselineEnd::Replaced => !is_ahead && elder == Some(former.host),
             }
         };
-        let Some(oldest) = self.book.former(service).find(inherits) else {
+        let mut inherited = self.book.former(service).filter(inherits);
+        let Some(oldest) = inherited.next() else {
             return LegacyPlace::None;
         };
         let last = oldest.tables.last();
         let table = last.and_then(|id| self.tables.find(service, *id));
-        let binding = table.and_then(|table| table.place(digest));
-        binding.map_or(LegacyPlace::Unknown, LegacyPlace::At)
+        let Some(binding) = table.and_then(|table| table.place(digest)) else {
+            return LegacyPlace::Unknown;
+        };
+        let agrees = |former: &FormerBaseline| {
+            former.informed || self.tables_agree(service, &former.tables, digest, Some(binding))
+        };
+        if inherited.all(agrees) {
+            LegacyPlace::At(binding)
+        } else {
+            LegacyPlace::Conflict
+        }
+    }
+
+    /// Keeps what a peer said for the flows it leaves behind.
+    pub(crate) fn bury(&mut self, now: Instant, host: HostId) {
+        let services: Vec<ServiceId> = self.tables.services().collect();
+        let informed: BTreeSet<ServiceId> = services
+            .into_iter()
+            .filter(|service| self.is_told(host, *service))
+            .collect();
+        let deadline = now + self.settings.flow_idle;
+        self.book
+            .bury(host, deadline, |service| informed.contains(&service));
+    }
+
+    fn is_told(&self, host: HostId, service: ServiceId) -> bool {
+        let own = self.baseline(service);
+        self.handover.told(host, service) == Some(own.as_slice())
+    }
+
+    /// Whether a peer does not know all tables that flows held here may follow.
+    pub(crate) fn has_unsaid(&self, host: HostId) -> bool {
+        self.tables
+            .services()
+            .any(|service| !self.is_told(host, service))
     }
 
     /// Keeps what a peer said for the flows it leaves behind, and stops waiting for it.
     fn lose_peer(&mut self, now: Instant, host: HostId, orders: &mut Vec<FlowOrder>) {
-        self.book.bury(now, host, self.settings.flow_idle);
+        self.bury(now, host);
         self.handover.restart_peer(host);
         self.greeted.remove(&host);
+        self.unheard.remove(&host);
         for digest in self.questions.flows() {
             self.take_denial(now, host, digest, orders);
         }
--- a/lib/src/flow_exchange.rs
+++ b/lib/src/flow_exchange.rs
@@ -41,7 +41,7 @@
             return;
         }
         if self.book.meet(sender, parties.from) {
-            self.book.bury(now, sender, self.settings.flow_idle);
+            self.bury(now, sender);
             self.handover.restart_peer(sender);
             self.greeted.remove(&sender);
             self.sweep.restart();
@@ -50,7 +50,8 @@
             // It may be the same process that had lost sight of this host.
             self.handover.restart_peer(sender);
             self.sweep.restart();
-            self.tell(sender, FlowMessage::HelloBack, orders);
+            let holds = !self.flows.is_empty() || !self.copies.is_empty();
+            self.tell(sender, FlowMessage::HelloBack { holds }, orders);
             return;
         }
         if parties.to != Some(self.settings.incarnation) {
@@ -67,7 +68,14 @@
                 self.learn_baselines(now, sender, tables);
                 self.confirm(sender, *sequence, orders);
             }
-            FlowMessage::Confirm { sequence } => self.take_confirm(sender, *sequence),
+            FlowMessage::Confirm { sequence, unsaid } => {
+                self.take_confirm(sender, *sequence);
+                if *unsaid {
+                    self.unheard.insert(sender);
+                } else {
+                    self.unheard.remove(&sender);
+                }
+            }
             FlowMessage::Ask {
                 digest,
                 service,
@@ -84,8 +92,11 @@
                 let flow = FlowDigest::from_le_bytes(*digest);
                 self.take_answer(now, sender, flow, answer, orders);
             }
-            FlowMessage::HelloBack => {
+            FlowMessage::HelloBack { holds } => {
                 self.greeted.insert(sender);
+                if *holds {
+                    self.meet_elder(now, sender);
+                }
             }
             FlowMessage::Hello => {}
         }
@@ -207,6 +218,7 @@
             }
             (FlowIntent::Open, _) => self.place(now, digest, service),
             (FlowIntent::Established, LegacyPlace::At(binding)) => self.adopt(now, digest, binding),
+            (FlowIntent::Established, LegacyPlace::Conflict) => FlowLookup::Absent,
             (FlowIntent::Established, _) => match derived {
                 Some((_host, binding)) => self.adopt(now, digest, binding),
                 None => FlowLookup::Absent,
@@ -309,15 +321,18 @@
             }
             let former = self.book.learn(sender, note.service, &note.tables);
             let inherited = self.inherited_deadline.filter(|deadline| now < *deadline);
-            if let Some((tables, deadline)) = former.zip(inherited) {
+            let is_lost = |tables: &Vec<_>| tables.iter().any(|id| !note.tables.contains(id));
+            if let Some((tables, deadline)) = former.filter(is_lost).zip(inherited) {
                 let end = BaselineEnd::Replaced;
-                self.book.keep(sender, note.service, end, tables, deadline);
+                self.book
+                    .keep(sender, note.service, end, tables, true, deadline);
             }
             self.sweep.restart();
         }
     }
 
     fn confirm(&self, sender: HostId, sequence: FlowSequence, orders: &mut Vec<FlowOrder>) {
-        self.tell(sender, FlowMessage::Confirm { sequence }, orders);
+        let unsaid = self.has_unsaid(sender);
+        self.tell(sender, FlowMessage::Confirm { sequence, unsaid }, orders);
     }
 }
--- a/lib/src/flow_message.rs
+++ b/lib/src/flow_message.rs
@@ -56,6 +56,8 @@
     Confirm {
         /// The number.
         sequence: FlowSequence,
+        /// Whether the sender has yet to tell the receiver of tables that its flows may follow.
+        unsaid: bool,
     },
     /// Do you hold this flow?
     Ask {
@@ -76,7 +78,10 @@
     /// The sender has started; what it was told before is lost.
     Hello,
     /// The sender knows the receiver's process.
-    HelloBack,
+    HelloBack {
+        /// Whether it holds flows, which the receiver may take over by joining.
+        holds: bool,
+    },
 }
 
 /// What a host knows of a flow that it is asked for.
--- a/lib/src/flow_sweep.rs
+++ b/lib/src/flow_sweep.rs
@@ -36,6 +36,8 @@
     next: Option<usize>,
     /// For whom and which services this walk has found something that is not copied yet.
     dirty: BTreeSet<(HostId, ServiceId)>,
+    /// Whether this walk has made copies flows of this host, which it may have passed already.
+    adopted: bool,
     /// Whether the last walk left something to copy, so that another must follow.
     unfinished: bool,
 }
@@ -45,6 +47,7 @@
     pub fn restart(&mut self) {
         self.next = Some(0);
         self.dirty.clear();
+        self.adopted = false;
     }
 
     /// Whether the last walk found everything copied and nothing has changed since.
@@ -140,7 +143,7 @@
                 self.copies.remove(flow.digest);
                 if self.flows.get(now, flow.digest).is_none() {
                     self.flows.insert(now, flow.digest, flow.record);
-                    self.sweep.unfinished = true;
+                    self.sweep.adopted = true;
                 }
                 continue;
             }
@@ -182,9 +185,9 @@
     }
 
     fn end_walk(&mut self) {
-        let host = self.view.host;
-        let heirs: Vec<HostId> = self.view.eligible.clone();
-        for heir in heirs.into_iter().filter(|heir| *heir != host) {
+        // A leaving host is told as well: it must copy what these tables place elsewhere.
+        let peers = self.view.reachable.clone();
+        for heir in peers {
             let services: Vec<ServiceId> = self.tables.services().collect();
             for service in services {
                 if !self.sweep.dirty.contains(&(heir, service)) {
@@ -193,7 +196,7 @@
                 }
             }
         }
-        self.sweep.unfinished = !self.sweep.dirty.is_empty();
+        self.sweep.unfinished = !self.sweep.dirty.is_empty() || self.sweep.adopted;
         self.sweep.dirty.clear();
     }
 
@@ -201,14 +204,18 @@
     /// gone, whose silent flows this host answers for.
     pub(crate) fn baseline(&self, service: ServiceId) -> Vec<TableId> {
         let newest = self.tables.newest(service).map(PlacementTable::id);
-        let mut tables: Vec<TableId> = newest.into_iter().collect();
-        let former = self.book.former(service).rev();
-        for id in former.flat_map(|former| &former.tables) {
-            if !tables.contains(id) {
-                tables.push(*id);
+        let mut oldest_first: Vec<TableId> = Vec::new();
+        for former in self.book.former(service) {
+            for id in former.tables.iter().rev() {
+                // The first place counts, so that the order, and with it what peers are told,
+                // settles however often the same tables come again.
+                if Some(*id) != newest && !oldest_first.contains(id) {
+                    oldest_first.push(*id);
+                }
             }
         }
-        tables
+        let newest_first = oldest_first.into_iter().rev();
+        newest.into_iter().chain(newest_first).collect()
     }
 
     fn send_batches(&mut self, now: Instant, orders: &mut Vec<FlowOrder>) {
