--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -360,7 +360,12 @@
             .eligible
             .iter()
             .all(|host| *host == self.view.host);
-        alone || (self.sweep.is_clean() && self.handover.is_idle() && self.unheard.is_empty())
+        let has_heard_all = self
+            .view
+            .reachable
+            .iter()
+            .all(|host| !self.unheard.contains(host));
+        alone || (self.sweep.is_clean() && self.handover.is_idle() && has_heard_all)
     }
 
     pub(crate) fn held(&mut self, now: Instant, digest: FlowDigest) -> Option<FlowRecord> {
