flows: tell a joining host the tables that it has never seen

Cause, found by the property test: a host that joined after a change of selectors does not know the table that silent flows follow, cannot derive them, and refuses them for good once their former owner has left.

--- a/bench/src/flow_cell.rs
+++ b/bench/src/flow_cell.rs
@@ -391,6 +391,8 @@
                 self.counts.control_bytes += bytes;
             }
             FlowMessage::Baselines { .. }
+            | FlowMessage::WantTable { .. }
+            | FlowMessage::Table { .. }
             | FlowMessage::Confirm { .. }
             | FlowMessage::Hello
             | FlowMessage::HelloBack { .. } => self.counts.control_bytes += bytes,
--- a/bench/tests/test_flow_cell.rs
+++ b/bench/tests/test_flow_cell.rs
@@ -170,6 +170,12 @@
     }
 }
 
+/// Random histories tried: few in each run of the tests, more by `PROPTEST_CASES`.
+fn cases() -> u32 {
+    let asked = std::env::var("PROPTEST_CASES").ok();
+    asked.and_then(|text| text.parse().ok()).unwrap_or(60)
+}
+
 fn digest(flow: u64) -> FlowDigest {
     let service = ([10, 0, 0, 1], 700).into();
     let caller = ([127, 0, 0, 1], 9_000).into();
@@ -223,7 +229,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
 
     /// A door stream breaks although nobody crashed: operators drain and relabel upstreams, entry
     /// hosts come and go, hosts hear of it at different times, and datagrams between them are
--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -31,6 +31,7 @@
 use crate::owner_view::OwnerView;
 use crate::placement_table::PlacementTable;
 use crate::placement_table::TableHistory;
+use crate::placement_table::TableId;
 use crate::upstream_addresses::UpstreamAddresses;
 use crate::upstream_addresses::UpstreamReach;
 
@@ -156,6 +157,8 @@
     greet_deadline: Option<Instant>,
     /// The peers that have said that there are tables they have yet to tell this host of.
     pub(crate) unheard: BTreeSet<HostId>,
+    /// Tables that peers follow and this host has never seen.
+    pub(crate) wanted: BTreeSet<(ServiceId, TableId)>,
     /// The hosts that owned this one's flows before it joined, in ascending order.
     elders: Vec<HostId>,
     /// Until when hosts that it meets are elders.
@@ -187,6 +190,7 @@
             greeted: BTreeSet::new(),
             greet_deadline: None,
             unheard: BTreeSet::new(),
+            wanted: BTreeSet::new(),
             elders: Vec::new(),
             meeting_deadline: None,
             inherited_deadline: None,
@@ -240,6 +244,7 @@
                 self.tell(*host, message, orders);
             }
         }
+        self.want_tables(orders);
     }
 
     /// Remembers whose flows this host takes over by joining.
@@ -418,7 +423,7 @@
     pub(crate) fn tables_agree(
         &self,
         service: ServiceId,
-        tables: &[u64],
+        tables: &[TableId],
         digest: FlowDigest,
         place: Option<FlowBinding>,
     ) -> bool {
--- a/lib/src/flow_exchange.rs
+++ b/lib/src/flow_exchange.rs
@@ -12,6 +12,7 @@
 use crate::flow_message::FlowNote;
 use crate::flow_message::FlowParties;
 use crate::flow_message::FlowSequence;
+use crate::flow_message::MAX_MEMBERS;
 use crate::flow_message::TableNote;
 use crate::flow_question::FlowIntent;
 use crate::flow_question::FlowQuestion;
@@ -22,6 +23,9 @@
 use crate::ids::HostId;
 use crate::ids::ServiceId;
 use crate::owner_view::OwnerView;
+use crate::placement_table::PlacementTable;
+use crate::placement_table::TableId;
+use crate::placement_table::TableMember;
 
 impl FlowDirectory {
     /// Takes a peer's message.
@@ -92,6 +96,12 @@
                 let flow = FlowDigest::from_le_bytes(*digest);
                 self.take_answer(now, sender, flow, answer, orders);
             }
+            FlowMessage::WantTable { service, table } => {
+                self.send_table(sender, *service, *table, orders);
+            }
+            FlowMessage::Table { service, members } => {
+                self.take_table(*service, members);
+            }
             FlowMessage::HelloBack { holds } => {
                 self.greeted.insert(sender);
                 if *holds {
@@ -319,6 +329,11 @@
             if known == Some(&note.tables) {
                 continue;
             }
+            for table in &note.tables {
+                if self.tables.find(note.service, *table).is_none() {
+                    self.wanted.insert((note.service, *table));
+                }
+            }
             let former = self.book.learn(sender, note.service, &note.tables);
             let inherited = self.inherited_deadline.filter(|deadline| now < *deadline);
             let is_lost = |tables: &Vec<_>| tables.iter().any(|id| !note.tables.contains(id));
@@ -331,6 +346,47 @@
         }
     }
 
+    /// Asks again for the tables that peers follow and this host has never seen, because it joined
+    /// or heard of a configuration later.
+    pub(crate) fn want_tables(&mut self, orders: &mut Vec<FlowOrder>) {
+        let tables = &self.tables;
+        self.wanted
+            .retain(|(service, table)| tables.find(*service, *table).is_none());
+        for (service, table) in &self.wanted {
+            for host in &self.view.reachable {
+                let message = FlowMessage::WantTable {
+                    service: *service,
+                    table: *table,
+                };
+                self.tell(*host, message, orders);
+            }
+        }
+    }
+
+    fn send_table(
+        &self,
+        sender: HostId,
+        service: ServiceId,
+        table: TableId,
+        orders: &mut Vec<FlowOrder>,
+    ) {
+        let Some(table) = self.tables.find(service, table) else {
+            return;
+        };
+        let members = table.members().to_vec();
+        if members.len() <= MAX_MEMBERS {
+            self.tell(sender, FlowMessage::Table { service, members }, orders);
+        }
+    }
+
+    fn take_table(&mut self, service: ServiceId, members: &[TableMember]) {
+        let table = PlacementTable::of_members(service, members.to_vec());
+        if self.wanted.remove(&(service, table.id())) {
+            self.tables.remember(table);
+            self.sweep.restart();
+        }
+    }
+
     fn confirm(&self, sender: HostId, sequence: FlowSequence, orders: &mut Vec<FlowOrder>) {
         let unsaid = self.has_unsaid(sender);
         self.tell(sender, FlowMessage::Confirm { sequence, unsaid }, orders);
--- a/lib/src/flow_message.rs
+++ b/lib/src/flow_message.rs
@@ -16,12 +16,16 @@
 use crate::ids::ServiceId;
 use crate::ids::UpstreamId;
 use crate::placement_table::TableId;
+use crate::placement_table::TableMember;
 
 /// Most records in one message; keeps it within one datagram.
 pub const MAX_NOTES: usize = 32;
 /// Most tables in one message.
 pub const MAX_TABLES: usize = 40;
 
+/// Most members of a table that is sent to a host that has never seen it.
+pub const MAX_MEMBERS: usize = 200;
+
 /// Which processes a message is between; one meant for a former process is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FlowParties {
@@ -75,6 +79,20 @@
         /// What the sender knows of it.
         answer: FlowAnswer,
     },
+    /// Send the members of this table, which the sender has never seen.
+    WantTable {
+        /// Its service.
+        service: ServiceId,
+        /// The table.
+        table: TableId,
+    },
+    /// The answer to [`FlowMessage::WantTable`].
+    Table {
+        /// Its service.
+        service: ServiceId,
+        /// The members, at most [`MAX_MEMBERS`], in ascending order of number.
+        members: Vec<TableMember>,
+    },
     /// The sender has started; what it was told before is lost.
     Hello,
     /// The sender knows the receiver's process.
--- a/lib/src/placement_table.rs
+++ b/lib/src/placement_table.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::config_snapshot::ConfigSnapshot;
@@ -31,7 +33,7 @@
 pub const KEPT_TABLES: usize = 16;
 
 /// An upstream that takes new flows of a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableMember {
     /// The upstream.
     pub upstream: UpstreamId,
@@ -150,6 +152,17 @@
         true
     }
 
+    /// Keeps a table that was in force before this host came, behind the one in force.
+    pub fn remember(&mut self, table: PlacementTable) {
+        let Some(tables) = self.services.get_mut(&table.service) else {
+            return;
+        };
+        if tables.iter().all(|kept| kept.id != table.id) {
+            tables.insert(1, Arc::new(table));
+            tables.truncate(KEPT_TABLES);
+        }
+    }
+
     /// The table in force.
     pub fn newest(&self, service: ServiceId) -> Option<&PlacementTable> {
         let tables = self.services.get(&service)?;
