--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -11,7 +11,6 @@
 use crate::baseline_book::BaselineBook;
 use crate::baseline_book::BaselineEnd;
 use crate::baseline_book::FormerBaseline;
-use crate::byte_budget::ByteBudget;
 use crate::config_snapshot::ConfigSnapshot;
 use crate::flow_binding::FlowBinding;
 use crate::flow_handover::CopyUrgency;
@@ -170,7 +169,7 @@
 impl FlowDirectory {
     /// Makes an empty one.
     pub fn new(settings: DirectorySettings) -> Self {
-        let budget = ByteBudget::new(settings.copy_rate, settings.copy_burst);
+        let handover = FlowHandover::new(settings.copy_rate, settings.copy_burst);
         Self {
             view: OwnerView {
                 host: settings.host,
@@ -182,7 +181,7 @@
             tables: TableHistory::default(),
             addresses: UpstreamAddresses::default(),
             book: BaselineBook::default(),
-            handover: FlowHandover::new(budget),
+            handover,
             sweep: SweepState::default(),
             questions: QuestionTable::default(),
             open_doubt_deadline: None,
--- a/lib/src/flow_handover.rs
+++ b/lib/src/flow_handover.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use crate::byte_budget::ByteBudget;
+use crate::byte_budget::TrafficClass;
 use crate::flow_message::FlowMessage;
 use crate::flow_message::FlowSequence;
 use crate::flow_message::MAX_NOTES;
@@ -48,6 +49,7 @@
 struct InFlight {
     sequence: FlowSequence,
     cargo: Cargo,
+    class: TrafficClass,
     resend_deadline: Instant,
     /// The copying epoch that a confirmation proves.
     epoch: u16,
@@ -80,18 +82,24 @@
 #[derive(Clone, Debug)]
 pub struct FlowHandover {
     peers: BTreeMap<HostId, PeerQueue>,
-    budget: ByteBudget,
+    /// Bytes a second, and bytes at once.
+    rate: u32,
+    burst: u32,
+    /// Made when time is first known.
+    budget: Option<ByteBudget>,
     sequence: FlowSequence,
     /// The peer served first in the next tick, so that one long queue does not starve the others.
     cursor: HostId,
 }
 
 impl FlowHandover {
-    /// Makes one that sends at most what `budget` allows.
-    pub fn new(budget: ByteBudget) -> Self {
+    /// Makes one that sends `rate` bytes a second, and saves up `burst`.
+    pub fn new(rate: u32, burst: u32) -> Self {
         Self {
             peers: BTreeMap::new(),
-            budget,
+            rate,
+            burst,
+            budget: None,
             sequence: 0,
             cursor: 0,
         }
@@ -189,6 +197,10 @@
     /// The batches that may be sent now: repeats that are due, then what waits.
     pub fn due(&mut self, now: Instant) -> Vec<(HostId, HandoverBatch)> {
         let mut batches = Vec::new();
+        let (rate, burst) = (self.rate, self.burst);
+        let budget = self
+            .budget
+            .get_or_insert_with(|| ByteBudget::new(now, rate, burst));
         let cursor = self.cursor;
         let after = self.peers.range(cursor..).map(|(peer, _queue)| *peer);
         let before = self.peers.range(..cursor).map(|(peer, _queue)| *peer);
@@ -203,10 +215,11 @@
             let Some(in_flight) = &mut queue.in_flight else {
                 continue;
             };
-            if !self.budget.take(now, in_flight.cargo.len()) {
+            if !budget.allows(now, in_flight.class) {
                 self.cursor = peer;
                 break;
             }
+            budget.spend(in_flight.class, in_flight.cargo.len());
             self.sequence = self.sequence.max(in_flight.sequence);
             in_flight.resend_deadline = now + RESEND_AFTER;
             batches.push((peer, in_flight.batch()));
@@ -240,12 +253,18 @@
         if let Some(in_flight) = &self.in_flight {
             return in_flight.resend_deadline <= now;
         }
+        let class = if self.urgent.is_empty() {
+            TrafficClass::Change
+        } else {
+            TrafficClass::Removal
+        };
         let Some(cargo) = self.next_cargo() else {
             return false;
         };
         self.in_flight = Some(InFlight {
             sequence,
             cargo,
+            class,
             resend_deadline: now,
             epoch: self.epoch,
         });
--- a/lib/src/request_system.rs
+++ b/lib/src/request_system.rs
@@ -205,6 +205,18 @@
         self.carry_out(now, decisions, actions);
     }
 
+    /// Takes a job that waits back from the policy, which may then decide on others.
+    pub(crate) fn withdraw_job(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        actions: &mut Vec<HostAction>,
+    ) {
+        let mut decisions = Vec::new();
+        self.policy.withdraw(now, key, &mut decisions);
+        self.carry_out(now, decisions, actions);
+    }
+
     fn acknowledge(&mut self, key: RequestKey) {
         self.requests
             .release_answer(key, RequestStage::Acknowledged);
@@ -225,8 +237,8 @@
             }
             RequestStage::Waiting => {
                 let outcome = waiting_outcome(record);
-                self.policy.withdraw(now, key);
                 self.refuse_request(key, cancelled(key.request, outcome), actions);
+                self.withdraw_job(now, key, actions);
             }
             RequestStage::Running(attempt) => {
                 let limit = record.deadline.min(now + CANCEL_WAIT);
