--- a/bench/src/flow_cell.rs
+++ b/bench/src/flow_cell.rs
@@ -345,7 +345,7 @@
                     message,
                 } => {
                     self.count(&parties, &message);
-                    self.send(Letter {
+                    self.send(&Letter {
                         arrival: self.now + DELAY,
                         from,
                         to: host,
@@ -360,7 +360,7 @@
         }
     }
 
-    fn send(&mut self, letter: Letter) {
+    fn send(&mut self, letter: &Letter) {
         let mut copies = 1;
         if self.random.random_range(0..100) < self.faults.loss {
             copies = 0;
@@ -372,7 +372,7 @@
             self.letters.push(Letter {
                 arrival: letter.arrival + Duration::from_millis(u64::from(extra)),
                 message: letter.message.clone(),
-                ..letter
+                ..*letter
             });
         }
     }
