--- a/lib/src/request_system.rs
+++ b/lib/src/request_system.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use crate::config_snapshot::ServiceEntry;
+use crate::flow_system::FlowPin;
 use crate::host_action::HostAction;
 use crate::host_core::HostCore;
 use crate::host_core::reply;
@@ -19,6 +20,7 @@
 use crate::request_table::RunningAttempt;
 use crate::request_table::TakeoverState;
 use crate::result_code::ResultCode;
+use crate::upstream_addresses::UpstreamReach;
 use crate::wire_frame::CallerBody;
 use crate::wire_frame::CallerFrame;
 use crate::wire_frame::RefusalBody;
@@ -110,6 +112,7 @@
             service,
             flow: frame.flow,
             idempotent: body.idempotent,
+            established: body.established,
             payload: body.payload.clone(),
             stage: RequestStage::Deciding(takeover),
             sent_after: self.sent_after(origin.read, body.age),
@@ -178,13 +181,10 @@
 
     /// Hands a request that this host has taken on to the load policy.
     pub(crate) fn submit(&mut self, now: Instant, key: RequestKey, actions: &mut Vec<HostAction>) {
-        let idle_deadline = now + self.settings.flow_idle;
-        let pinned = match self.flows.get_mut(key.flow) {
-            Some(flow) => {
-                flow.idle_deadline = idle_deadline;
-                Some(flow.upstream)
-            }
-            None => None,
+        let pinned = match self.pin_request(now, key, actions) {
+            FlowPin::Free => None,
+            FlowPin::On(upstream) => Some(upstream),
+            FlowPin::Pending => return,
         };
         let Some(record) = self.requests.get(key) else {
             return;
@@ -347,8 +347,8 @@
         attempt: u64,
         upstream: UpstreamId,
     ) -> Option<RoutingTag> {
-        let config = self.config.as_ref()?;
-        let entry = config.upstreams.get(&upstream)?;
+        let digest = self.hasher.digest(frame.service, caller, frame.flow);
+        let incarnation = self.upstream_process(digest, frame, upstream)?;
         Some(RoutingTag {
             caller,
             service: frame.service,
@@ -358,7 +358,7 @@
             owner: self.settings.host,
             owner_incarnation: self.settings.incarnation,
             upstream,
-            incarnation: entry.incarnation,
+            incarnation,
         })
     }
 
@@ -368,12 +368,13 @@
         body: UpstreamBody,
         actions: &mut Vec<HostAction>,
     ) {
-        let config = self.config.as_ref();
-        let Some(entry) = config.and_then(|config| config.upstreams.get(&tag.upstream)) else {
+        // The address may belong to another process by now, which must not get the frame.
+        let reach = self.flows.process_reach(tag.upstream, tag.incarnation);
+        let UpstreamReach::At(address) = reach else {
             return;
         };
         actions.push(HostAction::ToUpstream {
-            address: entry.address,
+            address,
             frame: UpstreamFrame { tag, body },
         });
     }
--- a/lib/src/request_table.rs
+++ b/lib/src/request_table.rs
@@ -121,6 +121,8 @@
     pub flow: FlowId,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
+    /// Whether its flow was opened, so that only the upstream that holds it may run it.
+    pub established: bool,
     /// What the upstream gets.
     pub payload: Bytes,
     /// How far it has come.
