--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_config_store;
 mod test_control_core;
 mod test_daemon_settings;
+mod test_flow_system;
 mod test_flow_table;
 mod test_host_core;
 mod test_label_selector;
--- /dev/null
+++ b/lib/tests/test_flow_system.rs
@@ -0,0 +1,286 @@
+//! Tests of flows through the door: which upstream process their frames reach, one host at a time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::config_snapshot::UpstreamState;
+use lagoonproxy::host_action::HostAction;
+use lagoonproxy::host_core::HostCore;
+use lagoonproxy::host_event::HostEvent;
+use lagoonproxy::published_config::PublishedConfig;
+use lagoonproxy::published_config::ServiceDoc;
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy::wire_frame::CallerBody;
+use lagoonproxy::wire_frame::CallerFrame;
+use lagoonproxy::wire_frame::RequestBody;
+use lagoonproxy::wire_frame::UpstreamBody;
+use lagoonproxy::wire_frame::UpstreamFrame;
+
+use crate::world::caller_address;
+use crate::world::ledger_address;
+use crate::world::ledger_config;
+use crate::world::lone_core;
+use crate::world::transfer;
+use crate::world::upstream_address;
+
+const UPSTREAMS: u32 = 3;
+const FLOWS: u64 = 40;
+
+fn portal_address() -> SocketAddr {
+    ([10, 0, 0, 2], 700).into()
+}
+
+fn portal_service() -> ServiceDoc {
+    ServiceDoc {
+        id: 2,
+        name: "portal".into(),
+        address: portal_address(),
+        selector: "service=portal".to_owned(),
+    }
+}
+
+/// A host, its time, and the configuration it was last given.
+struct FlowHost {
+    core: HostCore,
+    now: Instant,
+    config: PublishedConfig,
+    next_request: u64,
+}
+
+impl FlowHost {
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut host = Self {
+            core: lone_core(now, UPSTREAMS),
+            now,
+            config: ledger_config(1, UPSTREAMS),
+            next_request: 1,
+        };
+        host.publish(|config| config.services.push(portal_service()));
+        host
+    }
+
+    fn publish(&mut self, change: impl Fn(&mut PublishedConfig)) {
+        change(&mut self.config);
+        self.config.version += 1;
+        let config = self.config.compile().expect("a valid configuration");
+        self.take(HostEvent::Config(Arc::new(config)));
+    }
+
+    fn take(&mut self, event: HostEvent) -> Vec<HostAction> {
+        let mut actions = Vec::new();
+        self.core.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    fn wait(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(500).min(end - self.now);
+            self.take(HostEvent::Tick);
+        }
+    }
+
+    fn send(&mut self, service: SocketAddr, flow: u64, body: CallerBody) -> Vec<HostAction> {
+        let frame = CallerFrame {
+            service,
+            flow,
+            body,
+        };
+        self.take(HostEvent::CallerFrame {
+            caller: caller_address(),
+            frame,
+        })
+    }
+
+    fn open(&mut self, service: SocketAddr, flow: u64) -> u32 {
+        let actions = self.send(service, flow, CallerBody::Open);
+        let sent = sent_upstream(&actions);
+        let [(_address, frame)] = sent.as_slice() else {
+            panic!("an open was not sent to one upstream: {actions:?}");
+        };
+        assert_eq!(frame.body, UpstreamBody::Open);
+        frame.tag.upstream
+    }
+
+    fn ask(&mut self, service: SocketAddr, flow: u64, established: bool) -> Vec<HostAction> {
+        self.next_request += 1;
+        let body = RequestBody {
+            established,
+            idempotent: true,
+            ..transfer(self.next_request)
+        };
+        self.send(service, flow, CallerBody::Request(body))
+    }
+}
+
+fn sent_upstream(actions: &[HostAction]) -> Vec<(SocketAddr, UpstreamFrame)> {
+    let sent = |action: &HostAction| match action {
+        HostAction::ToUpstream { address, frame } => Some((*address, frame.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(sent).collect()
+}
+
+fn refused_with(actions: &[HostAction]) -> Option<ResultCode> {
+    actions.iter().find_map(|action| match action {
+        HostAction::ToCaller { frame, .. } => match &frame.body {
+            CallerBody::Refusal(refusal) => Some(refusal.code),
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+/// Opens flows and returns those that upstream 1 holds.
+fn flows_of_first(host: &mut FlowHost) -> Vec<u64> {
+    let held = |flow: &u64| host.open(ledger_address(), *flow) == 1;
+    let flows: Vec<u64> = (0..FLOWS).filter(held).collect();
+    assert!(!flows.is_empty());
+    flows
+}
+
+#[test]
+fn test_relabelled_upstream_keeps_old_flows_and_gets_no_other() {
+    // A lock's frame reaches the portal: an operator gives an upstream of the desk to the portal
+    // while door streams run on it. The streams stay where they were opened; from then on the
+    // upstream gets no other frame of the desk, and the portal's get nowhere else.
+    let mut host = FlowHost::new();
+    let old = flows_of_first(&mut host);
+    host.publish(|config| {
+        let upstream = &mut config.upstreams[1];
+        upstream.labels = [("service".into(), "portal".into())].into();
+    });
+    for flow in old {
+        let sent = sent_upstream(&host.ask(ledger_address(), flow, true));
+        assert_eq!(sent[0].0, upstream_address(1));
+        assert_eq!(sent[0].1.tag.service, ledger_address());
+    }
+    for flow in FLOWS..2 * FLOWS {
+        assert_ne!(host.open(ledger_address(), flow), 1);
+        assert_eq!(host.open(portal_address(), flow), 1);
+        let free = sent_upstream(&host.ask(ledger_address(), 1_000 + flow, false));
+        assert_ne!(free[0].1.tag.upstream, 1);
+    }
+}
+
+#[test]
+fn test_reused_address_ends_the_flows_of_its_former_process() {
+    // A custody record is written by the wrong process: an upstream died and its address was given
+    // to a new one, which gets the frames of sessions that it never opened.
+    struct ReuseCase {
+        name: &'static str,
+        change: fn(&mut PublishedConfig),
+    }
+    let cases = [
+        ReuseCase {
+            name: "another incarnation",
+            change: |config| config.upstreams[1].incarnation += 1,
+        },
+        ReuseCase {
+            name: "another upstream",
+            change: |config| config.upstreams[1].id = 77,
+        },
+    ];
+    for case in cases {
+        let mut host = FlowHost::new();
+        let old = flows_of_first(&mut host);
+        host.publish(case.change);
+        for flow in old {
+            let actions = host.ask(ledger_address(), flow, true);
+            assert_eq!(sent_upstream(&actions), vec![], "{}", case.name);
+            let code = refused_with(&actions);
+            assert_eq!(code, Some(ResultCode::FlowUnknown), "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn test_removed_upstream_keeps_its_flows_until_its_address_is_reused() {
+    // Sessions break as an operator removes a drained upstream from the list before its last flows
+    // have closed. They go on at its last address, until that belongs to somebody else.
+    let mut host = FlowHost::new();
+    let old = flows_of_first(&mut host);
+    host.publish(|config| config.upstreams[1].state = UpstreamState::Draining);
+    host.publish(|config| {
+        config.upstreams.remove(1);
+    });
+    for flow in &old {
+        let sent = sent_upstream(&host.ask(ledger_address(), *flow, true));
+        assert_eq!(sent[0].0, upstream_address(1));
+    }
+    host.publish(|config| config.upstreams[1].address = upstream_address(1));
+    for flow in &old {
+        let actions = host.ask(ledger_address(), *flow, true);
+        assert_eq!(sent_upstream(&actions), vec![]);
+        assert_eq!(refused_with(&actions), Some(ResultCode::FlowUnknown));
+    }
+}
+
+#[test]
+fn test_address_of_service_given_to_another_ends_its_flows() {
+    // A packet for the ledger reaches the certificate service: the ledger's address is published
+    // for the other service, and a session that was opened before goes on.
+    let mut host = FlowHost::new();
+    let old = flows_of_first(&mut host);
+    host.publish(|config| {
+        config.services[0].address = portal_address();
+        config.services[1].address = ledger_address();
+    });
+    for flow in old {
+        let actions = host.ask(ledger_address(), flow, true);
+        assert_eq!(sent_upstream(&actions), vec![]);
+        assert_eq!(refused_with(&actions), Some(ResultCode::FlowUnknown));
+    }
+}
+
+#[test]
+fn test_many_upstreams_drain_at_once() {
+    let mut host = FlowHost::new();
+    let places: Vec<u32> = (0..FLOWS)
+        .map(|flow| host.open(ledger_address(), flow))
+        .collect();
+    host.publish(|config| {
+        for upstream in &mut config.upstreams[1..] {
+            upstream.state = UpstreamState::Draining;
+        }
+    });
+    for (flow, place) in places.into_iter().enumerate() {
+        let sent = sent_upstream(&host.ask(ledger_address(), flow as u64, true));
+        assert_eq!(sent[0].1.tag.upstream, place);
+    }
+    for flow in FLOWS..2 * FLOWS {
+        assert_eq!(host.open(ledger_address(), flow), 0);
+    }
+}
+
+#[test]
+fn test_request_before_its_open_reaches_the_same_upstream() {
+    // The fabric delivers a session's first request before its `Open`: the two are placed apart, or
+    // the upstream never hears of the flow.
+    let mut host = FlowHost::new();
+    for flow in 0..FLOWS {
+        let early = sent_upstream(&host.ask(ledger_address(), flow, true));
+        let upstream = host.open(ledger_address(), flow);
+        assert_eq!(early[0].1.tag.upstream, upstream);
+        let again = host.open(ledger_address(), flow);
+        assert_eq!(again, upstream, "a repeated open");
+    }
+}
+
+#[test]
+fn test_silent_flow_stays_until_it_is_idle() {
+    let mut host = FlowHost::new();
+    let old = flows_of_first(&mut host);
+    host.publish(|config| config.upstreams[1].state = UpstreamState::Draining);
+    host.wait(Duration::from_secs(3_500));
+    let sent = sent_upstream(&host.ask(ledger_address(), old[0], true));
+    assert_eq!(sent[0].1.tag.upstream, 1);
+    assert_eq!(host.core.flow_count(), FLOWS as usize);
+    host.wait(Duration::from_secs(3_000));
+    assert_eq!(host.core.flow_count(), 1);
+    let sent = sent_upstream(&host.ask(ledger_address(), old[0], true));
+    assert_eq!(sent[0].1.tag.upstream, 1);
+}
