flows: answer for the silent flows of elders, and derive what nobody holds

Cause: with 200,000 flows the comparison refused 308 when hosts, upstreams and selectors changed at once: a leaving host released records while it copied for minutes, and those who were asked derived only when every other host vouched.

--- a/lib/src/baseline_book.rs
+++ b/lib/src/baseline_book.rs
@@ -133,6 +133,11 @@
         former.filter(move |former| former.service == service)
     }
 
+    /// Whether this host may answer for silent flows of others.
+    pub fn has_former(&self) -> bool {
+        !self.former.is_empty()
+    }
+
     /// Forgets processes whose last flow is idle.
     pub fn expire(&mut self, now: Instant) {
         self.former.retain(|former| now < former.forget_deadline);
--- a/lib/src/flow_directory.rs
+++ b/lib/src/flow_directory.rs
@@ -159,7 +159,7 @@
     /// Tables that peers follow and this host has never seen.
     pub(crate) wanted: BTreeSet<(ServiceId, TableId)>,
     /// The hosts that owned this one's flows before it joined, in ascending order.
-    elders: Vec<HostId>,
+    pub(crate) elders: Vec<HostId>,
     /// Until when hosts that it meets are elders.
     meeting_deadline: Option<Instant>,
     /// When the last flow that it took over by joining, and never heard of, is idle.
@@ -521,11 +521,14 @@
         baseline.is_some_and(|told| self.tables_agree(service, told, digest, place))
     }
 
-    /// Where this host would derive an opened flow that `asker` may have taken over from it, if it
-    /// is not in doubt itself.
-    pub(crate) fn derive_for(
+    /// Where this host would derive an opened flow of which nobody holds a record.
+    ///
+    /// Exceptions always have a record at a host that lives, so that a flow without any follows a
+    /// table. A host that has just started does not know yet which, and one that has heard of a
+    /// table that places the flow elsewhere leaves it to those who keep that table.
+    pub(crate) fn derive_unheld(
         &self,
-        asker: HostId,
+        now: Instant,
         digest: FlowDigest,
         service: ServiceId,
     ) -> Option<FlowBinding> {
@@ -533,9 +536,13 @@
             LegacyPlace::At(binding) => Some(binding),
             LegacyPlace::Unknown | LegacyPlace::Conflict => None,
             LegacyPlace::None => {
+                let has_met_all = self.meeting_deadline.is_some_and(|end| end <= now);
                 let place = self.tables.newest(service)?.place(digest);
-                let mut others = self.view.reachable.iter().filter(|host| **host != asker);
-                let is_certain = others.all(|host| self.vouches(*host, digest, service, place));
+                let contradicts = |host: &HostId| {
+                    let told = self.book.present(*host, service);
+                    told.is_some_and(|told| !self.tables_agree(service, told, digest, place))
+                };
+                let is_certain = has_met_all && !self.view.reachable.iter().any(contradicts);
                 place.filter(|_binding| is_certain)
             }
         }
@@ -618,9 +625,14 @@
             .bury(host, deadline, |service| informed.contains(&service));
     }
 
+    /// Whether a peer knows every table that flows held here may follow, by this host's word or
+    /// because it follows the table itself.
     fn is_told(&self, host: HostId, service: ServiceId) -> bool {
+        let told = self.handover.told(host, service).unwrap_or_default();
+        let present = self.book.present(host, service).unwrap_or_default();
         let own = self.baseline(service);
-        self.handover.told(host, service) == Some(own.as_slice())
+        own.iter()
+            .all(|id| told.contains(id) || present.contains(id))
     }
 
     /// Whether a peer does not know all tables that flows held here may follow.
--- a/lib/src/flow_exchange.rs
+++ b/lib/src/flow_exchange.rs
@@ -54,7 +54,7 @@
             // It may be the same process that had lost sight of this host.
             self.handover.restart_peer(sender);
             self.sweep.restart();
-            let holds = !self.flows.is_empty() || !self.copies.is_empty();
+            let holds = !self.flows.is_empty() || !self.copies.is_empty() || self.book.has_former();
             self.tell(sender, FlowMessage::HelloBack { holds }, orders);
             return;
         }
@@ -88,7 +88,7 @@
                 let flow = FlowDigest::from_le_bytes(*digest);
                 let message = FlowMessage::Tell {
                     digest: *digest,
-                    answer: self.answer(now, sender, flow, *service, *established),
+                    answer: self.answer(now, flow, *service, *established),
                 };
                 self.tell(sender, message, orders);
             }
@@ -239,7 +239,6 @@
     fn answer(
         &self,
         now: Instant,
-        asker: HostId,
         digest: FlowDigest,
         service: ServiceId,
         established: bool,
@@ -247,7 +246,7 @@
         if let Some(record) = self.peek(now, digest) {
             return FlowAnswer::Holds(self.note(now, digest, &record));
         }
-        let derived = established.then(|| self.derive_for(asker, digest, service));
+        let derived = established.then(|| self.derive_unheld(now, digest, service));
         let Some(binding) = derived.flatten() else {
             return FlowAnswer::Unknown;
         };
@@ -388,7 +387,8 @@
     }
 
     fn confirm(&self, sender: HostId, sequence: FlowSequence, orders: &mut Vec<FlowOrder>) {
-        let unsaid = self.has_unsaid(sender);
+        // A host that leaves before its table has arrived here would take it along.
+        let unsaid = self.has_unsaid(sender) || !self.wanted.is_empty();
         self.tell(sender, FlowMessage::Confirm { sequence, unsaid }, orders);
     }
 }
--- a/lib/src/flow_message.rs
+++ b/lib/src/flow_message.rs
@@ -60,7 +60,8 @@
     Confirm {
         /// The number.
         sequence: FlowSequence,
-        /// Whether the sender has yet to tell the receiver of tables that its flows may follow.
+        /// Whether the sender has yet to tell the receiver of tables that its flows may follow, or
+        /// to learn one; a leaving host waits for that.
         unsaid: bool,
     },
     /// Do you hold this flow?
@@ -97,7 +98,8 @@
     Hello,
     /// The sender knows the receiver's process.
     HelloBack {
-        /// Whether it holds flows, which the receiver may take over by joining.
+        /// Whether it holds flows, or answers for silent ones, that the receiver may take over by
+        /// joining.
         holds: bool,
     },
 }
--- a/lib/src/flow_sweep.rs
+++ b/lib/src/flow_sweep.rs
@@ -118,6 +118,10 @@
 
     /// Ends this host's part in a flow that its owner holds or derives. An exception becomes a copy,
     /// for this host may be its owner's heir; the others need no record any more.
+    ///
+    /// A leaving host keeps its records to the end. While it copies, which may take minutes, tables
+    /// may change, and those who take its flows over learn of a table that only silent flows follow
+    /// when it has gone, not before.
     fn release(&mut self, now: Instant, owner: HostId, flow: &HeldFlow, copied: bool) {
         let service = flow.record.binding.service;
         if copied {
@@ -128,7 +132,7 @@
                 period: self.handover.life(owner),
             };
             self.copies.mark_copied(flow.digest, mark);
-        } else if self.handover.told(owner, service).is_some() {
+        } else if self.view.is_eligible() && self.handover.told(owner, service).is_some() {
             self.flows.limit_deadline(flow.digest, now + RELEASE_GRACE);
         }
     }
@@ -204,14 +208,18 @@
     /// gone, whose silent flows this host answers for.
     pub(crate) fn baseline(&self, service: ServiceId) -> Vec<TableId> {
         let newest = self.tables.newest(service).map(PlacementTable::id);
+        // A host that took flows over by joining answers for the silent ones among them, and so for
+        // whatever its elders still keep.
+        let elders = self.elders.iter();
+        let inherited = elders.filter_map(|elder| self.book.present(*elder, service));
+        let former = self.book.former(service);
+        let sets = former.map(|former| former.tables.as_slice());
         let mut oldest_first: Vec<TableId> = Vec::new();
-        for former in self.book.former(service) {
-            for id in former.tables.iter().rev() {
-                // The first place counts, so that the order, and with it what peers are told,
-                // settles however often the same tables come again.
-                if Some(*id) != newest && !oldest_first.contains(id) {
-                    oldest_first.push(*id);
-                }
+        for id in sets.chain(inherited).flat_map(|tables| tables.iter().rev()) {
+            // The first place counts, so that the order, and with it what peers are told, settles
+            // however often the same tables come again.
+            if Some(*id) != newest && !oldest_first.contains(id) {
+                oldest_first.push(*id);
             }
         }
         let newest_first = oldest_first.into_iter().rev();
--- a/lib/src/owner_view.rs
+++ b/lib/src/owner_view.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Whether this host may own flows; a leaving one may not.
+    pub fn is_eligible(&self) -> bool {
+        self.eligible.binary_search(&self.host).is_ok()
+    }
+
     /// Whether `host` ranks ahead of this one for a flow.
     pub fn is_ahead(&self, digest: FlowDigest, host: HostId) -> bool {
         rank(digest, host) > rank(digest, self.host)
