--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,12 +1,14 @@
 //! The tests of the decisions, in one program so that linking is fast.
 
 mod fake_cell;
+mod flow_net;
 mod test_byte_budget;
 mod test_choice_tree;
 mod test_config_check;
 mod test_config_store;
 mod test_control_core;
 mod test_daemon_settings;
+mod test_flow_net;
 mod test_flow_system;
 mod test_flow_table;
 mod test_host_core;
