--- a/lib/tests/fake_cell.rs
+++ b/lib/tests/fake_cell.rs
@@ -11,6 +11,7 @@
 use lagoonproxy::answer_buffer::AnswerBuffer;
 use lagoonproxy::config_snapshot::ConfigSnapshot;
 use lagoonproxy::config_snapshot::HostView;
+use lagoonproxy::config_snapshot::UpstreamState;
 use lagoonproxy::flow_hash::FlowHasher;
 use lagoonproxy::host_action::HostAction;
 use lagoonproxy::host_core::CoreSettings;
@@ -18,6 +19,7 @@
 use lagoonproxy::host_event::HostEvent;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::least_busy_policy::LeastBusyPolicy;
+use lagoonproxy::published_config::PublishedConfig;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::wire_frame::AnswerPart;
 use lagoonproxy::wire_frame::CallerBody;
@@ -43,7 +45,8 @@
 /// Step of virtual time, and time between two ticks, in milliseconds.
 pub const STEP: u64 = 20;
 const UPSTREAMS: u32 = 3;
-const FLOW_KEY: [u8; 16] = [7; 16];
+/// Key of the digests of flows.
+pub const FLOW_KEY: [u8; 16] = [7; 16];
 const PART_LEN: usize = 40;
 
 /// A host of the cell.
@@ -53,6 +56,12 @@
     /// Its core, unless the process is down.
     pub core: Option<HostCore>,
     incarnation: u64,
+    /// Number of its newest heartbeat, and the digest of its members in that.
+    pub last_heartbeat: u64,
+    /// See [`Self::last_heartbeat`].
+    pub member_set: u32,
+    /// How long its next actions are held back, as by a freeze before sending.
+    pub hold_next: Option<u64>,
     /// What its clock shows at virtual time zero, and how fast it runs.
     base: Instant,
     rate: f64,
@@ -138,6 +147,9 @@
     pub changes_lists: bool,
     /// Encoded bytes of heartbeats that host 1 sent.
     pub heartbeat_bytes: usize,
+    published: PublishedConfig,
+    /// Incarnation of each upstream's process.
+    upstreams: Vec<u64>,
     config: Arc<ConfigSnapshot>,
     flying: BTreeMap<(u64, u64), Delivery>,
     next_delivery: u64,
@@ -161,6 +173,8 @@
             lagging: Vec::new(),
             changes_lists: false,
             heartbeat_bytes: 0,
+            published: ledger_config(1, UPSTREAMS),
+            upstreams: vec![0; UPSTREAMS as usize],
             config: Arc::new(ledger_config(1, UPSTREAMS).compile().unwrap()),
             flying: BTreeMap::new(),
             next_delivery: 0,
@@ -182,6 +196,9 @@
             id,
             core: None,
             incarnation: 0,
+            last_heartbeat: 0,
+            member_set: 0,
+            hold_next: None,
             base: self.epoch + offset,
             rate: self.random.random_range(0.98..1.02),
             frozen_until: 0,
@@ -222,6 +239,37 @@
         self.hosts[index].core = None;
     }
 
+    /// Publishes that an upstream drains or is back; hosts learn of it one by one.
+    pub fn toggle_upstream(&mut self, index: usize) {
+        let doc = &mut self.published.upstreams[index];
+        doc.state = match doc.state {
+            UpstreamState::Active => UpstreamState::Draining,
+            UpstreamState::Draining => UpstreamState::Active,
+        };
+        self.publish();
+    }
+
+    /// Ends an upstream's process; another one starts at its address, and is published.
+    pub fn replace_upstream(&mut self, index: usize) {
+        self.upstreams[index] += 1;
+        self.running
+            .retain(|(id, _run), _since| *id != index as u32);
+        self.published.upstreams[index].incarnation = self.upstreams[index];
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        self.published.version += 1;
+        self.config = Arc::new(self.published.compile().unwrap());
+        for host in &self.hosts {
+            let delivery = Delivery::Host(host.id, HostEvent::Config(Arc::clone(&self.config)));
+            let lag = self.random.random_range(0..4_000);
+            self.next_delivery += 1;
+            self.flying
+                .insert((self.time + lag, self.next_delivery), delivery);
+        }
+    }
+
     /// Asks a host to stop.
     pub fn drain(&mut self, index: usize) {
         if self.hosts[index].core.is_some() {
@@ -260,6 +308,13 @@
             held_back = self.random.random_range(100..4_000);
             self.hosts[index].frozen_until = self.time + held_back;
         }
+        let forwards = actions.iter().any(|action| {
+            matches!(action, HostAction::ToPeer { frame, .. }
+                if matches!(frame.body, PeerBody::FromCaller { .. }))
+        });
+        if forwards && let Some(hold) = self.hosts[index].hold_next.take() {
+            held_back = hold;
+        }
         for action in actions {
             self.carry_out(index, action, held_back);
         }
@@ -276,6 +331,10 @@
                     let encoded = encode_peer(&frame, &PeerKey::new(FLOW_KEY)).unwrap();
                     self.heartbeat_bytes += encoded.len();
                 }
+                if let PeerBody::Heartbeat(heartbeat) = &frame.body {
+                    self.hosts[index].last_heartbeat = heartbeat.number;
+                    self.hosts[index].member_set = heartbeat.member_set;
+                }
                 if self.cut_off.contains(&id) == self.cut_off.contains(&host) {
                     let event = HostEvent::PeerFrame(frame);
                     self.send(Delivery::Host(host, event), held_back, true);
@@ -462,6 +521,9 @@
         let tag = frame.tag;
         match &frame.body {
             UpstreamBody::Run { remaining, .. } => self.run_request(id, tag, *remaining),
+            UpstreamBody::Cancel if tag.incarnation != self.upstreams[id as usize] => {
+                self.reply(id, tag, not_started(NotStartedReason::WrongUpstream), 0);
+            }
             UpstreamBody::Cancel => {
                 let started = self.running.contains_key(&(id, tag.run_id() ^ tag.request));
                 if !started {
@@ -474,6 +536,9 @@
     }
 
     fn run_request(&mut self, id: u32, tag: RoutingTag, remaining: Duration) {
+        if tag.incarnation != self.upstreams[id as usize] {
+            return self.reply(id, tag, not_started(NotStartedReason::WrongUpstream), 0);
+        }
         if self.cancelled.contains(&(id, tag)) {
             return self.reply(id, tag, not_started(NotStartedReason::Cancelled), 0);
         }
@@ -544,7 +609,8 @@
 /// Flows that requests belong to.
 pub const FLOWS: u64 = 6;
 
-fn caller_of(flow: u64) -> SocketAddr {
+/// The caller of a flow.
+pub fn caller_of(flow: u64) -> SocketAddr {
     ([127, 0, 0, 1], 9_000 + flow as u16).into()
 }
 
