--- a/lib/src/service_messages.rs
+++ b/lib/src/service_messages.rs
@@ -25,6 +25,9 @@
 use crate::service_tick::QUEUED_CHECK;
 use crate::slot_pool::PoolReply;
 
+/// How long a keeper that has not heard of a drain keeps the upstream closed; it doubles there.
+const UNKNOWN_DRAIN: Duration = Duration::from_millis(100);
+
 impl ServicePolicy {
     /// Lets a pool of this host take a message to a keeper.
     pub(crate) fn hear(&mut self, now: Instant, sender: HostId, message: &LoadMessage) {
@@ -160,10 +163,15 @@
         let key = match record {
             Some(record) if matches!(record.stage, JobStage::Waiting { .. }) => record.job.key,
             Some(_running) => return,
-            None => return self.give_back(now, keeper, message, decisions),
+            None => return self.give_back(now, keeper, message, GrantEnd::Unused, decisions),
         };
         if !self.is_active(upstream) {
-            self.give_back(now, keeper, message, decisions);
+            // The keeper has an older configuration, and would grant the same slot again at once,
+            // for as long as the two configurations differ. To be told of a shed closes it there.
+            let end = GrantEnd::Shed {
+                retry_after: UNKNOWN_DRAIN,
+            };
+            self.give_back(now, keeper, message, end, decisions);
             if let Some(record) = self.jobs.remove(key) {
                 self.ask_for(now, record, decisions);
             }
@@ -183,12 +191,13 @@
         now: Instant,
         keeper: HostId,
         message: &LoadMessage,
+        end: GrantEnd,
         decisions: &mut Vec<LoadDecision>,
     ) {
         let release = LoadMessage {
             service: message.service,
             ask: message.ask,
-            body: LoadBody::Release(GrantEnd::Unused),
+            body: LoadBody::Release(end),
             former: None,
         };
         self.send(now, keeper, release, decisions);
