--- a/bench/src/virtual_cluster.rs
+++ b/bench/src/virtual_cluster.rs
@@ -13,7 +13,6 @@
 use lagoonproxy::host_event::UpstreamReport;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::UpstreamId;
-use lagoonproxy::load_message::LoadBody;
 use lagoonproxy::load_message::LoadMessage;
 use lagoonproxy::load_policy::JobEnd;
 use lagoonproxy::load_policy::LoadDecision;
@@ -31,19 +30,17 @@
 
 use crate::cluster_plan::CallerClass;
 use crate::cluster_plan::ClusterPlan;
+use crate::cluster_plan::FleetState;
 use crate::cluster_plan::RefusedHabit;
 use crate::cluster_plan::SERVICE;
 use crate::virtual_upstream::FullHabit;
 use crate::virtual_upstream::VirtualUpstream;
-use crate::virtual_upstream::WaitingEntry;
 
 /// A message to this host number plus an upstream's is for the upstream itself; only the policies
 /// that need help from upstreams send such.
 pub const UPSTREAM_HOST: HostId = 1_000_000;
 /// Bytes of the IPv4 and UDP headers of a datagram.
 const DATAGRAM_HEADERS: u64 = 28;
-/// What an upstream says of when it may have a free slot.
-const SHED_RETRY: Duration = Duration::from_millis(50);
 
 /// How a job ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,7 +78,7 @@
     pub sends: u32,
     /// How often its caller had come before with the same wish.
     pub tries: u32,
-    host: HostId,
+    pub(crate) host: HostId,
     pinned: Option<UpstreamId>,
     waiting: bool,
 }
@@ -95,8 +92,8 @@
     Slots(UpstreamId, u32),
     /// An upstream goes silent, or speaks again.
     Mute(UpstreamId, bool),
-    /// Upstreams begin to drain; hosts learn of it one after another, so much apart.
-    Drain(Vec<UpstreamId>, Duration),
+    /// The fleet is published anew; hosts learn of it one after another, so much apart.
+    Publish(FleetState, Duration),
     /// A host dies; the others learn of it after a time.
     Kill(HostId, Duration),
     /// What an upstream's endpoints say, to all hosts.
@@ -104,7 +101,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum VirtualEvent {
+pub(crate) enum VirtualEvent {
     Arrival(usize),
     ComeBack(usize),
     Tick(HostId),
@@ -115,7 +112,7 @@
     Result(HostId, usize, u32, JobEnd, UpstreamReport),
     Deadline(usize),
     Change(WorldChange),
-    Config(HostId, Vec<UpstreamId>),
+    Config(HostId, u64, FleetState),
     Hosts(Vec<HostId>),
 }
 
@@ -141,14 +138,15 @@
 pub struct VirtualCluster {
     plan: ClusterPlan,
     policies: Vec<Option<Box<dyn LoadPolicy>>>,
-    full_habit: FullHabit,
+    pub(crate) full_habit: FullHabit,
     random: StdRng,
     events: BTreeMap<(Instant, u64), VirtualEvent>,
     next_event: u64,
     peer_key: PeerKey,
-    now: Instant,
+    version: u64,
+    pub(crate) now: Instant,
     end: Instant,
-    run: ClusterRun,
+    pub(crate) run: ClusterRun,
 }
 
 impl VirtualCluster {
@@ -175,6 +173,7 @@
             events: BTreeMap::new(),
             next_event: 0,
             peer_key: PeerKey::new([7; 16]),
+            version: 1,
             now: begin,
             end: begin + plan.length + 3 * plan.patience,
             full_habit,
@@ -209,7 +208,7 @@
     }
 
     fn start(&mut self) {
-        let config = self.plan.config(1, &[]);
+        let config = self.plan.config(1, &FleetState::default());
         let hosts = self.plan.host_view(&[]);
         for host in 0..self.plan.hosts {
             if let Some(policy) = &mut self.policies[host as usize] {
@@ -225,7 +224,7 @@
         }
     }
 
-    fn schedule(&mut self, at: Instant, event: VirtualEvent) {
+    pub(crate) fn schedule(&mut self, at: Instant, event: VirtualEvent) {
         self.events.insert((at, self.next_event), event);
         self.next_event += 1;
     }
@@ -257,8 +256,8 @@
             }
             VirtualEvent::Deadline(job) => self.pass_deadline(job),
             VirtualEvent::Change(change) => self.apply(change),
-            VirtualEvent::Config(host, draining) => {
-                let config = self.plan.config(2, &draining);
+            VirtualEvent::Config(host, version, state) => {
+                let config = self.plan.config(version, &state);
                 self.decide(host, |policy, now, _out| policy.configure(now, &config));
             }
             VirtualEvent::Hosts(dead) => {
@@ -424,7 +423,7 @@
         self.schedule(self.now + delay, VirtualEvent::Peer(peer, host, message));
     }
 
-    fn count_message(&mut self, sender: HostId, message: &LoadMessage) {
+    pub(crate) fn count_message(&mut self, sender: HostId, message: &LoadMessage) {
         let body = PeerBody::Load(message.clone());
         let frame = PeerFrame {
             sender,
@@ -436,130 +435,11 @@
         self.run.bytes += len as u64 + DATAGRAM_HEADERS;
     }
 
-    fn delay(&mut self, host: HostId, upstream: UpstreamId) -> Duration {
+    pub(crate) fn delay(&mut self, host: HostId, upstream: UpstreamId) -> Duration {
         let zones = (self.plan.zone(host), self.plan.zone(upstream));
         self.plan.delay(&mut self.random, zones.0, zones.1)
     }
 
-    fn take_run(&mut self, id: UpstreamId, index: usize, attempt: u32) {
-        let now = self.now;
-        let deadline = self.deadline_of(index);
-        let upstream = &mut self.run.upstreams[id as usize];
-        if upstream.mute {
-            return;
-        }
-        upstream.arrivals.push(now);
-        if self.full_habit == FullHabit::Reserve {
-            upstream.busy -= 1;
-        }
-        if now >= deadline || upstream.draining {
-            return self.answer(id, index, attempt, not_started(Duration::ZERO));
-        }
-        if upstream.has_room() {
-            return self.start_job(id, index, attempt);
-        }
-        match self.full_habit {
-            FullHabit::Queue => upstream.queue.push_back(WaitingEntry::Job(index)),
-            FullHabit::Shed | FullHabit::Reserve => {
-                self.answer(id, index, attempt, not_started(SHED_RETRY));
-            }
-        }
-    }
-
-    fn start_job(&mut self, id: UpstreamId, index: usize, attempt: u32) {
-        let upstream = &mut self.run.upstreams[id as usize];
-        upstream.busy += 1;
-        let job = &mut self.run.jobs[index];
-        job.started = Some(self.now);
-        let held = job.service.mul_f64(upstream.pace);
-        let event = VirtualEvent::Finish(id, index, self.now, attempt);
-        self.schedule(self.now + held, event);
-    }
-
-    fn finish(&mut self, id: UpstreamId, index: usize, since: Instant, attempt: u32) {
-        let now = self.now;
-        let upstream = &mut self.run.upstreams[id as usize];
-        upstream.busy -= 1;
-        upstream.runs.push((since, now));
-        if !upstream.mute {
-            self.answer(id, index, attempt, JobEnd::Answered);
-        }
-        self.start_waiting(id);
-    }
-
-    /// Starts what waits at an upstream with a free slot.
-    fn start_waiting(&mut self, id: UpstreamId) {
-        while self.run.upstreams[id as usize].has_room() {
-            let Some(entry) = self.run.upstreams[id as usize].queue.pop_front() else {
-                return;
-            };
-            match entry {
-                WaitingEntry::Job(index) if self.now >= self.deadline_of(index) => {
-                    let attempt = self.run.jobs[index].sends;
-                    self.answer(id, index, attempt, not_started(Duration::ZERO));
-                }
-                WaitingEntry::Job(index) => {
-                    let attempt = self.run.jobs[index].sends;
-                    self.start_job(id, index, attempt);
-                }
-                WaitingEntry::Reservation(host, ask) => {
-                    self.run.upstreams[id as usize].busy += 1;
-                    let body = LoadBody::Grant { upstream: id };
-                    self.tell_from_upstream(id, host, ask, body);
-                }
-            }
-        }
-    }
-
-    fn tell_from_upstream(&mut self, id: UpstreamId, host: HostId, ask: u32, body: LoadBody) {
-        let message = LoadMessage {
-            service: SERVICE,
-            ask,
-            body,
-        };
-        self.count_message(UPSTREAM_HOST + id, &message);
-        let delay = self.delay(host, id);
-        let event = VirtualEvent::Peer(host, UPSTREAM_HOST + id, message);
-        self.schedule(self.now + delay, event);
-    }
-
-    /// Takes a probe or a reservation; a release, or the run that follows, frees the reserved slot.
-    fn reserve(&mut self, id: UpstreamId, host: HostId, message: &LoadMessage) {
-        match message.body {
-            LoadBody::Ask(_) => {
-                let entry = WaitingEntry::Reservation(host, message.ask);
-                self.run.upstreams[id as usize].queue.push_back(entry);
-            }
-            LoadBody::Release(_) => self.run.upstreams[id as usize].busy -= 1,
-            _ => {
-                let report = self.report(id);
-                let delay = self.delay(host, id);
-                let event = VirtualEvent::Result(host, usize::MAX, 0, JobEnd::Lost, report);
-                self.count_message(UPSTREAM_HOST + id, message);
-                self.schedule(self.now + delay, event);
-            }
-        }
-        self.start_waiting(id);
-    }
-
-    fn report(&self, id: UpstreamId) -> UpstreamReport {
-        let upstream = &self.run.upstreams[id as usize];
-        UpstreamReport {
-            upstream: id,
-            healthy: true,
-            busy_slots: upstream.busy + upstream.queue.len() as u32,
-            connections: 0,
-        }
-    }
-
-    fn answer(&mut self, id: UpstreamId, index: usize, attempt: u32, end: JobEnd) {
-        let host = self.run.jobs[index].host;
-        let report = self.report(id);
-        let delay = self.delay(host, id);
-        let event = VirtualEvent::Result(host, index, attempt, end, report);
-        self.schedule(self.now + delay, event);
-    }
-
     fn take_result(
         &mut self,
         host: HostId,
@@ -608,7 +488,7 @@
         }
     }
 
-    fn deadline_of(&self, index: usize) -> Instant {
+    pub(crate) fn deadline_of(&self, index: usize) -> Instant {
         self.run.jobs[index].arrived + self.plan.patience
     }
 
@@ -617,10 +497,12 @@
             WorldChange::Pace(id, pace) => self.run.upstreams[id as usize].pace = pace,
             WorldChange::Slots(id, slots) => self.run.upstreams[id as usize].slots = slots,
             WorldChange::Mute(id, mute) => self.run.upstreams[id as usize].mute = mute,
-            WorldChange::Drain(ids, apart) => {
+            WorldChange::Publish(state, apart) => {
+                self.version += 1;
                 for host in 0..self.plan.hosts {
                     let at = self.now + apart * host;
-                    self.schedule(at, VirtualEvent::Config(host, ids.clone()));
+                    let event = VirtualEvent::Config(host, self.version, state.clone());
+                    self.schedule(at, event);
                 }
             }
             WorldChange::Kill(host, known_after) => {
@@ -637,10 +519,6 @@
     }
 }
 
-fn not_started(retry_after: Duration) -> JobEnd {
-    JobEnd::NotStarted { retry_after }
-}
-
 fn key_of(index: usize) -> RequestKey {
     RequestKey {
         flow: index as u128,
--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Formatter, linter, documentation and tests; any fault ends it.
+# Formatter, linter, documentation, tests and bounds; any fault ends it.
 set -euo pipefail
 cd "$(dirname "$0")"
 step() { printf '\n== %s\n' "$*"; "$@"; }
@@ -19,3 +19,4 @@
 fi
 step cargo test --locked --workspace -- "${skipped[@]}"
 step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-control-lab -- --check
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-placement -- --check --flows 8000
--- a/lib/src/expiry_system.rs
+++ b/lib/src/expiry_system.rs
@@ -25,7 +25,7 @@
             self.attend(now, key, actions);
         }
         self.requests.expire(now);
-        self.flows.expire(now);
+        self.tick_flows(now, actions);
     }
 
     /// Attends to a request in progress for which something is due.
--- a/lib/src/pool_upstream.rs
+++ b/lib/src/pool_upstream.rs
@@ -22,7 +22,7 @@
 /// Pace, as a multiple of the pool's, from which an upstream is used only when others are full.
 const SLOW_PACE: f64 = 2.5;
 /// Part of the difference to the average pace that an upstream sheds a second without jobs.
-const PACE_RECOVERY: f64 = 0.1;
+const PACE_RECOVERY: f64 = 0.02;
 
 /// One upstream of a pool.
 #[derive(Clone, Debug)]
@@ -35,8 +35,6 @@
     pub usage: f64,
     /// Slots that may be in use now, as last computed.
     pub open: u32,
-    /// Open slots that are not in use, as last computed.
-    pub free: u32,
     /// Published slots.
     pub slots: u32,
     /// Limit learned from sheds.
@@ -61,7 +59,6 @@
             busy: 0,
             usage: 0.0,
             open: 0,
-            free: 0,
             slots: entry.slots,
             limit: SlotLimit::new(entry.slots),
             ramp,
@@ -93,7 +90,7 @@
 
     /// Whether time alone may change how it is used.
     pub fn is_unsettled(&self) -> bool {
-        self.limit.is_lowered()
+        self.limit.is_unsettled()
             || self.ramp.is_cold()
             || self.outlier.is_ejected()
             || self.is_avoided()
@@ -124,7 +121,7 @@
         let ratio = held.as_secs_f64() / average.as_secs_f64().max(f64::MIN_POSITIVE);
         self.pace += (ratio.min(LONGEST_SAMPLE) - self.pace) * NEWEST_WEIGHT;
         self.outlier.answered();
-        self.limit.answered(self.busy + 1);
+        self.limit.answered();
         self.unwell = false;
     }
 
--- a/lib/src/wire_frame.rs
+++ b/lib/src/wire_frame.rs
@@ -20,6 +20,8 @@
 use crate::cell_heartbeat::CellHeartbeat;
 use crate::cell_heartbeat::HeartbeatEcho;
 use crate::flow_hash::rendezvous_weight;
+use crate::flow_message::FlowMessage;
+use crate::flow_message::FlowParties;
 use crate::ids::FlowId;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
@@ -282,6 +284,13 @@
     Query(RecordQuery),
     /// Answers a query.
     Reply(RecordReply),
+    /// Between the flow directories of two hosts.
+    Flow {
+        /// Which processes it is between.
+        parties: FlowParties,
+        /// What is said.
+        message: FlowMessage,
+    },
 }
 
 /// Which of the three frames a datagram holds; the fourth byte of its header.
