--- a/lib/src/host_core.rs
+++ b/lib/src/host_core.rs
@@ -460,7 +460,7 @@
             return;
         }
         let has_peers = self.linger_deadline.is_some();
-        let answers_for_any = has_peers && self.requests.answers_for_any();
+        let answers_for_any = has_peers && self.requests.answers_for_any(now);
         if self.requests.in_progress() == 0 && !answers_for_any {
             self.drained_reported = true;
             actions.push(HostAction::Drained);
--- a/lib/src/request_system.rs
+++ b/lib/src/request_system.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
+
 use crate::config_snapshot::ServiceEntry;
 use crate::host_action::HostAction;
 use crate::host_core::HostCore;
@@ -13,6 +15,7 @@
 use crate::load_policy::JobEnd;
 use crate::load_policy::LoadJob;
 use crate::membership::CLAIM_MARGIN;
+use crate::request_table::RECORD_MEMORY;
 use crate::request_table::RequestKey;
 use crate::request_table::RequestRecord;
 use crate::request_table::RequestStage;
@@ -116,7 +119,8 @@
             taken: false,
             exclusive: false,
             deadline,
-            forget_deadline: deadline + self.settings.max_datagram_age,
+            settled_deadline: deadline + self.settings.max_datagram_age,
+            forget_deadline: deadline.max(now + RECORD_MEMORY) + self.settings.max_datagram_age,
         };
         self.requests.insert(key, record);
         self.decide(now, key, actions);
@@ -137,7 +141,10 @@
         };
         let deadline = now + body.remaining.min(LONGEST_DEADLINE);
         record.sent_after = record.sent_after.max(sent_after);
-        record.forget_deadline = record.forget_deadline.max(deadline + max_datagram_age);
+        let settled = deadline + max_datagram_age;
+        let forget = deadline.max(now + RECORD_MEMORY) + max_datagram_age;
+        record.settled_deadline = record.settled_deadline.max(settled);
+        record.forget_deadline = record.forget_deadline.max(forget);
     }
 
     /// Answers a further copy of a request from its record.
@@ -316,6 +323,7 @@
         let Some(record) = self.requests.get_mut(key) else {
             return;
         };
+        record.payload = Bytes::new();
         record.stage = RequestStage::Refused(refusal.clone());
         actions.push(HostAction::Count(refusal.code));
         let body = CallerBody::Refusal(refusal);
--- a/lib/src/request_table.rs
+++ b/lib/src/request_table.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -24,6 +25,13 @@
 /// Most bytes of whole answers that a host keeps for callers that have not acknowledged them.
 pub const ANSWER_BYTES: usize = 16 << 20;
 
+/// How long a request is remembered at least, from its last copy on.
+///
+/// A caller that was told that its deadline passed may ask again with the same number. Whoever has
+/// no record of a request that is older than this cannot tell whether it was run and forgotten, and
+/// never takes it on. At 2,000 requests a second this keeps 60,000 records of about 300 bytes.
+pub const RECORD_MEMORY: Duration = Duration::from_secs(30);
+
 /// Identity of a request on every host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestKey {
@@ -134,7 +142,9 @@
     pub exclusive: bool,
     /// When the caller stops waiting.
     pub deadline: Instant,
-    /// When the record may go: no copy of the request can arrive after this.
+    /// No copy can arrive after this, unless its caller asks again after the deadline.
+    pub settled_deadline: Instant,
+    /// When the record may go.
     pub forget_deadline: Instant,
 }
 
@@ -236,6 +246,7 @@
             return Vec::new();
         };
         self.answer_bytes += answer.received() as usize;
+        record.payload = Bytes::new();
         record.stage = RequestStage::Answered(answer);
         self.answered.push_back(key);
         let mut given_up = Vec::new();
@@ -310,10 +321,9 @@
 
     /// Whether a copy may still arrive of a request that this host has taken on and that may not
     /// run twice.
-    pub fn answers_for_any(&self) -> bool {
-        self.requests
-            .values()
-            .any(|record| record.taken && !record.idempotent)
+    pub fn answers_for_any(&self, now: Instant) -> bool {
+        let mut records = self.requests.values();
+        records.any(|record| record.taken && !record.idempotent && now < record.settled_deadline)
     }
 
     /// How many requests are remembered.
--- a/lib/src/takeover_system.rs
+++ b/lib/src/takeover_system.rs
@@ -18,6 +18,7 @@
 use crate::record_query::RecordReply;
 use crate::record_query::RecordState;
 use crate::request_system::LONGEST_DEADLINE;
+use crate::request_table::RECORD_MEMORY;
 use crate::request_table::RequestKey;
 use crate::request_table::RequestRecord;
 use crate::request_table::RequestStage;
@@ -121,6 +122,9 @@
                 false => Verdict::Refuse(ResultCode::OutcomeUnknown),
             };
         }
+        if !may_be_remembered(takeover.arrived, record.sent_after) {
+            return Verdict::Refuse(ResultCode::OutcomeUnknown);
+        }
         if since.is_none() {
             return self.verdict_inactive(now, takeover);
         }
@@ -324,9 +328,9 @@
             Some(record) if record.taken => RecordState::Held,
             Some(record) => match record.stage {
                 RequestStage::HeldBy(holder) if holder != sender => RecordState::Unsure,
-                _ => self.state_untaken(query),
+                _ => self.state_untaken(now, query),
             },
-            None => self.state_untaken(query),
+            None => self.state_untaken(now, query),
         };
         if state == RecordState::Absent {
             self.requests.promise(key, sender, forget_deadline);
@@ -346,15 +350,15 @@
     }
 
     /// What this host knows of a request that it has not taken on: nothing, if the request may be
-    /// older than the process or than the removal of a member, or if the sender counts over other
+    /// older than its memory, than the process or than the removal of a member, or if the sender counts over other
     /// members.
-    fn state_untaken(&self, query: &RecordQuery) -> RecordState {
+    fn state_untaken(&self, now: Instant, query: &RecordQuery) -> RecordState {
         let book = self.membership.book();
         let written = query.echo.and_then(|echo| book.sent_at(echo));
         let sent_after = written.and_then(|written| written.checked_sub(query.age + CLAIM_MARGIN));
         let same_set = query.member_set == book.member_set();
         let is_younger = sent_after >= Some(self.membership.removal_horizon());
-        match same_set && is_younger {
+        match same_set && is_younger && may_be_remembered(now, sent_after) {
             true => RecordState::Absent,
             false => RecordState::Unsure,
         }
@@ -383,6 +387,11 @@
     }
 }
 
+/// Whether a host that had taken a request on would still remember it at `now`.
+fn may_be_remembered(now: Instant, sent_after: Option<Instant>) -> bool {
+    sent_after.is_some_and(|sent| now < sent + RECORD_MEMORY)
+}
+
 fn takeover_frame(takeover: TakeoverState, now: Instant) -> CallerFrame {
     let waited = now.saturating_duration_since(takeover.arrived);
     aged_frame(takeover.frame, now, takeover.read, waited)
--- a/lib/tests/test_request_outcome.rs
+++ b/lib/tests/test_request_outcome.rs
@@ -315,6 +315,26 @@
     assert_eq!(refusals(&actions), expected);
 }
 
+#[test]
+fn test_request_asked_again_after_its_deadline_is_not_run_again() {
+    // A renewal is doubled: its caller heard nothing, was told that the outcome is unknown, and asks
+    // again with the same number, after the host has forgotten the request.
+    for pause in [2, 20, 40, 100] {
+        let mut host = OneHost::new(3);
+        host.run(transfer(1));
+        host.pass(Duration::from_secs(pause));
+        let again = RequestBody {
+            age: Duration::from_secs(pause),
+            ..transfer(1)
+        };
+        let mut actions = host.caller(CallerBody::Request(again));
+        actions.extend(host.pass(Duration::from_millis(200)));
+        let runs = |action: &HostAction| matches!(action, HostAction::ToUpstream { .. });
+        assert!(!actions.iter().any(runs), "after {pause} s");
+        assert_eq!(refusals(&actions)[0].1, RunOutcome::Unknown);
+    }
+}
+
 struct PeerCase {
     name: &'static str,
     sender: u32,
--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -157,6 +157,18 @@
     }
 }
 
+#[test]
+fn test_takeover_woken_host_earns_its_claim_anew() {
+    // A host is frozen for less than a claim lasts and acts at once on waking, on what it believed.
+    let mut cell = warm_cell(3);
+    let owner = cell.acting(0)[0] as usize - 1;
+    cell.hosts[owner].frozen_until = cell.time + 400;
+    run(&mut cell, 400 + STEP);
+    assert_eq!(cell.acting(0), [], "woken, and no heartbeat echoed since");
+    run(&mut cell, 1_000);
+    assert_eq!(cell.acting(0).len(), 1);
+}
+
 #[test]
 fn test_heartbeats_of_eight_hosts_stay_in_budget() {
     let mut cell = warm_cell(8);
