--- a/lib/tests/test_takeover.rs
+++ b/lib/tests/test_takeover.rs
@@ -164,7 +164,7 @@
     let owner = cell.acting(0)[0] as usize - 1;
     cell.hosts[owner].frozen_until = cell.time + 400;
     run(&mut cell, 400 + STEP);
-    assert_eq!(cell.acting(0), [], "woken, and no heartbeat echoed since");
+    assert!(cell.acting(0).is_empty(), "no heartbeat was echoed since");
     run(&mut cell, 1_000);
     assert_eq!(cell.acting(0).len(), 1);
 }
