--- a/lib/tests/test_planned_change.rs
+++ b/lib/tests/test_planned_change.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use lagoonproxy::config_snapshot::HostView;
+
 use crate::fake_cell::CALM_LINKS;
 use crate::fake_cell::FLOWS;
 use crate::fake_cell::FakeCell;
@@ -41,16 +43,16 @@
 fn join(cell: &mut FakeCell, time: u64) {
     if time == 500 {
         let members = [1, 2, 3, 4, 5, 6];
-        publish(cell, &members, 2, 900);
-        cell.add_host(6, &host_view(&members));
+        let view = publish(cell, &members, 2, 900);
+        cell.add_host(6, &view);
     }
 }
 
 fn join_known_at_once(cell: &mut FakeCell, time: u64) {
     if time == 500 {
         let members = [1, 2, 3, 4, 5, 6];
-        publish(cell, &members, 2, 0);
-        cell.add_host(6, &host_view(&members));
+        let view = publish(cell, &members, 2, 0);
+        cell.add_host(6, &view);
     }
 }
 
@@ -64,7 +66,7 @@
 }
 
 /// Publishes a list that hosts learn of one by one.
-fn publish(cell: &mut FakeCell, members: &[u32], version: u64, lag: u64) {
+fn publish(cell: &mut FakeCell, members: &[u32], version: u64, lag: u64) -> Arc<HostView> {
     let mut view = (*host_view(members)).clone();
     view.version = version;
     let view = Arc::new(view);
@@ -73,6 +75,7 @@
         cell.lagging
             .push((cell.time + step * index as u64, index, Arc::clone(&view)));
     }
+    view
 }
 
 #[test]
