--- a/lib/src/pool_admission.rs
+++ b/lib/src/pool_admission.rs
@@ -32,7 +32,7 @@
     /// Why an ask that would have to wait is refused, if it is, and how long it would wait.
     pub(crate) fn refusal(&self, now: Instant, ask: &PoolAsk) -> Option<(ResultCode, Duration)> {
         let (queue, slots) = match ask.upstream {
-            Some(upstream) if !self.table.is_active(upstream) => {
+            Some(upstream) if !self.table.holds(upstream) => {
                 return Some((ResultCode::NoUpstream, Duration::ZERO));
             }
             Some(upstream) => (self.pinned.get(&upstream), self.table.open_of(upstream)),
--- a/lib/src/pool_upstream.rs
+++ b/lib/src/pool_upstream.rs
@@ -35,6 +35,8 @@
     pub usage: f64,
     /// Slots that may be in use now, as last computed.
     pub open: u32,
+    /// Those of them that any job may use: none while it drains.
+    pub shared: u32,
     /// Published slots.
     pub slots: u32,
     /// Limit learned from sheds.
@@ -59,6 +61,7 @@
             busy: 0,
             usage: 0.0,
             open: 0,
+            shared: 0,
             slots: entry.slots,
             limit: SlotLimit::new(entry.slots),
             ramp,
@@ -102,8 +105,10 @@
     }
 
     /// Slots that may be in use now. `spare_cold` is false when most of the pool is cold.
+    ///
+    /// A draining upstream has them too, for the flows that are established there.
     pub fn compute_open(&self, now: Instant, spare_cold: bool, settings: &LoadSettings) -> u32 {
-        if !self.active || self.outlier.is_ejected() {
+        if self.outlier.is_ejected() {
             return 0;
         }
         let mut open = self.limit.allowed();
--- a/lib/src/service_messages.rs
+++ b/lib/src/service_messages.rs
@@ -160,12 +160,13 @@
         decisions: &mut Vec<LoadDecision>,
     ) {
         let record = self.jobs.by_ask(message.ask);
-        let key = match record {
-            Some(record) if matches!(record.stage, JobStage::Waiting { .. }) => record.job.key,
+        let job = match record {
+            Some(record) if matches!(record.stage, JobStage::Waiting { .. }) => &record.job,
             Some(_running) => return,
             None => return self.give_back(now, keeper, message, GrantEnd::Unused, decisions),
         };
-        if !self.is_active(upstream) {
+        let key = job.key;
+        if !self.may_send(job, upstream) {
             // The keeper has an older configuration, and would grant the same slot again at once,
             // for as long as the two configurations differ. To be told of a shed closes it there.
             let end = GrantEnd::Shed {
--- a/lib/src/service_policy.rs
+++ b/lib/src/service_policy.rs
@@ -116,6 +116,27 @@
         upstream.is_some_and(|entry| entry.state == UpstreamState::Active)
     }
 
+    /// Whether a job may be sent to an upstream: that of its flow in any state, an active one
+    /// otherwise.
+    pub(crate) fn may_send(&self, job: &LoadJob, upstream: UpstreamId) -> bool {
+        match job.pinned {
+            Some(pinned) => pinned == upstream,
+            None => self.is_active(upstream),
+        }
+    }
+
+    /// Whether a job's flow lives on an upstream that no longer carries the service.
+    ///
+    /// Nobody gives away such an upstream's slots, because the keepers follow from the selector.
+    /// Without this case a change of selectors would refuse the requests of established flows.
+    fn is_pinned_outside(&self, job: &LoadJob) -> bool {
+        let Some(pinned) = job.pinned else {
+            return false;
+        };
+        let service = self.config.services.get(&job.service);
+        service.is_none_or(|service| service.upstreams.binary_search(&pinned).is_err())
+    }
+
     /// The host that gives away slots for a job.
     pub(crate) fn keeper_for(&self, job: &LoadJob) -> Option<HostId> {
         let homes = self.homes.get(&job.service)?;
@@ -132,9 +153,10 @@
         mut record: JobRecord,
         decisions: &mut Vec<LoadDecision>,
     ) {
-        let is_pin_lost = record.job.pinned.is_some_and(|id| !self.is_active(id));
-        let keeper = self.keeper_for(&record.job).filter(|_keeper| !is_pin_lost);
-        let Some(keeper) = keeper else {
+        if self.is_pinned_outside(&record.job) {
+            return self.send_without_grant(now, record, decisions);
+        }
+        let Some(keeper) = self.keeper_for(&record.job) else {
             let hint = self.hint.after(Duration::ZERO);
             return refuse(&record, ResultCode::NoUpstream, hint, decisions);
         };
--- a/lib/src/service_tick.rs
+++ b/lib/src/service_tick.rs
@@ -107,8 +107,7 @@
         let service = record.job.service;
         match record.stage {
             JobStage::Waiting { keeper, .. } => {
-                let is_pin_lost = record.job.pinned.is_some_and(|id| !self.is_active(id));
-                if self.keeper_for(&record.job) == Some(keeper) && !is_pin_lost {
+                if self.keeper_for(&record.job) == Some(keeper) {
                     return;
                 }
                 if let Some(record) = self.jobs.remove(key) {
@@ -176,6 +175,27 @@
         }
     }
 
+    /// Sends a job to its flow's upstream, whose slots nobody gives away.
+    pub(crate) fn send_without_grant(
+        &mut self,
+        now: Instant,
+        mut record: JobRecord,
+        decisions: &mut Vec<LoadDecision>,
+    ) {
+        let Some(upstream) = record.job.pinned else {
+            return;
+        };
+        record.stage = JobStage::Running {
+            upstream,
+            keeper: None,
+        };
+        record.timer = now + self.settings.grant_length;
+        let key = record.job.key;
+        self.jobs.insert(record);
+        *self.direct.entry(upstream).or_default() += 1;
+        decisions.push(LoadDecision::Send { key, upstream });
+    }
+
     /// Sends a job without a grant, because its keeper does not answer.
     fn send_direct(
         &mut self,
@@ -204,7 +224,7 @@
 
     fn choose_direct(&mut self, record: &JobRecord) -> Option<UpstreamId> {
         if record.job.pinned.is_some() {
-            return record.job.pinned.filter(|id| self.is_active(*id));
+            return record.job.pinned;
         }
         let config = Arc::clone(&self.config);
         let service = config.services.get(&record.job.service)?;
--- a/lib/src/slot_table.rs
+++ b/lib/src/slot_table.rs
@@ -34,7 +34,7 @@
     tree: ChoiceTree,
     /// Upstreams that time alone may change.
     unsettled: BTreeSet<usize>,
-    /// Sum of `open` over all upstreams.
+    /// Sum of `open` over the upstreams that take new work.
     open_slots: u32,
     /// When the weight of use is 1.
     weight_origin: Option<Instant>,
@@ -115,10 +115,9 @@
         upstream.busy < upstream.open
     }
 
-    /// Whether an upstream is in the table and takes new work as far as is published.
-    pub fn is_active(&self, id: UpstreamId) -> bool {
-        let upstream = self.index.get(&id).map(|index| &self.upstreams[*index]);
-        upstream.is_some_and(PoolUpstream::is_active)
+    /// Whether an upstream is in the table.
+    pub fn holds(&self, id: UpstreamId) -> bool {
+        self.index.contains_key(&id)
     }
 
     /// Slots of one upstream that may be in use.
@@ -245,6 +244,7 @@
         self.spare_cold = self.most_are_warm();
         for index in 0..self.upstreams.len() {
             self.upstreams[index].open = 0;
+            self.upstreams[index].shared = 0;
             self.refresh(now, index);
         }
     }
@@ -253,9 +253,12 @@
     fn refresh(&mut self, now: Instant, index: usize) {
         let upstream = &mut self.upstreams[index];
         let open = upstream.compute_open(now, self.spare_cold, &self.settings);
-        self.open_slots = self.open_slots - upstream.open + open;
+        // Only jobs of established flows use a draining upstream's slots, and they name it.
+        let shared = if upstream.is_active() { open } else { 0 };
+        self.open_slots = self.open_slots - upstream.shared + shared;
         upstream.open = open;
-        let key = match upstream.busy < open {
+        upstream.shared = shared;
+        let key = match upstream.busy < shared {
             true if upstream.is_avoided() => upstream.usage + AVOIDED_KEY,
             true => upstream.usage,
             false => f64::INFINITY,
