--- a/bench/tests/test_flow_cell.rs
+++ b/bench/tests/test_flow_cell.rs
@@ -125,8 +125,17 @@
         self.next_flow += 1;
         let entry = self.any_host();
         let lookup = self.cell.frame_at(entry, digest, FlowIntent::Open);
-        if let FlowLookup::Found(binding) = lookup {
-            self.opened.insert(digest, binding);
+        let FlowLookup::Found(binding) = lookup else {
+            return;
+        };
+        self.opened.insert(digest, binding);
+        // The caller's second copy reaches another host, which may know another table.
+        let entry = self.any_host();
+        let again = self.cell.frame_at(entry, digest, FlowIntent::Open);
+        if let FlowLookup::Found(reached) = again
+            && reached != binding
+        {
+            self.strays.push((digest, binding, reached));
         }
     }
 
