--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,9 +7,12 @@
 pub mod cluster_plan;
 pub mod control_lab;
 pub mod flow_cell;
+pub mod lab_check;
 pub mod lab_config;
 pub mod lab_platform;
+pub mod lab_plot;
 pub mod lab_scenario;
+mod lab_table;
 pub mod late_binding_policy;
 pub mod outcome_report;
 pub mod placement_scheme;
--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -1,3 +1,4 @@
-//! The tests of the flow directories of a cell, in one program so that linking is fast.
+//! Stories of the experiments' worlds, in one program so that linking is fast.
 
+mod test_control_plane;
 mod test_flow_cell;
--- a/check.sh
+++ b/check.sh
@@ -19,3 +19,4 @@
 fi
 step cargo test --locked --workspace -- "${skipped[@]}"
 step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-placement -- --check --flows 8000
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-control-lab -- --check
