--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod fake_cell;
 mod flow_net;
+mod late_policy;
 mod test_byte_budget;
 mod test_choice_tree;
 mod test_config_check;
--- a/lib/tests/test_flow_system.rs
+++ b/lib/tests/test_flow_system.rs
@@ -18,10 +18,12 @@
 use lagoonproxy::wire_frame::UpstreamBody;
 use lagoonproxy::wire_frame::UpstreamFrame;
 
+use crate::late_policy::LatePolicy;
 use crate::world::caller_address;
 use crate::world::ledger_address;
 use crate::world::ledger_config;
 use crate::world::lone_core;
+use crate::world::lone_core_with;
 use crate::world::transfer;
 use crate::world::upstream_address;
 
@@ -52,8 +54,12 @@
 impl FlowHost {
     fn new() -> Self {
         let now = Instant::now();
+        Self::of(now, lone_core(now, UPSTREAMS))
+    }
+
+    fn of(now: Instant, core: HostCore) -> Self {
         let mut host = Self {
-            core: lone_core(now, UPSTREAMS),
+            core,
             now,
             config: ledger_config(1, UPSTREAMS),
             next_request: 1,
@@ -166,6 +172,29 @@
     }
 }
 
+#[test]
+fn test_job_that_waited_is_not_sent_to_a_relabelled_upstream() {
+    // A packet for the ledger reaches the certificate service: a request is promised an upstream,
+    // waits for its slot, and the upstream is given to the other service before it goes out.
+    let now = Instant::now();
+    let policy = LatePolicy {
+        upstream: 1,
+        waiting: Vec::new(),
+    };
+    let mut host = FlowHost::of(now, lone_core_with(now, UPSTREAMS, Box::new(policy)));
+    host.ask(ledger_address(), 1, false);
+    let sent = sent_upstream(&host.take(HostEvent::Tick));
+    assert_eq!(sent[0].1.tag.upstream, 1);
+    host.ask(ledger_address(), 2, false);
+    host.publish(|config| {
+        let upstream = &mut config.upstreams[1];
+        upstream.labels = [("service".into(), "portal".into())].into();
+    });
+    let actions = host.take(HostEvent::Tick);
+    assert_eq!(sent_upstream(&actions), vec![]);
+    assert_eq!(refused_with(&actions), Some(ResultCode::NoUpstream));
+}
+
 #[test]
 fn test_reused_address_ends_the_flows_of_its_former_process() {
     // A custody record is written by the wrong process: an upstream died and its address was given
--- a/lib/tests/world.rs
+++ b/lib/tests/world.rs
@@ -18,6 +18,7 @@
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::ServiceAddress;
 use lagoonproxy::least_busy_policy::LeastBusyPolicy;
+use lagoonproxy::load_policy::LoadPolicy;
 use lagoonproxy::published_config::PublishedConfig;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::published_config::UpstreamDoc;
@@ -96,6 +97,11 @@
 
 /// A host that starts at `now`, without configuration.
 pub fn host_core_at(now: Instant, host: HostId) -> HostCore {
+    host_core_with(now, host, Box::<LeastBusyPolicy>::default())
+}
+
+/// The same with a load policy of the test's own.
+pub fn host_core_with(now: Instant, host: HostId, policy: Box<dyn LoadPolicy>) -> HostCore {
     let settings = CoreSettings {
         host,
         incarnation: 1,
@@ -104,13 +110,18 @@
         flow_idle: Duration::from_secs(3_600),
         max_datagram_age: Duration::from_secs(1),
     };
-    HostCore::new(settings, Box::<LeastBusyPolicy>::default())
+    HostCore::new(settings, policy)
 }
 
 /// The only host of its cell, at `now` in a position to take on any request.
 pub fn lone_core(now: Instant, upstreams: u32) -> HostCore {
+    lone_core_with(now, upstreams, Box::<LeastBusyPolicy>::default())
+}
+
+/// The same with a load policy of the test's own.
+pub fn lone_core_with(now: Instant, upstreams: u32, policy: Box<dyn LoadPolicy>) -> HostCore {
     let mut time = now.checked_sub(LONE_START).expect("a machine that is up");
-    let mut core = host_core_at(time, 1);
+    let mut core = host_core_with(time, 1, policy);
     let config = ledger_config(1, upstreams).compile().unwrap();
     let mut actions = Vec::new();
     core.handle(time, HostEvent::Config(Arc::new(config)), &mut actions);
