--- a/check.sh
+++ b/check.sh
@@ -18,5 +18,5 @@
     done <KNOWN-RED.txt
 fi
 step cargo test --locked --workspace -- "${skipped[@]}"
-step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-placement -- --check --flows 8000
 step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-control-lab -- --check
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-placement -- --check --flows 8000
--- a/lib/src/host_core.rs
+++ b/lib/src/host_core.rs
@@ -477,7 +477,7 @@
             return;
         }
         let has_peers = self.linger_deadline.is_some();
-        let answers_for_any = has_peers && self.requests.answers_for_any();
+        let answers_for_any = has_peers && self.requests.answers_for_any(now);
         let is_handed_over = !has_peers || self.flows.is_handed_over();
         if self.requests.in_progress() == 0 && !answers_for_any && is_handed_over {
             self.drained_reported = true;
