--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Formatter, linter, documentation and tests; any fault ends it.
+# Formatter, linter, documentation, tests and bounds; any fault ends it.
 set -euo pipefail
 cd "$(dirname "$0")"
 step() { printf '\n== %s\n' "$*"; "$@"; }
@@ -18,4 +18,6 @@
     done <KNOWN-RED.txt
 fi
 step cargo test --locked --workspace -- "${skipped[@]}"
-step cargo run --locked --quiet --bin lagoon-dispatch -- --check
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-control-lab -- --check
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-placement -- --check --flows 8000
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-dispatch -- --check
