--- a/lib/src/claim.rs
+++ b/lib/src/claim.rs
@@ -270,14 +270,20 @@
         }
         let mut since = self.claim_since?;
         for id in ahead {
-            if !self.is_fenced(now, *id) {
-                return None;
-            }
-            since = since.max(self.peers.get(id)?.fenced_since?);
+            since = since.max(self.fenced_since(now, *id)?);
         }
         Some(since)
     }
 
+    /// Since when a member has not been able to act, without a gap: a majority has had it fenced, or
+    /// its own word was in use. `None` if it may be acting.
+    pub fn fenced_since(&self, now: Instant, id: HostId) -> Option<Instant> {
+        match self.is_fenced(now, id) {
+            true => self.peers.get(&id)?.fenced_since,
+            false => None,
+        }
+    }
+
     /// Whether votes are about to come into use, so that waiting for a claim makes sense: after a
     /// start, a change of members or the loss of a few heartbeats, as against a cut.
     pub fn is_settling(&self, now: Instant) -> bool {
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -29,8 +29,9 @@
 pub const CLAIM_MARGIN: Duration = Duration::from_millis(60);
 /// Silence after which a peer is skipped for flows and idempotent requests.
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(1_200);
-/// Time between two events from which on the host takes itself to have been frozen: ten ticks.
-pub const FREEZE_GAP: Duration = Duration::from_millis(100);
+/// Time between two events from which on the host takes itself to have been frozen. Well above what
+/// a busy machine makes a process wait, for each time the claim has to be earned anew.
+pub const FREEZE_GAP: Duration = Duration::from_millis(250);
 /// How long a host waits for others to know a list before it uses it.
 pub const LIST_WAIT: Duration = Duration::from_secs(4);
 /// How long after waking a host may still read datagrams that arrived while it was frozen.
--- a/lib/src/request_system.rs
+++ b/lib/src/request_system.rs
@@ -15,6 +15,7 @@
 use crate::load_policy::JobEnd;
 use crate::load_policy::LoadJob;
 use crate::membership::CLAIM_MARGIN;
+use crate::membership::FREEZE_GAP;
 use crate::request_table::RECORD_MEMORY;
 use crate::request_table::RequestKey;
 use crate::request_table::RequestRecord;
@@ -304,9 +305,10 @@
     }
 
     /// No earlier than this a request was first sent that was `age` old in a frame that a host read
-    /// at `read` or later; `None` for any time.
+    /// at `read` or later; `None` for any time. The frame may have waited for a freeze that was too
+    /// short to be noticed.
     fn sent_after(&self, read: Option<Instant>, age: Duration) -> Option<Instant> {
-        let under_way = self.settings.max_datagram_age;
+        let under_way = self.settings.max_datagram_age + FREEZE_GAP;
         read?.checked_sub(age + under_way + CLAIM_MARGIN)
     }
 
--- a/lib/src/takeover_system.rs
+++ b/lib/src/takeover_system.rs
@@ -158,17 +158,16 @@
         let Some(queried) = takeover.queried else {
             return Verdict::Query;
         };
-        let peers = self.peers_to_query();
-        let silent = peers
-            .iter()
-            .filter(|id| !takeover.replies.contains_key(id))
-            .count();
-        let hopeful = peers
-            .iter()
-            .any(|id| !takeover.replies.contains_key(id) && self.membership.is_heard(now, *id));
-        if silent == 0 && self.is_all_absent(record, takeover) {
+        let peers = self.peers_to_query(now, record.sent_after);
+        let replies = &takeover.replies;
+        let is_absent = |id: &HostId| replies.get(id) == Some(&RecordState::Absent);
+        let own_absent = record.sent_after >= Some(self.membership.removal_horizon());
+        if own_absent && peers.iter().all(is_absent) {
             return Verdict::TakeOn { exclusive: true };
         }
+        let may_reply =
+            |id: &HostId| !replies.contains_key(id) && self.membership.is_heard(now, *id);
+        let hopeful = peers.iter().any(may_reply);
         if hopeful && now < queried + QUERY_LIMIT {
             return match now < takeover.next_query {
                 true => Verdict::Wait,
@@ -178,15 +177,18 @@
         Verdict::Refuse(ResultCode::OutcomeUnknown)
     }
 
-    fn is_all_absent(&self, record: &RequestRecord, takeover: &TakeoverState) -> bool {
-        let own_absent = record.sent_after >= Some(self.membership.removal_horizon());
-        let mut states = takeover.replies.values();
-        own_absent && states.all(|state| *state == RecordState::Absent)
-    }
-
-    fn peers_to_query(&self) -> Vec<HostId> {
+    /// The members that may have taken on a request first sent after `sent_after`: all but those
+    /// that have been fenced since, for a host takes requests on only while it acts.
+    fn peers_to_query(&self, now: Instant, sent_after: Option<Instant>) -> Vec<HostId> {
+        let book = self.membership.book();
+        let is_excluded = |id: &HostId| {
+            let since = book.fenced_since(now, *id);
+            since.is_some() && since <= sent_after
+        };
         let members = self.membership.members().iter().copied();
-        members.filter(|id| *id != self.settings.host).collect()
+        members
+            .filter(|id| *id != self.settings.host && !is_excluded(id))
+            .collect()
     }
 
     /// Since when this host has been the only one that may take on requests of a flow.
@@ -275,9 +277,8 @@
     }
 
     fn query_peers(&mut self, now: Instant, key: RequestKey, actions: &mut Vec<HostAction>) {
-        let peers = self.peers_to_query();
         let member_set = self.membership.book().member_set();
-        let Some(record) = self.requests.get_mut(key) else {
+        let Some(record) = self.requests.get(key) else {
             return;
         };
         let sent_after = record.sent_after;
@@ -290,6 +291,10 @@
             remaining: record.forget_deadline.saturating_duration_since(now),
             member_set,
         };
+        let peers = self.peers_to_query(now, sent_after);
+        let Some(record) = self.requests.get_mut(key) else {
+            return;
+        };
         let RequestStage::Deciding(takeover) = &mut record.stage else {
             return;
         };
