claim: do not let processes that have just started outvote an earlier set

Seed 1413 of the random faults: two hosts act at once. Hosts 1 and 3 vote under the old list {1,2,3}; host 2 restarts with the new one {1,2,4} and, with host 4 that is new, is a majority of it; neither has voted under any list, so both took the start for the first of the cell. A new process now begins by a majority of new ones only after it has listened for a claim's length and heard nobody vote under another list.

--- a/lib/src/claim.rs
+++ b/lib/src/claim.rs
@@ -76,6 +76,7 @@
     /// Invariant: in ascending order, at most [`crate::cell_heartbeat::MAX_CELL`].
     members: Vec<HostId>,
     member_set: u32,
+    started: Instant,
     stage: SetStage,
     /// The members of the last set that this process voted under; empty while fresh.
     base: Vec<HostId>,
@@ -107,6 +108,7 @@
             settings,
             members: Vec::new(),
             member_set: 0,
+            started: now,
             stage: SetStage::Fresh,
             base: Vec::new(),
             quiet_until: now,
@@ -125,9 +127,9 @@
     ///
     /// Votes of two sets must not be in use at once, for their majorities may not intersect. So
     /// the host is silent for the length of a vote, and votes under the new set only when a
-    /// majority of the last set it voted under has changed to the new one as well. Assumption: no
-    /// change adds as many members as half of those there were, for new processes cannot know of
-    /// an earlier set.
+    /// majority of the last set it voted under has changed to the new one as well. Assumption: while
+    /// the list changes, processes that have just started are no majority of it that hears nobody
+    /// of the earlier set, which they cannot know of otherwise.
     pub fn set_members(&mut self, now: Instant, members: &[HostId]) {
         if members == self.members {
             return;
@@ -454,7 +456,8 @@
             SetStage::Fresh => {
                 let own = usize::from(self.members.contains(&self.host));
                 let others = self.count_at_set(now, &self.members, Some(SetStage::Fresh));
-                others + own >= majority(self.members.len())
+                let is_first_set = now >= self.started + bound && !self.hears_other_set(now);
+                is_first_set && others + own >= majority(self.members.len())
             }
             SetStage::Pending | SetStage::Active => {
                 let own = usize::from(self.base.contains(&self.host));
@@ -469,6 +472,17 @@
         self.quiet_until = self.quiet_until.max(now + bound);
     }
 
+    /// Whether a member votes under another set. Processes that have just started, some of them at
+    /// the place of members of that set, must not outvote it because they know of none.
+    fn hears_other_set(&self, now: Instant) -> bool {
+        let bound = self.settings.bound();
+        self.peers.values().any(|peer| {
+            let is_heard = peer.heard.is_some_and(|heard| now < heard + bound);
+            let has_voted = peer.stage.is_some_and(|stage| stage != SetStage::Fresh);
+            is_heard && has_voted && peer.member_set != self.member_set
+        })
+    }
+
     /// How many peers of `among` were heard lately under this host's set, at `stage` if given.
     fn count_at_set(&self, now: Instant, among: &[HostId], stage: Option<SetStage>) -> usize {
         let bound = self.settings.bound();
--- a/lib/tests/test_request_faults.rs
+++ b/lib/tests/test_request_faults.rs
@@ -14,6 +14,8 @@
 
 /// Seeds that CI tries; `LAGOON_SEEDS` tries another number.
 const SEEDS: u64 = 300;
+/// Seeds beyond those that showed a fault once.
+const FOUND_SEEDS: [u64; 1] = [1_413];
 /// Threads that share the seeds.
 const THREADS: u64 = 4;
 /// Milliseconds until every host of a new cell may act.
@@ -164,7 +166,9 @@
     let total = std::thread::scope(|scope| {
         let workers: Vec<_> = (0..THREADS)
             .map(|worker| {
-                let own = (first..first + seeds).filter(move |seed| seed % THREADS == worker);
+                let own = (first..first + seeds)
+                    .chain(FOUND_SEEDS)
+                    .filter(move |seed| seed % THREADS == worker);
                 scope.spawn(move || own.map(trial).fold(TrialSums::default(), add))
             })
             .collect();
