load: let an upstream that was slow come back only when it is not

Cause: one threshold decided both ways, so a slow upstream came back every few seconds and, being the least used, took several jobs each time.

--- a/lib/src/pool_upstream.rs
+++ b/lib/src/pool_upstream.rs
@@ -21,6 +21,9 @@
 const LONGEST_SAMPLE: f64 = 4.0;
 /// Pace, as a multiple of the pool's, from which an upstream is used only when others are full.
 const SLOW_PACE: f64 = 2.5;
+/// Pace below which it is used like the others again. With one threshold for both, a slow upstream
+/// came back every few seconds and, being the least used, took several jobs each time.
+const USUAL_PACE: f64 = 1.5;
 /// Part of the difference to the average pace that an upstream sheds a second without jobs.
 const PACE_RECOVERY: f64 = 0.02;
 
@@ -51,6 +54,8 @@
     unwell: bool,
     /// How long jobs take here, as a multiple of the pool's average.
     pace: f64,
+    /// Whether it was slow and has not been seen to be otherwise since.
+    slow: bool,
 }
 
 impl PoolUpstream {
@@ -70,6 +75,7 @@
             active: entry.state == UpstreamState::Active,
             unwell: false,
             pace: 1.0,
+            slow: false,
         }
     }
 
@@ -101,7 +107,7 @@
 
     /// Whether it is used only when others are full.
     pub fn is_avoided(&self) -> bool {
-        self.unwell || self.pace > SLOW_PACE
+        self.unwell || self.slow
     }
 
     /// Slots that may be in use now. `spare_cold` is false when most of the pool is cold.
@@ -125,6 +131,7 @@
     pub fn answered(&mut self, held: Duration, average: Duration) {
         let ratio = held.as_secs_f64() / average.as_secs_f64().max(f64::MIN_POSITIVE);
         self.pace += (ratio.min(LONGEST_SAMPLE) - self.pace) * NEWEST_WEIGHT;
+        self.judge_pace();
         self.outlier.answered();
         self.limit.answered();
         self.unwell = false;
@@ -144,6 +151,14 @@
         if self.busy == 0 {
             let recovered = (PACE_RECOVERY * passed.as_secs_f64()).min(1.0);
             self.pace += (1.0 - self.pace) * recovered;
+            self.judge_pace();
         }
     }
+
+    fn judge_pace(&mut self) {
+        self.slow = match self.slow {
+            true => self.pace >= USUAL_PACE,
+            false => self.pace > SLOW_PACE,
+        };
+    }
 }
