--- a/lib/src/flow_exchange.rs
+++ b/lib/src/flow_exchange.rs
@@ -3,10 +3,10 @@
 use std::time::Instant;
 
 use crate::baseline_book::BaselineEnd;
+use crate::flow_derivation::LegacyPlace;
 use crate::flow_directory::FlowDirectory;
 use crate::flow_directory::FlowLookup;
 use crate::flow_directory::FlowOrder;
-use crate::flow_directory::LegacyPlace;
 use crate::flow_message::FlowAnswer;
 use crate::flow_message::FlowMessage;
 use crate::flow_message::FlowNote;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod expiry_system;
 pub mod fair_queue;
 pub mod flow_binding;
+pub mod flow_derivation;
 pub mod flow_directory;
 pub mod flow_exchange;
 pub mod flow_handover;
