claim: let new processes listen for silent members before they begin

New processes that do not hear every member now wait 10 s before they take themselves for the first of the cell.

--- a/lib/src/claim.rs
+++ b/lib/src/claim.rs
@@ -25,6 +25,10 @@
 /// How many of its own heartbeats a host remembers the sending time of.
 const SENT_KEPT: usize = 256;
 
+/// How long processes that have all just started listen for the members that they do not hear, before
+/// they take themselves for the first of the cell. A silent member may vote under an earlier list.
+pub const FIRST_SET_WAIT: Duration = Duration::from_secs(10);
+
 /// The lengths that claims depend on; alike on every host.
 #[derive(Clone, Copy, Debug)]
 pub struct ClaimSettings {
@@ -456,8 +460,13 @@
             SetStage::Fresh => {
                 let own = usize::from(self.members.contains(&self.host));
                 let others = self.count_at_set(now, &self.members, Some(SetStage::Fresh));
-                let is_first_set = now >= self.started + bound && !self.hears_other_set(now);
-                is_first_set && others + own >= majority(self.members.len())
+                let fresh = others + own;
+                let listened = match fresh == self.members.len() {
+                    true => bound,
+                    false => FIRST_SET_WAIT,
+                };
+                let is_first_set = now >= self.started + listened && !self.hears_other_set(now);
+                is_first_set && fresh >= majority(self.members.len())
             }
             SetStage::Pending | SetStage::Active => {
                 let own = usize::from(self.base.contains(&self.host));
