--- a/check.sh
+++ b/check.sh
@@ -20,3 +20,4 @@
 step cargo test --locked --workspace -- "${skipped[@]}"
 step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-control-lab -- --check
 step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-placement -- --check --flows 8000
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-dispatch -- --check
