standin: measure the relay ratio by the processor time of one thread

lagoon-relay-bench relays parts of answers through an entry daemon and through a bare UDP relay, both tasks of one thread, in alternate rounds.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 mod platform_legacy;
 pub mod platform_operator;
 pub mod ready_wait;
+pub mod relay_bench;
 pub mod run_records;
 pub mod service_time;
 pub mod upstream;
