daemon: drain sockets in batches and encode into a buffer used again

A profile showed a wait on five futures, two allocations for the datagram and two locked look-ups of counters a datagram. The loop now waits for readiness and takes up to 64 datagrams of a socket, sends without waiting while the socket has room, encodes with postcard::to_slice, keeps the actions' room, and holds the link counters; received bytes, which nobody counted, are counted.

--- a/daemon/src/daemon_metrics.rs
+++ b/daemon/src/daemon_metrics.rs
@@ -35,7 +35,16 @@
     Upstream,
 }
 
+/// What is counted of one link.
+struct LinkCounters {
+    received: Counter,
+    sent: Counter,
+}
+
 impl DatagramLink {
+    /// Every link, in the order of its discriminant.
+    const ALL: [Self; 3] = [Self::Caller, Self::Peer, Self::Upstream];
+
     fn label(self) -> LinkLabels {
         let link = match self {
             Self::Caller => "caller",
@@ -53,6 +62,8 @@
     retries: Family<ResultLabels, Counter>,
     received_bytes: Family<LinkLabels, Counter>,
     sent_bytes: Family<LinkLabels, Counter>,
+    /// The counters of the two families above, by link: looking them up takes a lock a datagram.
+    link_counters: [LinkCounters; DatagramLink::ALL.len()],
     config_version: Gauge<u64, AtomicU64>,
     hosts_alive: Gauge<u64, AtomicU64>,
     flows: Gauge<u64, AtomicU64>,
@@ -62,12 +73,19 @@
 
 impl Default for EntryMetrics {
     fn default() -> Self {
+        let received_bytes = Family::<LinkLabels, Counter>::default();
+        let sent_bytes = Family::<LinkLabels, Counter>::default();
+        let link_counters = DatagramLink::ALL.map(|link| LinkCounters {
+            received: received_bytes.get_or_create_owned(&link.label()),
+            sent: sent_bytes.get_or_create_owned(&link.label()),
+        });
         let mut metrics = Self {
             registry: Registry::with_prefix("lagoon"),
             results: Family::default(),
             retries: Family::default(),
-            received_bytes: Family::default(),
-            sent_bytes: Family::default(),
+            received_bytes,
+            sent_bytes,
+            link_counters,
             config_version: Gauge::default(),
             hosts_alive: Gauge::default(),
             flows: Gauge::default(),
@@ -140,13 +158,13 @@
 
     /// Counts a datagram received.
     pub fn count_received(&self, link: DatagramLink, bytes: usize) {
-        let counter = self.received_bytes.get_or_create(&link.label());
+        let counter = &self.link_counters[link as usize].received;
         counter.inc_by(bytes as u64);
     }
 
     /// Counts a datagram sent.
     pub fn count_sent(&self, link: DatagramLink, bytes: usize) {
-        let counter = self.sent_bytes.get_or_create(&link.label());
+        let counter = &self.link_counters[link as usize].sent;
         counter.inc_by(bytes as u64);
     }
 
--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::hash::BuildHasher;
 use std::hash::RandomState;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +11,6 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use bytes::Bytes;
 use futures_util::StreamExt;
 use lagoonproxy::daemon_settings::EntrySettings;
 use lagoonproxy::host_action::HostAction;
@@ -23,7 +23,8 @@
 use lagoonproxy::service_policy::ServicePolicy;
 use lagoonproxy::unit_text::format_duration;
 use lagoonproxy::wire_frame;
-use lagoonproxy::wire_frame::MAX_DATAGRAM;
+use lagoonproxy::wire_frame::FRAME_BUFFER_LEN;
+use lagoonproxy::wire_frame::FrameBuffer;
 use lagoonproxy::wire_frame::PeerKey;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -45,6 +46,8 @@
 /// Time between two statuses shown to operators; a status scans the table of requests.
 const STATUS_PAUSE: Duration = Duration::from_millis(250);
 const CONTROL_QUEUE: usize = 16;
+/// Datagrams taken from one socket before the others have their turn.
+const BATCH: usize = 64;
 
 /// Why the entry daemon stops.
 #[derive(Debug, Snafu)]
@@ -86,6 +89,20 @@
     caller_socket: UdpSocket,
     peer_socket: UdpSocket,
     upstream_socket: UdpSocket,
+    /// The datagram received last.
+    received: Box<FrameBuffer>,
+    /// The datagram sent last.
+    sent: Box<FrameBuffer>,
+    /// Empty between events; kept for its room.
+    actions: Vec<HostAction>,
+}
+
+/// What the loop has to do next.
+enum LoopTurn {
+    Drain,
+    Control(ControlMessage),
+    Datagrams(DatagramLink),
+    Tick,
 }
 
 /// The addresses that were bound, with the ports that the system chose.
@@ -125,6 +142,9 @@
             caller_socket: bind(settings.caller_address).await?,
             peer_socket: bind(settings.peer_address).await?,
             upstream_socket: bind(settings.upstream_address).await?,
+            received: Box::new([0; FRAME_BUFFER_LEN]),
+            sent: Box::new([0; FRAME_BUFFER_LEN]),
+            actions: Vec::new(),
         })
     }
 
@@ -165,52 +185,99 @@
         let mut shutdown = Box::pin(shutdown);
         let mut drain_deadline: Option<Instant> = None;
         let mut ticks = tokio::time::interval(TICK);
-        let mut from_caller = [0; MAX_DATAGRAM + 1];
-        let mut from_peer = [0; MAX_DATAGRAM + 1];
-        let mut from_upstream = [0; MAX_DATAGRAM + 1];
         loop {
-            let event = tokio::select! {
+            let turn = tokio::select! {
                 () = &mut shutdown, if drain_deadline.is_none() => {
                     drain_deadline = Some(Instant::now() + self.drain_limit);
                     log::info!("draining for {} at most", format_duration(self.drain_limit));
-                    Ok(HostEvent::Drain)
+                    LoopTurn::Drain
                 }
-                Some(message) = control.recv() => Ok(control_event(message)),
-                received = self.caller_socket.recv_from(&mut from_caller) => {
-                    let (len, caller) = received.context(SocketSnafu)?;
-                    wire_frame::decode_caller(&from_caller[..len])
-                        .map(|frame| HostEvent::CallerFrame { caller, frame })
+                Some(message) = control.recv() => LoopTurn::Control(message),
+                ready = self.caller_socket.readable() => {
+                    ready.context(SocketSnafu)?;
+                    LoopTurn::Datagrams(DatagramLink::Caller)
                 }
-                received = self.peer_socket.recv_from(&mut from_peer) => {
-                    let (len, _peer) = received.context(SocketSnafu)?;
-                    wire_frame::decode_peer(&from_peer[..len], &self.peer_key)
-                        .map(HostEvent::PeerFrame)
+                ready = self.peer_socket.readable() => {
+                    ready.context(SocketSnafu)?;
+                    LoopTurn::Datagrams(DatagramLink::Peer)
                 }
-                received = self.upstream_socket.recv_from(&mut from_upstream) => {
-                    let (len, source) = received.context(SocketSnafu)?;
-                    wire_frame::decode_upstream(&from_upstream[..len])
-                        .map(|frame| HostEvent::UpstreamFrame { source, frame })
+                ready = self.upstream_socket.readable() => {
+                    ready.context(SocketSnafu)?;
+                    LoopTurn::Datagrams(DatagramLink::Upstream)
                 }
-                _ = ticks.tick() => Ok(HostEvent::Tick),
+                _ = ticks.tick() => LoopTurn::Tick,
             };
-            match event {
+            self.observe_status();
+            let drained = match turn {
+                LoopTurn::Drain => self.handle(HostEvent::Drain).await,
+                LoopTurn::Control(message) => self.handle(control_event(message)).await,
+                LoopTurn::Datagrams(link) => self.take_datagrams(link).await?,
+                LoopTurn::Tick => self.handle(HostEvent::Tick).await,
+            };
+            if drained {
+                log::info!("drained");
+                return Ok(());
+            }
+            if drain_deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+                log::warn!(
+                    "not drained in time: {:?}",
+                    self.core.status(Instant::now())
+                );
+                return Ok(());
+            }
+        }
+    }
+
+    /// Takes what a socket holds, a batch at most, so that waiting for sockets costs once a batch
+    /// and no socket keeps the others or the ticks waiting; `true` once drained.
+    async fn take_datagrams(&mut self, link: DatagramLink) -> Result<bool, EntryError> {
+        for _datagram in 0..BATCH {
+            let Some(received) = self.receive(link)? else {
+                break;
+            };
+            match received {
                 Ok(event) => {
-                    self.observe_status();
                     if self.handle(event).await {
-                        log::info!("drained");
-                        return Ok(());
-                    }
-                    if drain_deadline.is_some_and(|deadline| deadline <= Instant::now()) {
-                        log::warn!(
-                            "not drained in time: {:?}",
-                            self.core.status(Instant::now())
-                        );
-                        return Ok(());
+                        return Ok(true);
                     }
                 }
                 Err(code) => self.admin.metrics.count_result(code),
             }
         }
+        Ok(false)
+    }
+
+    /// The next datagram of a socket that needs no waiting for, decoded, or why it is dropped.
+    fn receive(
+        &mut self,
+        link: DatagramLink,
+    ) -> Result<Option<Result<HostEvent, ResultCode>>, EntryError> {
+        let socket = match link {
+            DatagramLink::Caller => &self.caller_socket,
+            DatagramLink::Peer => &self.peer_socket,
+            DatagramLink::Upstream => &self.upstream_socket,
+        };
+        let (len, source) = match socket.try_recv_from(self.received.as_mut_slice()) {
+            Ok(received) => received,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(None),
+            Err(error) => return Err(error).context(SocketSnafu),
+        };
+        self.admin.metrics.count_received(link, len);
+        let bytes = &self.received[..len];
+        Ok(Some(match link {
+            DatagramLink::Caller => {
+                let decoded = wire_frame::decode_caller(bytes);
+                decoded.map(|frame| HostEvent::CallerFrame {
+                    caller: source,
+                    frame,
+                })
+            }
+            DatagramLink::Peer => {
+                wire_frame::decode_peer(bytes, &self.peer_key).map(HostEvent::PeerFrame)
+            }
+            DatagramLink::Upstream => wire_frame::decode_upstream(bytes)
+                .map(|frame| HostEvent::UpstreamFrame { source, frame }),
+        }))
     }
 
     /// Shows a new status once the last one is old.
@@ -225,51 +292,59 @@
 
     /// Passes an event to the core and carries out its actions; `true` once drained.
     async fn handle(&mut self, event: HostEvent) -> bool {
-        let mut actions = Vec::new();
+        let mut actions = std::mem::take(&mut self.actions);
         self.core.handle(Instant::now(), event, &mut actions);
         let mut drained = false;
-        for action in actions {
+        for action in actions.drain(..) {
             drained |= self.carry_out(action).await;
         }
+        self.actions = actions;
         drained
     }
 
     async fn carry_out(&mut self, action: HostAction) -> bool {
-        match action {
+        let buffer = &mut self.sent;
+        let (link, address, encoded) = match action {
             HostAction::ToCaller { caller, frame } => {
-                let encoded = wire_frame::encode_caller(&frame);
-                self.send(DatagramLink::Caller, caller, encoded).await;
+                let encoded = wire_frame::encode_caller_in(&frame, buffer);
+                (DatagramLink::Caller, caller, encoded)
             }
             HostAction::ToPeer { address, frame, .. } => {
-                let encoded = wire_frame::encode_peer(&frame, &self.peer_key);
-                self.send(DatagramLink::Peer, address, encoded).await;
+                let encoded = wire_frame::encode_peer_in(&frame, &self.peer_key, buffer);
+                (DatagramLink::Peer, address, encoded)
             }
             HostAction::ToUpstream { address, frame } => {
-                let encoded = wire_frame::encode_upstream(&frame);
-                self.send(DatagramLink::Upstream, address, encoded).await;
+                let encoded = wire_frame::encode_upstream_in(&frame, buffer);
+                (DatagramLink::Upstream, address, encoded)
+            }
+            HostAction::Count(code) => {
+                self.admin.metrics.count_result(code);
+                return false;
             }
-            HostAction::Count(code) => self.admin.metrics.count_result(code),
             HostAction::Drained => return true,
+        };
+        match encoded {
+            Ok(len) => self.send(link, address, len).await,
+            Err(code) => self.admin.metrics.count_result(code),
         }
         false
     }
 
-    async fn send(
-        &mut self,
-        link: DatagramLink,
-        address: SocketAddr,
-        encoded: Result<Bytes, ResultCode>,
-    ) {
-        let bytes = match encoded {
-            Ok(bytes) => bytes,
-            Err(code) => return self.admin.metrics.count_result(code),
-        };
+    /// Sends the datagram that stands in the buffer; waits only when the socket is full.
+    async fn send(&mut self, link: DatagramLink, address: SocketAddr, len: usize) {
         let socket = match link {
             DatagramLink::Caller => &self.caller_socket,
             DatagramLink::Peer => &self.peer_socket,
             DatagramLink::Upstream => &self.upstream_socket,
         };
-        match socket.send_to(&bytes, address).await {
+        let bytes = &self.sent[..len];
+        let sent = match socket.try_send_to(bytes, address) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                socket.send_to(bytes, address).await
+            }
+            sent => sent,
+        };
+        match sent {
             Ok(sent) => self.admin.metrics.count_sent(link, sent),
             Err(error) => log::debug!("cannot send to {address}: {error}"),
         }
--- a/lib/src/wire_frame.rs
+++ b/lib/src/wire_frame.rs
@@ -42,9 +42,14 @@
 pub const PEER_CODE_LEN: usize = 16;
 /// Longest datagram in bytes that is sent or accepted; fits an Ethernet frame in IPv4 or IPv6.
 pub const MAX_DATAGRAM: usize = 1_432;
+/// Bytes of a buffer that holds any datagram and shows when one is too long.
+pub const FRAME_BUFFER_LEN: usize = MAX_DATAGRAM + PEER_CODE_LEN + 1;
 /// Longest payload in bytes of a request or of one part of an answer.
 pub const MAX_PAYLOAD: usize = 1_200;
 
+/// Room for one datagram of any link.
+pub type FrameBuffer = [u8; FRAME_BUFFER_LEN];
+
 /// What can be known of whether a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RunOutcome {
@@ -312,6 +317,35 @@
     }
 }
 
+/// Encodes a frame of a caller's link into a buffer that is used again; the datagram's length.
+pub fn encode_caller_in(
+    frame: &CallerFrame,
+    buffer: &mut FrameBuffer,
+) -> Result<usize, ResultCode> {
+    encode_in(FrameKind::Caller, frame, buffer)
+}
+
+/// Encodes a frame of an upstream's link into a buffer that is used again; the datagram's length.
+pub fn encode_upstream_in(
+    frame: &UpstreamFrame,
+    buffer: &mut FrameBuffer,
+) -> Result<usize, ResultCode> {
+    encode_in(FrameKind::Upstream, frame, buffer)
+}
+
+/// Encodes a frame between peers, with its keyed code, into a buffer that is used again; the
+/// datagram's length.
+pub fn encode_peer_in(
+    frame: &PeerFrame,
+    key: &PeerKey,
+    buffer: &mut FrameBuffer,
+) -> Result<usize, ResultCode> {
+    let len = encode_in(FrameKind::Peer, frame, buffer)?;
+    let (signed, rest) = buffer.split_at_mut(len);
+    rest[..PEER_CODE_LEN].copy_from_slice(&key.code(signed));
+    Ok(len + PEER_CODE_LEN)
+}
+
 /// Encodes a frame of a caller's link.
 pub fn encode_caller(frame: &CallerFrame) -> Result<Bytes, ResultCode> {
     encode(FrameKind::Caller, frame).map(Bytes::from)
@@ -383,6 +417,20 @@
     Ok(bytes)
 }
 
+fn encode_in<T: Serialize>(
+    kind: FrameKind,
+    frame: &T,
+    buffer: &mut FrameBuffer,
+) -> Result<usize, ResultCode> {
+    let (header, body) = buffer[..MAX_DATAGRAM].split_at_mut(HEADER_LEN);
+    header.copy_from_slice(&[MAGIC[0], MAGIC[1], CODEC_VERSION, kind as u8]);
+    match postcard::to_slice(frame, body) {
+        Ok(encoded) => Ok(HEADER_LEN + encoded.len()),
+        Err(postcard::Error::SerializeBufferFull) => Err(ResultCode::FrameOversized),
+        Err(_) => Err(ResultCode::FrameMalformed),
+    }
+}
+
 fn decode<T: DeserializeOwned>(kind: FrameKind, bytes: &[u8]) -> Result<T, ResultCode> {
     if bytes.len() > MAX_DATAGRAM {
         return Err(ResultCode::FrameOversized);
--- a/lib/tests/test_wire_frame.rs
+++ b/lib/tests/test_wire_frame.rs
@@ -4,6 +4,7 @@
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::wire_frame::AnswerPart;
 use lagoonproxy::wire_frame::CallerBody;
+use lagoonproxy::wire_frame::FRAME_BUFFER_LEN;
 use lagoonproxy::wire_frame::MAX_DATAGRAM;
 use lagoonproxy::wire_frame::PeerBody;
 use lagoonproxy::wire_frame::PeerFrame;
@@ -12,7 +13,9 @@
 use lagoonproxy::wire_frame::decode_peer;
 use lagoonproxy::wire_frame::decode_upstream;
 use lagoonproxy::wire_frame::encode_caller;
+use lagoonproxy::wire_frame::encode_caller_in;
 use lagoonproxy::wire_frame::encode_peer;
+use lagoonproxy::wire_frame::encode_peer_in;
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::proptest;
@@ -118,3 +121,31 @@
         let _dropped = decode_upstream(&bytes);
     }
 }
+
+#[test]
+fn test_buffer_used_again_holds_the_same_datagram() {
+    let key = PeerKey::new([7; 16]);
+    let mut buffer = [0xff; FRAME_BUFFER_LEN];
+    for body in [CallerBody::Request(transfer(1)), CallerBody::Open] {
+        let frame = ledger_frame(body);
+        let len = encode_caller_in(&frame, &mut buffer).unwrap();
+        assert_eq!(buffer[..len], encode_caller(&frame).unwrap());
+        let frame = PeerFrame {
+            sender: 1,
+            hops: 1,
+            body: PeerBody::FromCaller {
+                caller: caller_address(),
+                view: 1,
+                echo: None,
+                frame,
+            },
+        };
+        let len = encode_peer_in(&frame, &key, &mut buffer).unwrap();
+        assert_eq!(buffer[..len], encode_peer(&frame, &key).unwrap());
+    }
+    let mut request = transfer(1);
+    request.payload = vec![0; MAX_DATAGRAM].into();
+    let frame = ledger_frame(CallerBody::Request(request));
+    let refused = encode_caller_in(&frame, &mut buffer);
+    assert_eq!(refused, Err(ResultCode::FrameOversized));
+}
