--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Formatter, linter, documentation and tests; any fault ends it.
+# Formatter, linter, documentation, tests and bounds; any fault ends it.
 set -euo pipefail
 cd "$(dirname "$0")"
 step() { printf '\n== %s\n' "$*"; "$@"; }
@@ -21,3 +21,4 @@
 step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-control-lab -- --check
 # The aim is 0.8; the lowest median seen was 0.6, before sockets were drained in batches.
 step cargo run --locked --release --bin lagoon-relay-bench -- --rounds 15 --length-ms 100 --floor 0.35
+step cargo run --locked --quiet -p lagoonproxy-bench --bin lagoon-placement -- --check --flows 8000
--- a/lib/src/slot_table.rs
+++ b/lib/src/slot_table.rs
@@ -34,10 +34,8 @@
     tree: ChoiceTree,
     /// Upstreams that time alone may change.
     unsettled: BTreeSet<usize>,
-    /// Sum of `open` over all upstreams.
+    /// Sum of `open` over the upstreams that take new work.
     open_slots: u32,
-    /// Sum of those open slots that are not in use.
-    free_slots: u32,
     /// When the weight of use is 1.
     weight_origin: Option<Instant>,
     last_tick: Option<Instant>,
@@ -75,7 +73,6 @@
             tree: ChoiceTree::default(),
             unsettled: BTreeSet::new(),
             open_slots: 0,
-            free_slots: 0,
             weight_origin: None,
             last_tick: None,
             spare_cold: true,
@@ -118,10 +115,9 @@
         upstream.busy < upstream.open
     }
 
-    /// Whether an upstream is in the table and takes new work as far as is published.
-    pub fn is_active(&self, id: UpstreamId) -> bool {
-        let upstream = self.index.get(&id).map(|index| &self.upstreams[*index]);
-        upstream.is_some_and(PoolUpstream::is_active)
+    /// Whether an upstream is in the table.
+    pub fn holds(&self, id: UpstreamId) -> bool {
+        self.index.contains_key(&id)
     }
 
     /// Slots of one upstream that may be in use.
@@ -135,11 +131,6 @@
         self.open_slots
     }
 
-    /// Slots of all upstreams that are free.
-    pub fn free_slots(&self) -> u32 {
-        self.free_slots
-    }
-
     /// Whether the table has no upstreams.
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
@@ -250,11 +241,10 @@
             .collect();
         self.unsettled.clear();
         self.open_slots = 0;
-        self.free_slots = 0;
         self.spare_cold = self.most_are_warm();
         for index in 0..self.upstreams.len() {
             self.upstreams[index].open = 0;
-            self.upstreams[index].free = 0;
+            self.upstreams[index].shared = 0;
             self.refresh(now, index);
         }
     }
@@ -263,12 +253,12 @@
     fn refresh(&mut self, now: Instant, index: usize) {
         let upstream = &mut self.upstreams[index];
         let open = upstream.compute_open(now, self.spare_cold, &self.settings);
-        self.open_slots = self.open_slots - upstream.open + open;
+        // Only jobs of established flows use a draining upstream's slots, and they name it.
+        let shared = if upstream.is_active() { open } else { 0 };
+        self.open_slots = self.open_slots - upstream.shared + shared;
         upstream.open = open;
-        let free = open.saturating_sub(upstream.busy);
-        self.free_slots = self.free_slots - upstream.free + free;
-        upstream.free = free;
-        let key = match free > 0 {
+        upstream.shared = shared;
+        let key = match upstream.busy < shared {
             true if upstream.is_avoided() => upstream.usage + AVOIDED_KEY,
             true => upstream.usage,
             false => f64::INFINITY,
