--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,8 +4,10 @@
 //! fakes of upstreams and links; [`control_lab`] drives the control cores of many hosts;
 //! [`flow_cell`] drives the flow directories of one cell.
 
+pub mod choice_cost;
 pub mod cluster_plan;
 pub mod control_lab;
+pub mod dispatch_check;
 pub mod flow_cell;
 pub mod lab_check;
 pub mod lab_config;
