control: hand the list of hosts over whole

A started host sometimes never settled its claim (1 of about 60 cluster starts; once host lists arrived key by key, 1 of 2). Status of all hosts at such a hang: one list version, 7, but 3, 2, 4 and 4 hosts alive. Cause: the list's version is the largest of its zones' keys, so that a zone's part arriving later under a smaller version was never taken in, and majorities were counted over a part. Ruled out: starved processes (config 10 s old, all ticking). A list is now handed over once the store is complete through its newest part. Seen red without the guard.

--- a/lib/src/config_force.rs
+++ b/lib/src/config_force.rs
@@ -26,8 +26,10 @@
     pub(crate) next: Instant,
     /// Since when the store has not been whole.
     partial_since: Option<Instant>,
-    /// Version of the lists of hosts that were last compiled, successfully or not.
-    pub(crate) hosts_version: Option<Version>,
+    /// Versions of the lists of hosts that were last compiled, successfully or not, in key order.
+    pub(crate) host_lists: Vec<Version>,
+    /// Version of the whole list of hosts that was last handed over.
+    pub(crate) hosts_version: Version,
     /// States handed over although some keys were ahead of others.
     pub(crate) mixed: u64,
     /// States refused whole.
@@ -42,7 +44,8 @@
             whole_version: 0,
             next: now,
             partial_since: None,
-            hosts_version: None,
+            host_lists: Vec::new(),
+            hosts_version: 0,
             mixed: 0,
             refused: 0,
         }
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -222,11 +222,31 @@
 
     /// Compiles the published lists of hosts when one of them changed.
     fn learn_hosts(&mut self, now: Instant, actions: &mut Vec<ControlAction>) {
-        let version = hosts_version(&self.store);
-        if self.force.hosts_version == Some(version) || version == 0 {
-            return;
+        let lists = host_lists(&self.store);
+        let version = lists.iter().copied().max().unwrap_or(0);
+        if self.force.host_lists != lists {
+            self.force.host_lists = lists;
+            self.compile_hosts(now, version, actions);
+        }
+        self.hand_over_hosts(actions);
+    }
+
+    /// Hands the list of hosts to the entry daemon once no zone's part can be missing.
+    ///
+    /// The entry daemons count majorities over this list. With a part missing, each of two hosts
+    /// could be a majority of its own, and a request would run twice; and a part that arrives late
+    /// under a smaller version would never be taken in. So the list waits until the store is
+    /// complete through its newest part.
+    fn hand_over_hosts(&mut self, actions: &mut Vec<ControlAction>) {
+        let version = self.hosts.version;
+        let is_whole = version <= self.store.through();
+        if version > self.force.hosts_version && is_whole && self.ready {
+            self.force.hosts_version = version;
+            actions.push(ControlAction::Hosts(Arc::clone(&self.hosts)));
         }
-        self.force.hosts_version = Some(version);
+    }
+
+    fn compile_hosts(&mut self, now: Instant, version: Version, actions: &mut Vec<ControlAction>) {
         let Some(published) = published_hosts(&self.store) else {
             self.refuse(
                 version,
@@ -241,9 +261,6 @@
         (self.near_peers, self.far_peers) =
             link_rankings(identity.host, &identity.zone, &published);
         self.hosts = Arc::new(view_of(version, published));
-        if self.ready {
-            actions.push(ControlAction::Hosts(Arc::clone(&self.hosts)));
-        }
     }
 
     fn link_up(&mut self, now: Instant, host: HostId) {
@@ -342,11 +359,7 @@
         self.force.next = now + FORCE_GAP;
         match self.compiler.compile(&self.store, version) {
             Ok(snapshot) => {
-                let first = self.force.version == 0;
                 self.force.accept(version, whole);
-                if first {
-                    actions.push(ControlAction::Hosts(Arc::clone(&self.hosts)));
-                }
                 actions.push(ControlAction::Config(snapshot));
             }
             Err(error) => self.refuse(version, error.to_string(), actions),
@@ -360,12 +373,10 @@
     }
 }
 
-fn hosts_version(store: &ConfigStore) -> Version {
+/// Versions of the published lists of hosts, in key order.
+fn host_lists(store: &ConfigStore) -> Vec<Version> {
     let lists = store.keys_under(HOSTS_PREFIX);
-    lists
-        .map(|(_key, stored)| stored.version)
-        .max()
-        .unwrap_or(0)
+    lists.map(|(_key, stored)| stored.version).collect()
 }
 
 /// Every published host in ascending order; `None` if a list is invalid.
--- a/lib/tests/test_control_core.rs
+++ b/lib/tests/test_control_core.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lagoonproxy::config_store::ConfigStore;
 use lagoonproxy::config_value::KeyValue;
 use lagoonproxy::control_core::CONTROL_TICK;
 use lagoonproxy::control_core::ControlCore;
@@ -29,6 +30,8 @@
     now: Instant,
     calls: Vec<(CallId, PlatformRequest)>,
     versions: Vec<Version>,
+    /// Each list of hosts that was handed over: its version and the numbers in it.
+    host_lists: Vec<(Version, Vec<HostId>)>,
     codes: Vec<ResultCode>,
     sent: Vec<(HostId, RelayMessage)>,
     refused: Vec<String>,
@@ -51,6 +54,7 @@
             now,
             calls: Vec::new(),
             versions: Vec::new(),
+            host_lists: Vec::new(),
             codes: Vec::new(),
             sent: Vec::new(),
             refused: Vec::new(),
@@ -70,9 +74,11 @@
                     self.sent
                         .push((host, RelayMessage::decode(&bytes).unwrap()));
                 }
-                ControlAction::Connect { .. }
-                | ControlAction::Disconnect(_)
-                | ControlAction::Hosts(_) => {}
+                ControlAction::Connect { .. } | ControlAction::Disconnect(_) => {}
+                ControlAction::Hosts(view) => {
+                    let numbers = view.published.iter().map(|entry| entry.id).collect();
+                    self.host_lists.push((view.version, numbers));
+                }
             }
         }
     }
@@ -149,6 +155,12 @@
     }
 }
 
+fn join(source: &mut ConfigStore, published: PublishedKey) {
+    let json = published.value.unwrap();
+    let value = KeyValue::parse(&published.key, &json).into();
+    source.join(&published.key, published.version, Some(value));
+}
+
 #[test]
 fn test_start_waits_for_everything_listed() {
     let mut host = TestHost::new(1);
@@ -269,11 +281,6 @@
     host.handle(ControlEvent::PeerUp(2));
     host.announce(2, 14);
     let mut source = TestHost::new(2).core.store().clone();
-    let join = |source: &mut lagoonproxy::config_store::ConfigStore, published: PublishedKey| {
-        let json = published.value.unwrap();
-        let value = KeyValue::parse(&published.key, &json).into();
-        source.join(&published.key, published.version, Some(value));
-    };
     published(1)
         .into_iter()
         .for_each(|key| join(&mut source, key));
@@ -311,3 +318,49 @@
     host.run_for(Duration::from_secs(1));
     assert_eq!(host.versions, [10, 11, 14]);
 }
+
+/// The lists of two zones change at once, and the part with the larger version arrives first. An
+/// entry host that counts majorities over one part alone could act beside the others; and when the
+/// other part arrives, the newest version is the same as before, so that it is never taken in and
+/// the host waits for its claim for ever.
+#[test]
+fn test_list_of_hosts_is_handed_over_whole() {
+    let mut host = TestHost::new(3);
+    host.start();
+    assert_eq!(host.host_lists, [(8, vec![1, 2, 3])]);
+    host.handle(ControlEvent::PeerUp(2));
+    host.announce(2, 12);
+    let mut source = TestHost::new(2).core.store().clone();
+    published(1)
+        .into_iter()
+        .for_each(|key| join(&mut source, key));
+    source.complete(10);
+    let part = |key: &str, version, numbers: &[HostId]| PublishedKey {
+        key: key.into(),
+        version,
+        value: Some(json!(host_view(numbers).published)),
+    };
+    join(&mut source, part("hosts/bign", 12, &[6, 7]));
+    let newest = RelayMessage::Updates {
+        updates: source.updates_after(10, &Default::default()),
+        through: 0,
+    };
+    host.handle(ControlEvent::PeerMessage {
+        host: 2,
+        bytes: newest.encode().unwrap(),
+    });
+    host.run_for(Duration::from_secs(3));
+    assert_eq!(host.host_lists.len(), 1, "a part of the list");
+    join(&mut source, part("hosts/zig-b", 11, &[4, 5]));
+    let rest = RelayMessage::Updates {
+        updates: source.updates_after(10, &Default::default()),
+        through: 12,
+    };
+    host.announce(2, 12);
+    host.handle(ControlEvent::PeerMessage {
+        host: 2,
+        bytes: rest.encode().unwrap(),
+    });
+    host.run_for(Duration::from_secs(1));
+    assert_eq!(host.host_lists[1..], [(12, vec![1, 2, 3, 4, 5, 6, 7])]);
+}
