load: let no keeper with another view end an established flow's request

Cause: its keeper had another list of hosts, kept no slots of that upstream, and its denial was taken for the upstream being gone. Such a job is sent without a grant now; the upstream's own word decides. Seen red without it.

--- a/lib/src/service_messages.rs
+++ b/lib/src/service_messages.rs
@@ -143,7 +143,7 @@
             }
             LoadBody::Queued => self.take_queued(now, message.ask),
             LoadBody::Deny { code, retry_after } => {
-                self.take_denial(message.ask, code, retry_after, decisions);
+                self.take_denial(now, message.ask, code, retry_after, decisions);
             }
             LoadBody::Ask(_) | LoadBody::Release(_) | LoadBody::Hold { .. } => {}
         }
@@ -219,8 +219,14 @@
         }
     }
 
+    /// Refuses the job that a denial is about, or sends it without a grant.
+    ///
+    /// A keeper that does not know the upstream of a job's flow has another list of hosts or
+    /// configuration. Its word would end an established flow's request as long as the views
+    /// differ, although the upstream is there; the upstream's own word decides instead.
     fn take_denial(
         &mut self,
+        now: Instant,
         ask: AskId,
         code: ResultCode,
         retry_after: Duration,
@@ -233,7 +239,12 @@
             return;
         }
         let key = record.job.key;
-        if let Some(record) = self.jobs.remove(key) {
+        let Some(record) = self.jobs.remove(key) else {
+            return;
+        };
+        if code == ResultCode::NoUpstream && record.job.pinned.is_some() {
+            self.send_without_grant(now, record, decisions);
+        } else {
             refuse(&record, code, retry_after, decisions);
         }
     }
--- a/lib/src/service_policy.rs
+++ b/lib/src/service_policy.rs
@@ -157,6 +157,9 @@
             return self.send_without_grant(now, record, decisions);
         }
         let Some(keeper) = self.keeper_for(&record.job) else {
+            if record.job.pinned.is_some() {
+                return self.send_without_grant(now, record, decisions);
+            }
             let hint = self.hint.after(Duration::ZERO);
             return refuse(&record, ResultCode::NoUpstream, hint, decisions);
         };
--- a/lib/tests/test_service_policy.rs
+++ b/lib/tests/test_service_policy.rs
@@ -423,3 +423,31 @@
     let tracked = world.jobs.values().next().unwrap();
     assert_eq!(tracked.state, JobState::Running);
 }
+
+/// An entry host leaves, and for a moment the others disagree on who gives away an upstream's slots.
+/// A session's request asks a host that does not keep that upstream, and is refused as if the
+/// upstream were gone.
+#[test]
+fn test_keeper_with_another_view_does_not_refuse_flows() {
+    /// In the other zone than host 0, so that another host keeps it.
+    const PINNED: UpstreamId = 1;
+    let mut world = PolicyWorld::new();
+    for host in 0..HOSTS {
+        let mut config = (*world.configs[host as usize]).clone();
+        config.version += 1;
+        if host > 0 {
+            let service = config.services.get_mut(&SERVICE).unwrap();
+            service.upstreams.retain(|id| *id != PINNED);
+        }
+        let config = Arc::new(config);
+        world.configs[host as usize] = Arc::clone(&config);
+        world.call(host, |policy, now, _out| policy.configure(now, &config));
+    }
+    world.submit(0, 1, Some(PINNED), false, 1_000);
+    while !world.messages.is_empty() {
+        world.deliver(0, true);
+    }
+    for tracked in world.jobs.values() {
+        assert_eq!(tracked.state, JobState::Running);
+    }
+}
