--- a/bench/src/late_binding_policy.rs
+++ b/bench/src/late_binding_policy.rs
@@ -11,8 +11,6 @@
 use std::time::Instant;
 
 use lagoonproxy::config_snapshot::ConfigSnapshot;
-use lagoonproxy::config_snapshot::HostView;
-use lagoonproxy::host_event::UpstreamReport;
 use lagoonproxy::ids::HostId;
 use lagoonproxy::ids::UpstreamId;
 use lagoonproxy::load_message::GrantEnd;
@@ -68,10 +66,6 @@
         self.upstreams = all_upstreams(config);
     }
 
-    fn learn_hosts(&mut self, _now: Instant, _hosts: &Arc<HostView>) {}
-
-    fn learn_report(&mut self, _now: Instant, _report: UpstreamReport) {}
-
     fn take_message(
         &mut self,
         _now: Instant,
--- a/lib/src/config_check.rs
+++ b/lib/src/config_check.rs
@@ -15,6 +15,7 @@
 use crate::published_config::ServiceDoc;
 use crate::published_config::UpstreamDoc;
 use crate::selector_parser::SelectorError;
+use crate::settings_reader::write_faults;
 
 /// Why a published configuration is refused whole.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -86,13 +87,7 @@
 
 impl fmt::Display for ConfigFaults {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, fault) in self.faults.iter().enumerate() {
-            if index > 0 {
-                formatter.write_str("; ")?;
-            }
-            fault.fmt(formatter)?;
-        }
-        Ok(())
+        write_faults(formatter, &self.faults)
     }
 }
 
--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -42,7 +42,8 @@
     pub flow_idle: Duration,
     /// Longest time that a datagram is assumed to be under way; 1 s by default.
     pub max_datagram_age: Duration,
-    /// Longest time between the signal to stop and the exit; 30 s by default.
+    /// Longest time between the signal to stop and the exit; 2 min by default: the copies of flows
+    /// that a leaving host hands over go at a bounded rate.
     pub drain_limit: Duration,
     /// Decisions under load; the defaults are measured.
     pub load: LoadSettings,
@@ -78,12 +79,7 @@
 impl EntrySettings {
     /// Reads settings in YAML; the error has every fault.
     pub fn parse(text: &str) -> Result<Self, SettingsFaults> {
-        let mut reader = SettingsReader::new(text)?;
-        let settings = Self::read(&mut reader);
-        if let Some(settings) = &settings {
-            settings.check(&mut reader);
-        }
-        reader.finish(settings)
+        parse_settings(text, Self::read, Self::check)
     }
 
     fn read(reader: &mut SettingsReader<'_>) -> Option<Self> {
@@ -100,7 +96,7 @@
         let max_datagram_age =
             reader.optional_as::<_, DurationText>("max_datagram_age", Duration::from_secs(1));
         let drain_limit =
-            reader.optional_as::<_, DurationText>("drain_limit", Duration::from_secs(30));
+            reader.optional_as::<_, DurationText>("drain_limit", Duration::from_secs(120));
         let load = reader.optional("load", LoadSettings::default());
         Some(Self {
             host: host?,
@@ -125,12 +121,7 @@
             ("upstream_address", self.upstream_address),
         ];
         check_distinct(reader, &datagram_addresses);
-        let stream_addresses = [("control_address", Some(self.control_address))]
-            .into_iter()
-            .chain([("admin_address", self.admin_address)])
-            .filter_map(|(field, address)| Some((field, address?)))
-            .collect::<Vec<_>>();
-        check_distinct(reader, &stream_addresses);
+        check_stream_addresses(reader, self.control_address, self.admin_address);
         if self.flow_idle.is_zero() {
             reader.fault("flow_idle", "must be longer than zero");
         }
@@ -143,12 +134,7 @@
 impl ControlSettings {
     /// Reads settings in YAML; the error has every fault.
     pub fn parse(text: &str) -> Result<Self, SettingsFaults> {
-        let mut reader = SettingsReader::new(text)?;
-        let settings = Self::read(&mut reader);
-        if let Some(settings) = &settings {
-            settings.check(&mut reader);
-        }
-        reader.finish(settings)
+        parse_settings(text, Self::read, Self::check)
     }
 
     fn read(reader: &mut SettingsReader<'_>) -> Option<Self> {
@@ -188,15 +174,35 @@
                 reader.fault(field, "must be more than zero");
             }
         }
-        let addresses = [("control_address", Some(self.control_address))]
-            .into_iter()
-            .chain([("admin_address", self.admin_address)])
-            .filter_map(|(field, address)| Some((field, address?)))
-            .collect::<Vec<_>>();
-        check_distinct(reader, &addresses);
+        check_stream_addresses(reader, self.control_address, self.admin_address);
     }
 }
 
+/// Reads the fields, checks them against each other once all are there, and gives every fault.
+fn parse_settings<T>(
+    text: &str,
+    read: impl FnOnce(&mut SettingsReader<'_>) -> Option<T>,
+    check: impl FnOnce(&T, &mut SettingsReader<'_>),
+) -> Result<T, SettingsFaults> {
+    let mut reader = SettingsReader::new(text)?;
+    let settings = read(&mut reader);
+    if let Some(settings) = &settings {
+        check(settings, &mut reader);
+    }
+    reader.finish(settings)
+}
+
+/// Refuses a TCP address that stands in two fields.
+fn check_stream_addresses(
+    reader: &mut SettingsReader<'_>,
+    control: SocketAddr,
+    admin: Option<SocketAddr>,
+) {
+    let mut addresses = vec![("control_address", control)];
+    addresses.extend(admin.map(|admin| ("admin_address", admin)));
+    check_distinct(reader, &addresses);
+}
+
 /// Refuses an address that stands in two fields; port 0 is chosen by the system and never clashes.
 fn check_distinct(reader: &mut SettingsReader<'_>, addresses: &[(&'static str, SocketAddr)]) {
     for (index, (field, address)) in addresses.iter().enumerate() {
--- a/lib/src/least_busy_policy.rs
+++ b/lib/src/least_busy_policy.rs
@@ -8,13 +8,9 @@
 use std::time::Instant;
 
 use crate::config_snapshot::ConfigSnapshot;
-use crate::config_snapshot::HostView;
 use crate::config_snapshot::UpstreamState;
 use crate::flow_hash::rendezvous_weight;
-use crate::host_event::UpstreamReport;
-use crate::ids::HostId;
 use crate::ids::UpstreamId;
-use crate::load_message::LoadMessage;
 use crate::load_policy::JobEnd;
 use crate::load_policy::LoadDecision;
 use crate::load_policy::LoadJob;
@@ -60,19 +56,6 @@
         self.config = Arc::clone(config);
     }
 
-    fn learn_hosts(&mut self, _now: Instant, _hosts: &Arc<HostView>) {}
-
-    fn learn_report(&mut self, _now: Instant, _report: UpstreamReport) {}
-
-    fn take_message(
-        &mut self,
-        _now: Instant,
-        _sender: HostId,
-        _message: &LoadMessage,
-        _decisions: &mut Vec<LoadDecision>,
-    ) {
-    }
-
     fn submit(&mut self, _now: Instant, job: LoadJob, decisions: &mut Vec<LoadDecision>) {
         let key = job.key;
         let Some(upstream) = self.choose(&job) else {
--- a/lib/src/load_policy.rs
+++ b/lib/src/load_policy.rs
@@ -85,24 +85,28 @@
 /// [`LoadPolicy::end`], or is withdrawn. After `NotStarted`, and after `Lost` of an idempotent job
 /// before its deadline, the job is as if submitted anew. A `Refuse` with the code
 /// [`ResultCode::OutcomeUnknown`] is of a job that may have run; any other says that it did not.
+///
+/// A policy that shares nothing with other hosts keeps the methods that have a body: they ignore
+/// what they are told.
 pub trait LoadPolicy: Send {
     /// Puts a configuration in force.
     fn configure(&mut self, now: Instant, config: &Arc<ConfigSnapshot>);
 
     /// Learns which entry hosts are usable.
-    fn learn_hosts(&mut self, now: Instant, hosts: &Arc<HostView>);
+    fn learn_hosts(&mut self, _now: Instant, _hosts: &Arc<HostView>) {}
 
     /// Learns what an upstream's endpoints said.
-    fn learn_report(&mut self, now: Instant, report: UpstreamReport);
+    fn learn_report(&mut self, _now: Instant, _report: UpstreamReport) {}
 
     /// Takes a message of another host's policy.
     fn take_message(
         &mut self,
-        now: Instant,
-        sender: HostId,
-        message: &LoadMessage,
-        decisions: &mut Vec<LoadDecision>,
-    );
+        _now: Instant,
+        _sender: HostId,
+        _message: &LoadMessage,
+        _decisions: &mut Vec<LoadDecision>,
+    ) {
+    }
 
     /// Takes a new job; decisions, also on other jobs, are appended to `decisions`.
     fn submit(&mut self, now: Instant, job: LoadJob, decisions: &mut Vec<LoadDecision>);
--- a/lib/src/settings_reader.rs
+++ b/lib/src/settings_reader.rs
@@ -45,14 +45,22 @@
 
 impl fmt::Display for SettingsFaults {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, fault) in self.faults.iter().enumerate() {
-            if index > 0 {
-                formatter.write_str("; ")?;
-            }
-            fault.fmt(formatter)?;
+        write_faults(formatter, &self.faults)
+    }
+}
+
+/// Writes faults one after the other.
+pub(crate) fn write_faults<T: fmt::Display>(
+    formatter: &mut fmt::Formatter<'_>,
+    faults: &[T],
+) -> fmt::Result {
+    for (index, fault) in faults.iter().enumerate() {
+        if index > 0 {
+            formatter.write_str("; ")?;
         }
-        Ok(())
+        fault.fmt(formatter)?;
     }
+    Ok(())
 }
 
 impl std::error::Error for SettingsFaults {}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! The tests of the decisions, in one program so that linking is fast.
 
 mod fake_cell;
+mod fake_cell_ends;
 mod flow_net;
 mod late_policy;
 mod test_byte_budget;
