metrics: count retries by why the attempt before was not started

lagoon_retries_total was registered and never counted. The core now says why each further attempt is made (shed, draining, wrong upstream), and the entry daemon counts it. Three cases tested at the door.

--- a/daemon/src/entry_daemon.rs
+++ b/daemon/src/entry_daemon.rs
@@ -321,6 +321,10 @@
                 self.admin.metrics.count_result(code);
                 return false;
             }
+            HostAction::CountRetry(code) => {
+                self.admin.metrics.count_retry(code);
+                return false;
+            }
             HostAction::Drained => return true,
         };
         match encoded {
--- a/lib/src/host_action.rs
+++ b/lib/src/host_action.rs
@@ -34,8 +34,10 @@
         /// The frame.
         frame: UpstreamFrame,
     },
-    /// Count an event by its reason.
+    /// Count a refusal or a dropped datagram by its reason.
     Count(ResultCode),
+    /// Count a further attempt of a request, by why the one before was not started.
+    CountRetry(ResultCode),
     /// A drain that was asked for is complete: nothing is in progress any more.
     Drained,
 }
--- a/lib/src/request_system.rs
+++ b/lib/src/request_system.rs
@@ -118,6 +118,7 @@
             idempotent: body.idempotent,
             established: body.established,
             payload: body.payload.clone(),
+            retry_reason: None,
             stage: RequestStage::Deciding(takeover),
             sent_after: self.sent_after(origin.read, body.age),
             taken: false,
@@ -295,6 +296,8 @@
         };
         self.next_attempt += 1;
         if let Some(record) = self.requests.get_mut(key) {
+            let reason = record.retry_reason.take();
+            actions.extend(reason.map(HostAction::CountRetry));
             record.stage = RequestStage::Running(RunningAttempt {
                 tag,
                 answer: None,
--- a/lib/src/request_table.rs
+++ b/lib/src/request_table.rs
@@ -18,6 +18,7 @@
 use crate::ids::ServiceAddress;
 use crate::ids::ServiceId;
 use crate::record_query::RecordState;
+use crate::result_code::ResultCode;
 use crate::wire_frame::CallerFrame;
 use crate::wire_frame::RefusalBody;
 use crate::wire_frame::RoutingTag;
@@ -138,6 +139,8 @@
     pub payload: Bytes,
     /// How far it has come.
     pub stage: RequestStage,
+    /// Why its last attempt was not started, until the next is sent.
+    pub retry_reason: Option<ResultCode>,
     /// No earlier than this the caller first sent it; `None` when it may be of any age.
     pub sent_after: Option<Instant>,
     /// This host has taken it on: it answers for every run of it.
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -61,6 +61,10 @@
     NoConfig = 212,
     /// The answer was produced, but no host holds it any more.
     AnswerLost = 213,
+    /// The upstream is draining and did not start the request.
+    UpstreamDraining = 214,
+    /// The upstream serves another service or is another process, and did not start the request.
+    UpstreamWrong = 215,
     /// The datagram is shorter than its header or body says.
     FrameTruncated = 300,
     /// The datagram does not begin with the magic number.
@@ -111,6 +115,8 @@
         Self::Cancelled,
         Self::NoConfig,
         Self::AnswerLost,
+        Self::UpstreamDraining,
+        Self::UpstreamWrong,
         Self::FrameTruncated,
         Self::FrameForeign,
         Self::FrameVersion,
--- a/lib/src/upstream_system.rs
+++ b/lib/src/upstream_system.rs
@@ -122,6 +122,7 @@
             self.refuse_request(key, cancelled(key.request, outcome), actions);
             return self.end_attempt(now, key, JobEnd::Cancelled, actions);
         }
+        record.retry_reason = Some(reason.code());
         self.end_attempt(now, key, JobEnd::NotStarted { retry_after }, actions);
     }
 
--- a/lib/src/wire_frame.rs
+++ b/lib/src/wire_frame.rs
@@ -252,6 +252,19 @@
     WrongUpstream,
 }
 
+impl NotStartedReason {
+    /// The result that metrics count it under.
+    pub fn code(self) -> ResultCode {
+        match self {
+            Self::Shed => ResultCode::UpstreamShed,
+            Self::Draining => ResultCode::UpstreamDraining,
+            Self::DeadlinePassed => ResultCode::DeadlinePassed,
+            Self::Cancelled => ResultCode::Cancelled,
+            Self::WrongUpstream => ResultCode::UpstreamWrong,
+        }
+    }
+}
+
 /// Between entry hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerFrame {
--- a/lib/tests/fake_cell.rs
+++ b/lib/tests/fake_cell.rs
@@ -336,7 +336,7 @@
                 let upstream = frame.tag.upstream;
                 self.send(Delivery::Upstream(upstream, frame), held_back, false);
             }
-            HostAction::Count(_) => {}
+            HostAction::Count(_) | HostAction::CountRetry(_) => {}
             HostAction::Drained => self.hosts[index].drained = true,
         }
     }
--- a/lib/tests/flow_net.rs
+++ b/lib/tests/flow_net.rs
@@ -213,7 +213,7 @@
                     self.refusals.push((frame.flow, refusal.code));
                 }
             }
-            HostAction::Count(_) => {}
+            HostAction::Count(_) | HostAction::CountRetry(_) => {}
             HostAction::Drained => self.drained.push(from),
         }
     }
--- a/lib/tests/test_request_outcome.rs
+++ b/lib/tests/test_request_outcome.rs
@@ -1,16 +1,23 @@
 //! Outcomes of requests at one host: what callers are told, and which answers are taken.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use lagoonproxy::answer_buffer::AnswerBuffer;
+use lagoonproxy::config_snapshot::ConfigSnapshot;
 use lagoonproxy::host_action::HostAction;
 use lagoonproxy::host_core::HostCore;
 use lagoonproxy::host_core::MAX_HOPS;
 use lagoonproxy::host_core::TICK;
 use lagoonproxy::host_event::HostEvent;
+use lagoonproxy::load_policy::JobEnd;
+use lagoonproxy::load_policy::LoadDecision;
+use lagoonproxy::load_policy::LoadJob;
+use lagoonproxy::load_policy::LoadPolicy;
 use lagoonproxy::request_table::ANSWER_BYTES;
+use lagoonproxy::request_table::RequestKey;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::wire_frame::AnswerPart;
 use lagoonproxy::wire_frame::CallerBody;
@@ -26,6 +33,7 @@
 use crate::world::caller_address;
 use crate::world::ledger_frame;
 use crate::world::lone_core;
+use crate::world::lone_core_with;
 use crate::world::transfer;
 use crate::world::upstream_address;
 
@@ -374,3 +382,66 @@
         assert_eq!(actions, [HostAction::Count(case.code)], "{}", case.name);
     }
 }
+
+/// Sends every job to the same upstream, and again when it was not started.
+struct StubbornPolicy;
+
+impl LoadPolicy for StubbornPolicy {
+    fn configure(&mut self, _now: Instant, _config: &Arc<ConfigSnapshot>) {}
+
+    fn submit(&mut self, _now: Instant, job: LoadJob, decisions: &mut Vec<LoadDecision>) {
+        let key = job.key;
+        decisions.push(LoadDecision::Send { key, upstream: 0 });
+    }
+
+    fn end(
+        &mut self,
+        _now: Instant,
+        key: RequestKey,
+        end: JobEnd,
+        decisions: &mut Vec<LoadDecision>,
+    ) {
+        if matches!(end, JobEnd::NotStarted { .. }) {
+            decisions.push(LoadDecision::Send { key, upstream: 0 });
+        }
+    }
+
+    fn withdraw(&mut self, _now: Instant, _key: RequestKey, _decisions: &mut Vec<LoadDecision>) {}
+
+    fn tick(&mut self, _now: Instant, _decisions: &mut Vec<LoadDecision>) {}
+}
+
+struct RetryCase {
+    reason: NotStartedReason,
+    code: ResultCode,
+}
+
+#[test]
+fn test_retry_is_counted_by_its_reason() {
+    let cases = [
+        RetryCase {
+            reason: NotStartedReason::Shed,
+            code: ResultCode::UpstreamShed,
+        },
+        RetryCase {
+            reason: NotStartedReason::Draining,
+            code: ResultCode::UpstreamDraining,
+        },
+        RetryCase {
+            reason: NotStartedReason::WrongUpstream,
+            code: ResultCode::UpstreamWrong,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let core = lone_core_with(now, 1, Box::new(StubbornPolicy));
+        let mut host = OneHost { core, now };
+        let tag = host.run(transfer(1));
+        let actions = host.upstream(tag, not_started(case.reason));
+        let retries: Vec<&HostAction> = actions
+            .iter()
+            .filter(|action| matches!(action, HostAction::CountRetry(_)))
+            .collect();
+        assert_eq!(retries, [&HostAction::CountRetry(case.code)]);
+    }
+}
