--- a/lib/src/record_query.rs
+++ b/lib/src/record_query.rs
@@ -10,6 +10,7 @@
 use crate::cell_heartbeat::HeartbeatEcho;
 use crate::ids::FlowDigest;
 use crate::ids::RequestId;
+use crate::request_table::RequestKey;
 
 /// Asks a peer whether it has taken on a request, and to promise not to if it has not.
 #[serde_as]
@@ -34,6 +35,16 @@
     pub member_set: u32,
 }
 
+impl RecordQuery {
+    /// The request it is about.
+    pub fn key(&self) -> RequestKey {
+        RequestKey {
+            flow: self.flow,
+            request: self.request,
+        }
+    }
+}
+
 /// What a peer knows of a request, in the order of how much that is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RecordState {
@@ -57,3 +68,13 @@
     /// What the sender knows.
     pub state: RecordState,
 }
+
+impl RecordReply {
+    /// The request it is about.
+    pub fn key(&self) -> RequestKey {
+        RequestKey {
+            flow: self.flow,
+            request: self.request,
+        }
+    }
+}
--- a/lib/src/takeover_system.rs
+++ b/lib/src/takeover_system.rs
@@ -332,10 +332,7 @@
         query: &RecordQuery,
         actions: &mut Vec<HostAction>,
     ) {
-        let key = RequestKey {
-            flow: query.flow,
-            request: query.request,
-        };
+        let key = query.key();
         let forget_deadline =
             now + query.remaining.min(LONGEST_DEADLINE) + self.settings.max_datagram_age;
         let state = match self.requests.get(key) {
@@ -365,8 +362,8 @@
     }
 
     /// What this host knows of a request that it has not taken on: nothing, if the request may be
-    /// older than its memory, than the process or than the removal of a member, or if the sender counts over other
-    /// members.
+    /// older than its memory, than the process or than the removal of a member, or if the sender
+    /// counts over other members.
     fn state_untaken(&self, now: Instant, query: &RecordQuery) -> RecordState {
         let book = self.membership.book();
         let written = query.echo.and_then(|echo| book.sent_at(echo));
@@ -386,10 +383,7 @@
         reply: &RecordReply,
         actions: &mut Vec<HostAction>,
     ) {
-        let key = RequestKey {
-            flow: reply.flow,
-            request: reply.request,
-        };
+        let key = reply.key();
         let Some(record) = self.requests.get_mut(key) else {
             return;
         };
