--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_flow_system;
 mod test_flow_table;
 mod test_host_core;
+mod test_host_status;
 mod test_invariants;
 mod test_label_selector;
 mod test_load_parts;
