--- a/lib/src/host_core.rs
+++ b/lib/src/host_core.rs
@@ -151,13 +151,15 @@
             }
             HostEvent::UpstreamReport(report) => self.policy.learn_report(now, report),
             HostEvent::Drain => self.start_drain(now, actions),
-            HostEvent::Tick => self.tick(now, actions),
+            HostEvent::Tick => {
+                self.tick(now, actions);
+                self.report_drained(now, actions);
+            }
         }
         if self.membership.usable() != self.policy_view.alive {
             self.tell_hosts(now);
             self.learn_owners(now, actions);
         }
-        self.report_drained(now, actions);
     }
 
     /// What operators are told of this host.
@@ -469,6 +471,8 @@
 
     /// Reports a drain as complete once nothing is in progress and nobody can ask any more for a
     /// request that only this host knows of.
+    /// Says once that a drain is complete. It reads every record, so that it is done each tick and
+    /// not at each datagram.
     fn report_drained(&mut self, now: Instant, actions: &mut Vec<HostAction>) {
         if !self.draining || self.drained_reported {
             return;
