peers: beats, reports of upstreams, and state handed from host to host

Cause: a host that the store turns away, or one that starts while it is away, knew nothing new for as long. Beats every 0.5 s to a bounded number of peers say how far each has read; one that is behind for 0.7 s asks for the difference. Hosts of a zone also tell how many flows each upstream has, so that joining hosts do not fill one that others have filled.

--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -3,10 +3,12 @@
 //! Packets, published state and ticks go in with the present time; actions and notes come out.
 //! The same inputs at the same times give the same outputs.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
 use lagoonproxy::ids::Version;
+use lagoonproxy::ids::ZoneName;
 use lagoonproxy::result_code::ResultCode;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -20,6 +22,8 @@
 use crate::packet_action::PacketOutput;
 use crate::packet_head::PacketHead;
 use crate::packet_head::PacketKind;
+use crate::peer_beat::PeerBeat;
+use crate::peer_table::PeerTable;
 use crate::published_view::JoinOutcome;
 use crate::published_view::PublishedView;
 use crate::published_view::ViewChange;
@@ -49,6 +53,8 @@
     upstreams: UpstreamTable,
     routes: RouteTable,
     evidence: FlowEvidence,
+    peers: PeerTable,
+    zone: ZoneName,
     /// Since when the published state has been held without a break in the contact to the store.
     steady_since: Option<Instant>,
     version: Version,
@@ -62,6 +68,12 @@
             upstreams: UpstreamTable::new(settings.zone.clone(), settings.flow_age),
             routes: RouteTable::default(),
             evidence: FlowEvidence::default(),
+            peers: PeerTable::new(
+                settings.peer_address,
+                settings.zone.clone(),
+                settings.seed_peers.clone(),
+            ),
+            zone: settings.zone.clone(),
             steady_since: None,
             version: 0,
         }
@@ -82,6 +94,16 @@
         &self.upstreams
     }
 
+    /// The peers that this host knows.
+    pub fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// Puts changed settings in force, as far as they may change while the process runs.
+    pub fn reload(&mut self, settings: &HostSettings) {
+        self.peers.set_seeds(settings.seed_peers.clone());
+    }
+
     /// The flows that this host watches.
     pub fn evidence(&self) -> &FlowEvidence {
         &self.evidence
@@ -120,6 +142,38 @@
         self.evidence.restart_waits(now);
     }
 
+    /// Takes in a peer's beat; true if the peer should get one in return at once.
+    pub fn heard(&mut self, now: Instant, from: SocketAddrV4, beat: PeerBeat) -> bool {
+        let is_new = self.peers.heard(now, from, beat);
+        self.upstreams.learn_reports(self.peers.near_reports(now));
+        is_new
+    }
+
+    /// The beat to send now, and to whom; nobody between rounds.
+    pub fn round(&mut self, now: Instant, stopping: bool) -> Option<(PeerBeat, Vec<SocketAddrV4>)> {
+        let targets = self.peers.round(now);
+        if targets.is_empty() {
+            return None;
+        }
+        Some((self.beat(now, stopping), targets))
+    }
+
+    /// What this host says of itself.
+    pub fn beat(&mut self, now: Instant, stopping: bool) -> PeerBeat {
+        PeerBeat {
+            zone: self.zone.clone(),
+            ready: self.is_ready() && !stopping,
+            through: self.view.through(),
+            named: self.peers.some_alive(now),
+            reports: self.upstreams.reports(now),
+        }
+    }
+
+    /// The peer to ask for state that this host is missing.
+    pub fn source(&mut self, now: Instant) -> Option<SocketAddrV4> {
+        self.peers.source(now, self.view.through())
+    }
+
     /// Ends what has lasted its time. To be called several times a second.
     pub fn tick(&mut self, now: Instant, output: &mut PacketOutput) {
         for index in self.upstreams.tick(now) {
--- /dev/null
+++ b/packet/src/peer_beat.rs
@@ -0,0 +1,90 @@
+//! What entry hosts tell each other, in one datagram.
+//!
+//! A beat says who the sender is, how far it has read, and what its flows tell about the upstreams
+//! of its zone. Nothing in it is believed beyond its age, and nothing a packet needs depends on it.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use lagoonproxy::ids::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+use snafu::Snafu;
+
+use crate::ids::FlowTag;
+use crate::ids::Revision;
+
+/// First byte of a beat; changes with the format.
+const BEAT_FORMAT: u8 = 1;
+
+/// Most addresses of other peers in a beat.
+pub const MOST_NAMED: usize = 8;
+
+/// Most upstreams reported in a beat: 100 of them are about 1 KB, one datagram.
+pub const MOST_REPORTS: usize = 100;
+
+/// One host's word about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerBeat {
+    /// The zone of the sender.
+    pub zone: ZoneName,
+    /// Whether it takes packets: a host that is stopping no longer counts.
+    pub ready: bool,
+    /// Everything that the store changed up to this revision is known to the sender.
+    pub through: Revision,
+    /// Some other hosts that the sender has heard of late.
+    pub named: Vec<SocketAddrV4>,
+    /// The upstreams of the sender's zone; empty for receivers in other zones.
+    pub reports: Vec<UpstreamReport>,
+}
+
+/// What the sender's flows tell about one upstream.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamReport {
+    /// The tag of its flows.
+    pub tag: FlowTag,
+    /// Flows that it has through the sender.
+    pub flows: u32,
+    /// Time since it last proved to be alive to the sender.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub heard_ago: Option<Duration>,
+}
+
+/// Why a datagram is no beat.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum BeatFault {
+    /// Another format, or nothing of a peer's.
+    #[snafu(display("not a beat of this format"))]
+    Foreign,
+    /// The rest cannot be read.
+    #[snafu(display("the beat cannot be read: {reason}"))]
+    Malformed {
+        /// What the reader said.
+        reason: String,
+    },
+}
+
+impl PeerBeat {
+    /// The beat as a datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, BeatFault> {
+        let bytes = vec![BEAT_FORMAT];
+        postcard::to_extend(self, bytes).map_err(malformed)
+    }
+
+    /// Reads a datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self, BeatFault> {
+        let Some((&BEAT_FORMAT, body)) = bytes.split_first() else {
+            return Err(BeatFault::Foreign);
+        };
+        postcard::from_bytes(body).map_err(malformed)
+    }
+}
+
+fn malformed(error: postcard::Error) -> BeatFault {
+    BeatFault::Malformed {
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/packet/src/peer_table.rs
@@ -0,0 +1,242 @@
+//! The other entry hosts: who is alive, to whom to send the next beat, and whom to ask for state.
+//!
+//! Nobody publishes a list of hosts. A process knows a few addresses at its start, which may be
+//! stale, and learns others from beats. It sends to a bounded number of peers in turn, so that the
+//! cost of a host does not grow with their number.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::ids::ZoneName;
+
+use crate::ids::Revision;
+use crate::peer_beat::MOST_NAMED;
+use crate::peer_beat::PeerBeat;
+use crate::peer_beat::UpstreamReport;
+
+/// Pause between rounds of beats.
+pub const BEAT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Peers of the own zone that get a beat in a round; the others have their turn in the next.
+const NEAR_A_ROUND: usize = 6;
+
+/// The same for other zones, where each byte has its price.
+const FAR_A_ROUND: usize = 2;
+
+/// Rounds without a beat after which a peer counts as gone, on top of those of a turn. Two may be
+/// lost.
+const MISSED_ROUNDS: u32 = 3;
+
+/// How long a peer that was heard once is still sent beats: a host that is down for longer comes
+/// back as a new process and speaks first.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// How long a peer may be ahead before this host asks it for the difference. By then a host that
+/// reads for itself has read the same, also if it was just pausing between two reads.
+const BEHIND_PATIENCE: Duration = Duration::from_millis(700);
+
+/// Pause between two questions for state.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+
+/// Most peers that are remembered: the hosts of a zone at the size aimed at, and some of others.
+const MOST_PEERS: usize = 1024;
+
+/// One other host.
+#[derive(Clone, Debug)]
+struct PeerRecord {
+    zone: ZoneName,
+    ready: bool,
+    through: Revision,
+    /// When its last beat came; `None` if it was only named by others.
+    heard: Option<Instant>,
+    reports: Vec<UpstreamReport>,
+    /// When a peer that was only named is forgotten.
+    forget_at: Instant,
+}
+
+/// The peers that a host knows.
+#[derive(Debug)]
+pub struct PeerTable {
+    own: SocketAddrV4,
+    zone: ZoneName,
+    seeds: Vec<SocketAddrV4>,
+    peers: BTreeMap<SocketAddrV4, PeerRecord>,
+    next_round: Option<Instant>,
+    /// The last address of the zone that had its turn, and the last of other zones.
+    near_turn: Option<SocketAddrV4>,
+    far_turn: Option<SocketAddrV4>,
+    named_turn: Option<SocketAddrV4>,
+    /// Since when some peer has been ahead of this host.
+    behind_since: Option<Instant>,
+    next_ask: Option<Instant>,
+}
+
+impl PeerTable {
+    /// A host that has heard nobody yet.
+    pub fn new(own: SocketAddrV4, zone: ZoneName, seeds: Vec<SocketAddrV4>) -> Self {
+        Self {
+            own,
+            zone,
+            seeds,
+            peers: BTreeMap::new(),
+            next_round: None,
+            near_turn: None,
+            far_turn: None,
+            named_turn: None,
+            behind_since: None,
+            next_ask: None,
+        }
+    }
+
+    /// Replaces the addresses known from the settings.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        self.seeds = seeds;
+    }
+
+    /// Takes a beat in; true if its sender was not known and should get one at once.
+    pub fn heard(&mut self, now: Instant, from: SocketAddrV4, beat: PeerBeat) -> bool {
+        if from == self.own {
+            return false;
+        }
+        for named in beat.named {
+            self.named(now, named);
+        }
+        let known = self.peers.get(&from);
+        let is_new = known.is_none_or(|peer| peer.heard.is_none());
+        if known.is_none() && self.peers.len() >= MOST_PEERS {
+            return false;
+        }
+        let record = PeerRecord {
+            zone: beat.zone,
+            ready: beat.ready,
+            through: beat.through,
+            heard: Some(now),
+            reports: beat.reports,
+            forget_at: now + FORGET_AFTER,
+        };
+        self.peers.insert(from, record);
+        is_new
+    }
+
+    /// The peers that get a beat now; empty between rounds.
+    pub fn round(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+        if self.next_round.is_some_and(|next| now < next) {
+            return Vec::new();
+        }
+        self.next_round = Some(now + BEAT_PAUSE);
+        self.peers.retain(|_address, peer| now < peer.forget_at);
+        let near = self.addresses(|peer| peer.zone == self.zone);
+        let far = self.addresses(|peer| peer.zone != self.zone);
+        let mut targets = take_turn(&near, &mut self.near_turn, NEAR_A_ROUND);
+        targets.extend(take_turn(&far, &mut self.far_turn, FAR_A_ROUND));
+        if self.alive(now).next().is_none() {
+            let own = self.own;
+            let seeds = self.seeds.iter().copied();
+            targets.extend(seeds.filter(|seed| *seed != own));
+            targets.sort_unstable();
+            targets.dedup();
+        }
+        targets
+    }
+
+    /// Some peers to name in the next beat.
+    pub fn some_alive(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+        let alive: Vec<SocketAddrV4> = self.alive(now).map(|(address, _peer)| address).collect();
+        take_turn(&alive, &mut self.named_turn, MOST_NAMED)
+    }
+
+    /// Hosts of the own zone that take packets, this one included.
+    pub fn near_hosts(&self, now: Instant) -> usize {
+        let near = self.alive(now);
+        1 + near
+            .filter(|(_address, peer)| peer.ready && peer.zone == self.zone)
+            .count()
+    }
+
+    /// Peers that are alive.
+    pub fn alive_hosts(&self, now: Instant) -> usize {
+        self.alive(now).count()
+    }
+
+    /// The reports of the living hosts of the own zone, with the time at which each came.
+    pub fn near_reports(&self, now: Instant) -> impl Iterator<Item = (Instant, &[UpstreamReport])> {
+        self.alive(now).filter_map(|(_address, peer)| {
+            let heard = peer.heard?;
+            (peer.zone == self.zone).then_some((heard, peer.reports.as_slice()))
+        })
+    }
+
+    /// The peer to ask for what this host is missing, if it has been missing for long enough; the
+    /// one that knows most, of the own zone if there is a choice.
+    pub fn source(&mut self, now: Instant, through: Revision) -> Option<SocketAddrV4> {
+        let best = self
+            .alive(now)
+            .filter(|(_address, peer)| peer.through > through)
+            .max_by_key(|(_address, peer)| (peer.through, peer.zone == self.zone))
+            .map(|(address, _peer)| address);
+        let Some(best) = best else {
+            self.behind_since = None;
+            return None;
+        };
+        let since = *self.behind_since.get_or_insert(now);
+        let patient = through > 0 && now.saturating_duration_since(since) < BEHIND_PATIENCE;
+        if patient || self.next_ask.is_some_and(|next| now < next) {
+            return None;
+        }
+        self.next_ask = Some(now + ASK_PAUSE);
+        Some(best)
+    }
+
+    fn named(&mut self, now: Instant, address: SocketAddrV4) {
+        let room = self.peers.len() < MOST_PEERS;
+        if address == self.own || !room || self.peers.contains_key(&address) {
+            return;
+        }
+        let record = PeerRecord {
+            zone: ZoneName::default(),
+            ready: false,
+            through: 0,
+            heard: None,
+            reports: Vec::new(),
+            forget_at: now + FORGET_AFTER,
+        };
+        self.peers.insert(address, record);
+    }
+
+    fn addresses(&self, wanted: impl Fn(&PeerRecord) -> bool) -> Vec<SocketAddrV4> {
+        let peers = self.peers.iter();
+        peers
+            .filter(|(_address, peer)| wanted(peer))
+            .map(|(address, _peer)| *address)
+            .collect()
+    }
+
+    /// Peers that were heard within the rounds that a turn takes and the missed ones allowed.
+    fn alive(&self, now: Instant) -> impl Iterator<Item = (SocketAddrV4, &PeerRecord)> {
+        let turn = self.peers.len() / NEAR_A_ROUND.min(FAR_A_ROUND) + 1;
+        let rounds = MISSED_ROUNDS + u32::try_from(turn).unwrap_or(MISSED_ROUNDS);
+        let life = BEAT_PAUSE * rounds;
+        self.peers.iter().filter_map(move |(address, peer)| {
+            let heard = peer.heard?;
+            (now.saturating_duration_since(heard) < life).then_some((*address, peer))
+        })
+    }
+}
+
+/// The next `count` addresses after the one that had the last turn, around the end.
+fn take_turn(
+    addresses: &[SocketAddrV4],
+    turn: &mut Option<SocketAddrV4>,
+    count: usize,
+) -> Vec<SocketAddrV4> {
+    let start = turn.map_or(0, |last| {
+        addresses.partition_point(|address| *address <= last)
+    });
+    let taken: Vec<SocketAddrV4> = (0..addresses.len().min(count))
+        .map(|step| addresses[(start + step) % addresses.len()])
+        .collect();
+    *turn = taken.last().copied();
+    taken
+}
--- a/packet/src/silence_record.rs
+++ b/packet/src/silence_record.rs
@@ -36,8 +36,10 @@
 /// What is known of one upstream's answers.
 #[derive(Clone, Debug, Default)]
 pub struct SilenceRecord {
-    /// When it last proved to be alive.
+    /// When it last proved to be alive, to this host or another of its zone.
     last_sign: Option<Instant>,
+    /// The same, to this host alone: what it may tell others.
+    own_sign: Option<Instant>,
     /// When the first of the attempts without an answer was sent; later than `last_sign`.
     silent_since: Option<Instant>,
     attempts: u32,
@@ -47,7 +49,12 @@
 }
 
 impl SilenceRecord {
-    /// When it last proved to be alive, to this host.
+    /// When it last proved to be alive to this host.
+    pub fn own_sign(&self) -> Option<Instant> {
+        self.own_sign
+    }
+
+    /// When it last proved to be alive, to any host that told this one.
     pub fn last_sign(&self) -> Option<Instant> {
         self.last_sign
     }
@@ -89,6 +96,7 @@
     /// Learns that it is alive; true if it had been avoided.
     pub fn sign(&mut self, now: Instant) -> bool {
         let was_avoided = self.is_avoided();
+        self.own_sign = Some(now);
         self.last_sign = Some(now);
         if self.attempts > 0 || was_avoided {
             self.silent_since = None;
@@ -99,6 +107,21 @@
         was_avoided
     }
 
+    /// Learns that it proved to be alive to another host at that time. Attempts that began later
+    /// still count.
+    pub fn sign_elsewhere(&mut self, at: Instant) {
+        if self.last_sign.is_some_and(|sign| sign >= at) {
+            return;
+        }
+        self.last_sign = Some(at);
+        if self.silent_since.is_some_and(|since| since <= at) {
+            self.silent_since = None;
+            self.attempts = 0;
+            self.outlier.answered();
+            self.next_trial = None;
+        }
+    }
+
     /// Learns of an attempt, sent at `sent`, that has no answer yet; true if it is avoided from now.
     pub fn attempt_failed(&mut self, now: Instant, sent: Instant) -> bool {
         if self.last_sign.is_some_and(|sign| sign >= sent) {
@@ -117,6 +140,7 @@
     pub fn forgive(&mut self) {
         *self = Self {
             last_sign: self.last_sign,
+            own_sign: self.own_sign,
             ..Self::default()
         };
     }
--- a/packet/src/upstream_choice.rs
+++ b/packet/src/upstream_choice.rs
@@ -114,7 +114,9 @@
     } else {
         FLOW_LOAD
     };
-    let flows = u64::from(record.flows) + WAITING_FLOWS * u64::from(record.waiting);
+    let flows = u64::from(record.flows)
+        + u64::from(record.flows_elsewhere)
+        + WAITING_FLOWS * u64::from(record.waiting);
     let tag = u64::from(record.tag.unwrap_or_default());
     ChoiceRank {
         avoided: record.silence.is_avoided() && !panic,
--- a/packet/src/upstream_record.rs
+++ b/packet/src/upstream_record.rs
@@ -62,6 +62,8 @@
     pub flows: u32,
     /// Those of them that wait for an answer.
     pub waiting: u32,
+    /// Flows that it has through the other hosts of this zone, as they last said.
+    pub flows_elsewhere: u32,
     /// What its flows tell.
     pub silence: SilenceRecord,
 }
--- a/packet/src/upstream_table.rs
+++ b/packet/src/upstream_table.rs
@@ -12,6 +12,8 @@
 use crate::ids::ServiceName;
 use crate::ids::UpstreamIndex;
 use crate::ids::UpstreamName;
+use crate::peer_beat::MOST_REPORTS;
+use crate::peer_beat::UpstreamReport;
 use crate::upstream_entry::EntryState;
 use crate::upstream_entry::UpstreamEntry;
 use crate::upstream_record::UpstreamRecord;
@@ -192,6 +194,47 @@
         retired
     }
 
+    /// Takes over what the other hosts of the zone say of upstreams, in place of what they said
+    /// before. A proof of life counts from the time at which it was seen.
+    pub fn learn_reports<'a>(
+        &mut self,
+        reports: impl Iterator<Item = (Instant, &'a [UpstreamReport])>,
+    ) {
+        for record in &mut self.records {
+            record.flows_elsewhere = 0;
+        }
+        for (heard, reports) in reports {
+            for report in reports {
+                let Some(index) = self.by_tag(report.tag) else {
+                    continue;
+                };
+                let record = self.get_mut(index);
+                record.flows_elsewhere += report.flows;
+                let sign = report.heard_ago.and_then(|ago| heard.checked_sub(ago));
+                if let Some(sign) = sign {
+                    record.silence.sign_elsewhere(sign);
+                }
+            }
+        }
+    }
+
+    /// What this host's flows tell about the upstreams of its zone.
+    pub fn reports(&self, now: Instant) -> Vec<UpstreamReport> {
+        let near = self.records().filter(|record| record.near);
+        let reports = near.filter_map(|record| {
+            let sign = record.silence.own_sign();
+            let heard_ago = sign.map(|sign| now.saturating_duration_since(sign));
+            let silent = record.flows == 0 && heard_ago.is_none();
+            let tag = record.tag.filter(|_tag| !silent)?;
+            Some(UpstreamReport {
+                tag,
+                flows: record.flows,
+                heard_ago,
+            })
+        });
+        reports.take(MOST_REPORTS).collect()
+    }
+
     /// Forgets what counts against any upstream; for a host that was frozen and so heard nobody.
     pub fn forgive_all(&mut self) {
         for record in &mut self.records {
@@ -224,6 +267,7 @@
             born: entry.born,
             flows: 0,
             waiting: 0,
+            flows_elsewhere: 0,
             silence: Default::default(),
         };
         let index = match self.free.pop() {
--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -18,6 +18,7 @@
 use crate::host_state::HostState;
 use crate::log_lines::LogLines;
 use crate::packet_socket::forward_packets;
+use crate::peer_socket;
 use crate::settings_watch::exit_code;
 use crate::settings_watch::read_settings;
 use crate::settings_watch::reload;
@@ -48,6 +49,7 @@
         }
     };
     let ready_address = settings.ready_address;
+    let peer_address = settings.peer_address;
     let metrics_address = SocketAddrV4::new(*settings.peer_address.ip(), METRICS_PORT);
     let state = Rc::new(HostState::new(settings));
     spawn_local(read_store(state.clone()));
@@ -59,6 +61,7 @@
     if let Some(listener) = web_server::listen(metrics_address).await {
         spawn_local(web_server::serve(state.clone(), listener));
     }
+    peer_socket::start(&state, peer_address).await;
     spawn_local(keep_time(state.clone(), logs));
     spawn_local(follow_settings(state.clone(), path.to_owned()));
     if let Err(error) = stop_asked().await {
--- /dev/null
+++ b/packetd/src/peer_socket.rs
@@ -0,0 +1,114 @@
+//! Sends beats to the other entry hosts and takes theirs in.
+
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_packet::peer_beat::PeerBeat;
+use tokio::net::UdpSocket;
+
+use crate::host_state::HostState;
+use crate::state_transfer;
+use crate::web_server;
+
+/// Room for the longest datagram that a beat may be.
+const BUFFER_BYTES: usize = 2048;
+
+/// How often it is looked whether a round is due or a peer has to be asked for state.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Starts everything that concerns peers. A host that cannot bind its port goes on alone.
+pub async fn start(state: &Rc<HostState>, address: SocketAddrV4) {
+    match UdpSocket::bind(address).await {
+        Ok(socket) => {
+            let socket = Rc::new(socket);
+            tokio::task::spawn_local(receive_beats(state.clone(), socket.clone()));
+            tokio::task::spawn_local(send_beats(state.clone(), socket));
+        }
+        Err(error) => {
+            let code = ResultCode::AddressUnavailable.number();
+            log::error!(code; "no peers, cannot bind {address}: {error}");
+        }
+    }
+    if let Some(listener) = web_server::listen(address).await {
+        tokio::task::spawn_local(state_transfer::serve(state.clone(), listener));
+    }
+}
+
+async fn receive_beats(state: Rc<HostState>, socket: Rc<UdpSocket>) {
+    let mut buffer = [0; BUFFER_BYTES];
+    loop {
+        let (length, source) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::warn!("the peer socket failed: {error}");
+                tokio::time::sleep(LOOK_PAUSE).await;
+                continue;
+            }
+        };
+        let SocketAddr::V4(source) = source else {
+            continue;
+        };
+        // Peers send from the port at which they listen, the same on all hosts.
+        let expected = state.settings.borrow().peer_address.port();
+        if source.port() != expected {
+            state.metrics.count_result(ResultCode::PeerUnknown);
+            continue;
+        }
+        take_beat(&state, &socket, source, &buffer[..length]);
+    }
+}
+
+fn take_beat(state: &HostState, socket: &UdpSocket, source: SocketAddrV4, bytes: &[u8]) {
+    let beat = match PeerBeat::decode(bytes) {
+        Ok(beat) => beat,
+        Err(fault) => {
+            let code = ResultCode::FrameMalformed;
+            state.metrics.count_result(code);
+            log::info!(code = code.number(), peer:% = source; "beat dropped: {fault}");
+            return;
+        }
+    };
+    let now = Instant::now();
+    let mut core = state.core.borrow_mut();
+    let (zone, through) = (beat.zone.clone(), beat.through);
+    if core.heard(now, source, beat) {
+        log::info!(peer:% = source, zone:%, through; "peer heard");
+        let beat = core.beat(now, state.stopping.get());
+        send_beat(state, socket, &beat, &[source]);
+    }
+}
+
+async fn send_beats(state: Rc<HostState>, socket: Rc<UdpSocket>) {
+    loop {
+        let now = Instant::now();
+        let round = state.core.borrow_mut().round(now, state.stopping.get());
+        if let Some((beat, targets)) = round {
+            send_beat(&state, &socket, &beat, &targets);
+        }
+        let source = state.core.borrow_mut().source(now);
+        if let Some(source) = source {
+            state_transfer::ask(&state, source).await;
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+fn send_beat(state: &HostState, socket: &UdpSocket, beat: &PeerBeat, targets: &[SocketAddrV4]) {
+    let bytes = match beat.encode() {
+        Ok(bytes) => bytes,
+        Err(fault) => {
+            log::error!("beat not sent: {fault}");
+            return;
+        }
+    };
+    for target in targets {
+        if let Err(error) = socket.try_send_to(&bytes, SocketAddr::V4(*target)) {
+            state.metrics.unsent.inc();
+            log::debug!("cannot send to {target}: {error}");
+        }
+    }
+}
--- a/packetd/src/settings_watch.rs
+++ b/packetd/src/settings_watch.rs
@@ -57,6 +57,7 @@
     };
     if settings != **state.settings.borrow() {
         log::info!(store:% = settings.store_address, seeds = settings.seed_peers.len(); "settings reloaded");
+        state.core.borrow_mut().reload(&settings);
         *state.settings.borrow_mut() = Rc::new(settings);
     }
 }
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -25,6 +25,7 @@
             client = StoreClient::new(address);
         }
         let failures = feed.failures();
+        feed.skip_to(state.core.borrow().view().through());
         let outcome = match feed.next_step(Instant::now()) {
             FeedStep::Wait { until } => {
                 tokio::time::sleep_until(until.into()).await;
