--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -218,8 +218,7 @@
         let mut avoided = Vec::new();
         self.table.openings.retain(|_key, opening| {
             let last = opening.attempts.last().map(|attempt| attempt.sent);
-            let keep =
-                last.is_some_and(|sent| now.saturating_duration_since(sent) < OPENING_LIFE);
+            let keep = last.is_some_and(|sent| now.saturating_duration_since(sent) < OPENING_LIFE);
             if !keep {
                 for attempt in &opening.attempts {
                     let silence = &mut upstreams.get_mut(attempt.upstream).silence;
--- /dev/null
+++ b/packet/tests/core_rig.rs
@@ -0,0 +1,310 @@
+//! Drives one core in virtual time.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_packet::host_settings::HostSettings;
+use lagoonproxy_packet::ids::FlowTag;
+use lagoonproxy_packet::ids::Revision;
+use lagoonproxy_packet::ids::UpstreamName;
+use lagoonproxy_packet::packet_action::DecisionNote;
+use lagoonproxy_packet::packet_action::PacketAction;
+use lagoonproxy_packet::packet_action::PacketOutput;
+use lagoonproxy_packet::packet_core::PacketCore;
+use lagoonproxy_packet::packet_head::PacketHead;
+use lagoonproxy_packet::packet_head::PacketKind;
+use lagoonproxy_packet::published_view::ItemContent;
+use lagoonproxy_packet::published_view::ItemKey;
+use lagoonproxy_packet::published_view::PublishedItem;
+use lagoonproxy_packet::published_view::ViewUpdate;
+use lagoonproxy_packet::route_config::RouteConfig;
+use lagoonproxy_packet::route_config::ServiceRoute;
+use lagoonproxy_packet::route_config::ServiceShare;
+use lagoonproxy_packet::upstream_entry::EntryState;
+use lagoonproxy_packet::upstream_entry::UpstreamEntry;
+use lagoonproxy_packet::upstream_table::flow_tag;
+
+/// Zone of the host in tests.
+pub const ZONE: &str = "a";
+
+/// The address of the ledger.
+pub fn ledger() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+/// The address of the certificate service.
+pub fn certs() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443)
+}
+
+/// A caller by its number.
+pub fn caller(number: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), 1000 + number)
+}
+
+/// The name of an upstream by its number.
+pub fn upstream_name(number: u8) -> UpstreamName {
+    format!("i-{number:02x}").into()
+}
+
+/// The tag of an upstream by its number.
+pub fn tag(number: u8) -> FlowTag {
+    flow_tag(&upstream_name(number))
+}
+
+/// The address of an upstream by its number.
+pub fn upstream_address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, number), 8080)
+}
+
+/// A registration of a ready upstream in the host's zone.
+pub fn entry(number: u8, service: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        name: upstream_name(number),
+        number: u64::from(number),
+        service: service.into(),
+        address: upstream_address(number),
+        zone: ZONE.into(),
+        slots: 2,
+        state: EntryState::Ready,
+        warmup_left: Duration::ZERO,
+        born: Some(1),
+    }
+}
+
+/// A configuration whose routes lead to one service each.
+pub fn routes(version: u64, routes: &[(SocketAddrV4, &str)]) -> RouteConfig {
+    let routes = routes.iter().map(|(address, service)| ServiceRoute {
+        address: *address,
+        shares: vec![ServiceShare {
+            service: (*service).into(),
+            weight: 1,
+        }],
+    });
+    RouteConfig {
+        version,
+        routes: routes.collect(),
+        flow_idle: Duration::from_secs(15),
+    }
+}
+
+/// The routes of most tests.
+pub fn usual_routes(version: u64) -> RouteConfig {
+    routes(version, &[(ledger(), "ledger"), (certs(), "certs")])
+}
+
+/// The item of a configuration.
+pub fn routes_item(revision: Revision, config: RouteConfig) -> PublishedItem {
+    PublishedItem {
+        key: ItemKey::Routes,
+        revision,
+        content: ItemContent::Routes(Arc::new(config)),
+    }
+}
+
+/// The item of a registration.
+pub fn upstream_item(revision: Revision, entry: UpstreamEntry) -> PublishedItem {
+    PublishedItem {
+        key: ItemKey::Upstream(entry.name.clone()),
+        revision,
+        content: ItemContent::Upstream(Arc::new(entry)),
+    }
+}
+
+/// The item of a registration that is no more.
+pub fn removed_item(revision: Revision, number: u8) -> PublishedItem {
+    PublishedItem {
+        key: ItemKey::Upstream(upstream_name(number)),
+        revision,
+        content: ItemContent::Removed,
+    }
+}
+
+/// Everything there is at a revision.
+pub fn whole(through: Revision, items: Vec<PublishedItem>) -> ViewUpdate {
+    ViewUpdate {
+        items,
+        through,
+        whole: true,
+        after: 0,
+    }
+}
+
+/// Changes that continue a revision.
+pub fn changes(after: Revision, through: Revision, items: Vec<PublishedItem>) -> ViewUpdate {
+    ViewUpdate {
+        items,
+        through,
+        whole: false,
+        after,
+    }
+}
+
+/// The settings of a host in tests.
+pub fn settings() -> HostSettings {
+    let own = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 7720);
+    HostSettings {
+        host: "host".into(),
+        zone: ZONE.into(),
+        packet_address: own,
+        ready_address: own,
+        peer_address: own,
+        seed_peers: Vec::new(),
+        store_address: own,
+        stop_grace: Duration::from_secs(6),
+        flow_age: Duration::from_secs(60),
+    }
+}
+
+/// One core and its time.
+pub struct CoreRig {
+    /// The core.
+    pub core: PacketCore,
+    /// The present time.
+    pub now: Instant,
+    /// The notes since they were last taken.
+    pub notes: Vec<DecisionNote>,
+    /// The store's revision.
+    pub revision: Revision,
+}
+
+impl CoreRig {
+    /// A core that has read these upstreams of the ledger, and the usual routes.
+    pub fn with_ledger(upstreams: &[u8]) -> Self {
+        let entries = upstreams.iter().map(|number| entry(*number, "ledger"));
+        Self::with_entries(entries.collect())
+    }
+
+    /// A core that has read these registrations, and the usual routes.
+    pub fn with_entries(entries: Vec<UpstreamEntry>) -> Self {
+        let mut rig = Self::empty();
+        let mut items = vec![routes_item(1, usual_routes(1))];
+        items.extend(entries.into_iter().map(|entry| upstream_item(1, entry)));
+        rig.revision = 10;
+        rig.join(&whole(10, items));
+        rig
+    }
+
+    /// A core that knows nothing.
+    pub fn empty() -> Self {
+        Self {
+            core: PacketCore::new(&settings()),
+            now: Instant::now(),
+            notes: Vec::new(),
+            revision: 0,
+        }
+    }
+
+    /// Lets time pass, with ticks.
+    pub fn pass(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now = end.min(self.now + Duration::from_millis(100));
+            let mut output = PacketOutput::default();
+            self.core.tick(self.now, &mut output);
+            self.notes.extend(output.notes);
+        }
+    }
+
+    /// Joins published state.
+    pub fn join(&mut self, update: &ViewUpdate) {
+        let mut output = PacketOutput::default();
+        self.core.join(self.now, update, &mut output);
+        self.notes.extend(output.notes);
+    }
+
+    /// Publishes one change.
+    pub fn publish(&mut self, item: impl FnOnce(Revision) -> PublishedItem) {
+        let after = self.revision;
+        self.revision += 1;
+        let update = changes(after, self.revision, vec![item(self.revision)]);
+        self.join(&update);
+    }
+
+    /// Hands a packet in.
+    pub fn packet(&mut self, head: &PacketHead) -> Vec<PacketAction> {
+        let mut output = PacketOutput::default();
+        self.core.packet(self.now, head, &mut output);
+        self.notes.extend(output.notes);
+        output.actions
+    }
+
+    /// Sends a copy of a caller's opening packet to the ledger; the upstreams that get it.
+    pub fn open(&mut self, number: u16, copy: u32) -> Vec<u8> {
+        let head = open_head(number, copy);
+        forwarded(&self.packet(&head))
+    }
+
+    /// Opens a flow to the ledger at the first upstream that gets the packet; which one.
+    pub fn establish(&mut self, number: u16) -> u8 {
+        let upstream = self.open(number, 0)[0];
+        self.packet(&carry_head(number, upstream, 0, 1, 0));
+        upstream
+    }
+
+    /// Sends a request of 100 bytes and, if `answered`, the acknowledgement of its answer.
+    pub fn request(&mut self, number: u16, upstream: u8, turn: u32) -> Vec<PacketAction> {
+        self.packet(&carry_head(
+            number,
+            upstream,
+            turn * 100,
+            1 + turn * 500,
+            100,
+        ))
+    }
+
+    /// Acknowledges the answer of a request.
+    pub fn acknowledge(&mut self, number: u16, upstream: u8, turn: u32) {
+        let (seq, ack) = ((turn + 1) * 100, 1 + (turn + 1) * 500);
+        self.packet(&carry_head(number, upstream, seq, ack, 0));
+    }
+}
+
+/// A copy of a caller's opening packet to the ledger.
+pub fn open_head(number: u16, copy: u32) -> PacketHead {
+    PacketHead {
+        kind: PacketKind::Open,
+        caller: caller(number),
+        service: ledger(),
+        tag: 0,
+        seq: 0,
+        ack: copy,
+        data_len: 0,
+        last: false,
+    }
+}
+
+/// A packet of a caller's open flow to the ledger.
+pub fn carry_head(number: u16, upstream: u8, seq: u32, ack: u32, data_len: u16) -> PacketHead {
+    PacketHead {
+        kind: PacketKind::Carry,
+        caller: caller(number),
+        service: ledger(),
+        tag: tag(upstream),
+        seq,
+        ack,
+        data_len,
+        last: false,
+    }
+}
+
+/// The numbers of the upstreams that a packet is forwarded to.
+pub fn forwarded(actions: &[PacketAction]) -> Vec<u8> {
+    let numbers = actions.iter().filter_map(|action| match action {
+        PacketAction::Forward { number, .. } => u8::try_from(*number).ok(),
+        _ => None,
+    });
+    numbers.collect()
+}
+
+/// The code with which a caller's flow is reset, if it is.
+pub fn reset_code(actions: &[PacketAction]) -> Option<ResultCode> {
+    actions.iter().find_map(|action| match action {
+        PacketAction::Reset { code, .. } => Some(*code),
+        _ => None,
+    })
+}
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -0,0 +1,10 @@
+//! The tests of the packet path's decisions, in one program so that linking is fast.
+
+mod core_rig;
+mod test_flow_evidence;
+mod test_packet_core;
+mod test_peer_table;
+mod test_published_view;
+mod test_silence_record;
+mod test_store_feed;
+mod test_upstream_choice;
--- /dev/null
+++ b/packet/tests/test_packet_core.rs
@@ -0,0 +1,437 @@
+//! Tests of the door: what becomes of a packet.
+
+use std::time::Duration;
+
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_packet::packet_action::PacketAction;
+use lagoonproxy_packet::packet_head::PacketKind;
+use lagoonproxy_packet::upstream_entry::EntryState;
+
+use crate::core_rig::*;
+
+#[test]
+fn test_open_kinds_of_packets() {
+    struct Case {
+        name: &'static str,
+        kind: PacketKind,
+        known_route: bool,
+        known_tag: bool,
+        expected: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "opening packet",
+            kind: PacketKind::Open,
+            known_route: true,
+            known_tag: false,
+            expected: "forward",
+        },
+        Case {
+            name: "opening packet without a route",
+            kind: PacketKind::Open,
+            known_route: false,
+            known_tag: false,
+            expected: "reset 200",
+        },
+        Case {
+            name: "data of an open flow",
+            kind: PacketKind::Carry,
+            known_route: true,
+            known_tag: true,
+            expected: "forward",
+        },
+        Case {
+            name: "data without a route",
+            kind: PacketKind::Carry,
+            known_route: false,
+            known_tag: true,
+            expected: "reset 200",
+        },
+        Case {
+            name: "data of an upstream nobody knows",
+            kind: PacketKind::Carry,
+            known_route: true,
+            known_tag: false,
+            expected: "drop 208",
+        },
+        Case {
+            name: "a caller's own reset",
+            kind: PacketKind::Abort,
+            known_route: true,
+            known_tag: true,
+            expected: "forward",
+        },
+        Case {
+            name: "a caller's own reset without a route",
+            kind: PacketKind::Abort,
+            known_route: false,
+            known_tag: true,
+            expected: "drop 200",
+        },
+        Case {
+            name: "nothing a caller sends",
+            kind: PacketKind::Foreign,
+            known_route: true,
+            known_tag: true,
+            expected: "drop 303",
+        },
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1]);
+        let mut head = carry_head(1, 1, 0, 1, 10);
+        head.kind = case.kind;
+        if !case.known_route {
+            head.service.set_port(1);
+        }
+        if !case.known_tag {
+            head.tag = 77;
+        }
+        let actions = rig.packet(&head);
+        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+    }
+}
+
+fn describe(action: &PacketAction) -> String {
+    match action {
+        PacketAction::Forward { .. } => "forward".to_owned(),
+        PacketAction::Reset { code, .. } => format!("reset {}", code.number()),
+        PacketAction::Drop { code } => format!("drop {}", code.number()),
+    }
+}
+
+#[test]
+fn test_forged_tag_opens_nothing() {
+    // A stranger sends an opening packet that carries the tag of a certificate upstream, to reach
+    // it by the ledger's address. The tag of an opening packet is not believed.
+    let mut rig = CoreRig::with_entries(vec![entry(1, "ledger"), entry(2, "certs")]);
+    let mut head = open_head(1, 0);
+    head.tag = tag(2);
+    let actions = rig.packet(&head);
+    assert_eq!(forwarded(&actions), [1]);
+    let PacketAction::Forward { tag: written, .. } = actions[0] else {
+        panic!("not forwarded");
+    };
+    assert_eq!(written, Some(tag(1)), "the upstream's own tag is written");
+}
+
+#[test]
+fn test_any_host_carries_a_flow() {
+    // A host dies and the fabric hands its flows to another one, which never saw them open. The
+    // tag alone leads each packet to its upstream.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3]);
+    for upstream in [1, 2, 3] {
+        let actions = rig.request(u16::from(upstream), upstream, 7);
+        assert_eq!(forwarded(&actions), [upstream]);
+    }
+}
+
+#[test]
+fn test_draining_upstream_keeps_flows_and_gets_none() {
+    // An upstream is being replaced. Its flows go on; if new ones were sent there as well, they
+    // would be cut when it exits.
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    let kept: Vec<u16> = (0..20).filter(|flow| rig.establish(*flow) == 1).collect();
+    assert!(!kept.is_empty());
+    let mut leaving = entry(1, "ledger");
+    leaving.state = EntryState::Draining;
+    rig.publish(|revision| upstream_item(revision, leaving));
+    for flow in 100..140 {
+        assert!(
+            !rig.open(flow, 0).contains(&1),
+            "a new flow on a draining upstream"
+        );
+    }
+    for flow in kept {
+        assert_eq!(forwarded(&rig.request(flow, 1, 0)), [1], "its flow goes on");
+    }
+}
+
+#[test]
+fn test_address_is_reused_by_another_service() {
+    // An upstream of the ledger ends, and its address is given to one of the certificate service.
+    // A caller still sends on its old flow. The packet must carry the old upstream's number, so
+    // that the new owner of the address ignores it: it must never be sent to "whoever is there".
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    rig.establish(1);
+    rig.request(1, 1, 0);
+    rig.acknowledge(1, 1, 0);
+    rig.publish(|revision| removed_item(revision, 1));
+    let mut heir = entry(3, "certs");
+    heir.address = upstream_address(1);
+    rig.publish(|revision| upstream_item(revision, heir));
+    let actions = rig.request(1, 1, 1);
+    for action in actions {
+        if let PacketAction::Forward {
+            address, number, ..
+        } = action
+        {
+            assert_eq!((address, number), (upstream_address(1), 1));
+        }
+    }
+    for flow in 10..30 {
+        assert_eq!(
+            rig.open(flow, 0)[0],
+            2,
+            "new flows of the ledger never reach its heir"
+        );
+    }
+}
+
+#[test]
+fn test_route_that_was_dropped_is_refused_at_once() {
+    // An operator takes a route away. Callers that still use it would wait for their deadline if
+    // their packets were just dropped; and no older copy may bring the route back.
+    let mut rig = CoreRig::with_ledger(&[1]);
+    rig.establish(1);
+    let fewer = routes(5, &[(certs(), "certs")]);
+    rig.publish(|revision| routes_item(revision, fewer));
+    assert_eq!(
+        reset_code(&rig.request(1, 1, 0)),
+        Some(ResultCode::ServiceUnknown)
+    );
+    rig.publish(|revision| routes_item(revision, usual_routes(4)));
+    let actions = rig.packet(&open_head(2, 0));
+    assert_eq!(
+        reset_code(&actions),
+        Some(ResultCode::ServiceUnknown),
+        "older routes are not back"
+    );
+    rig.publish(|revision| routes_item(revision, usual_routes(9)));
+    assert_eq!(rig.open(3, 0), [1], "a newer version may bring it back");
+}
+
+#[test]
+fn test_flow_stays_when_its_route_leads_elsewhere() {
+    // A route is pointed at another service. Flows that are open stay on their upstream.
+    let mut rig = CoreRig::with_entries(vec![entry(1, "ledger"), entry(2, "certs")]);
+    rig.establish(1);
+    let moved = routes(2, &[(ledger(), "certs")]);
+    rig.publish(|revision| routes_item(revision, moved));
+    assert_eq!(forwarded(&rig.request(1, 1, 0)), [1]);
+    assert_eq!(rig.open(2, 0), [2]);
+}
+
+#[test]
+fn test_service_without_upstreams_is_refused_at_once() {
+    let mut rig = CoreRig::with_entries(vec![entry(1, "certs")]);
+    let actions = rig.packet(&open_head(1, 0));
+    assert_eq!(reset_code(&actions), Some(ResultCode::NoUpstream));
+}
+
+#[test]
+fn test_dark_upstream_is_avoided_and_its_flows_are_ended() {
+    // An upstream loses power while its registration still says ready. Callers wait for answers
+    // until their deadline, and new flows are sent into the dark. Three requests without an answer
+    // and nobody else answered either: its flows are ended, so that callers open others.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3]);
+    let flows: Vec<(u16, u8)> = (0..30).map(|flow| (flow, rig.establish(flow))).collect();
+    let dark: Vec<u16> = flows
+        .iter()
+        .filter(|(_flow, at)| *at == 1)
+        .map(|(flow, _at)| *flow)
+        .collect();
+    assert!(dark.len() >= 4);
+    rig.pass(1000);
+    for flow in &dark[..3] {
+        assert_eq!(forwarded(&rig.request(*flow, 1, 0)), [1]);
+    }
+    rig.pass(200);
+    for flow in &dark[..3] {
+        rig.request(*flow, 1, 0);
+    }
+    rig.pass(200);
+    let actions = rig.request(dark[3], 1, 0);
+    assert_eq!(reset_code(&actions), Some(ResultCode::UpstreamSilent));
+    for flow in 100..130 {
+        assert_ne!(rig.open(flow, 0)[0], 1, "a new flow into the dark");
+    }
+}
+
+#[test]
+fn test_slow_answer_ends_no_flow() {
+    // One request takes long, and its caller sends it again and again, while other flows of the
+    // same upstream have answers. Ending the flow would break one that lives.
+    let mut rig = CoreRig::with_ledger(&[1]);
+    rig.establish(1);
+    rig.establish(2);
+    rig.request(1, 1, 0);
+    for turn in 0..8 {
+        rig.request(2, 1, turn);
+        rig.pass(50);
+        rig.acknowledge(2, 1, turn);
+        rig.pass(150);
+        let again = rig.request(1, 1, 0);
+        assert_eq!(forwarded(&again), [1], "after {turn} answers to others");
+    }
+}
+
+#[test]
+fn test_many_silent_upstreams_end_no_flow() {
+    // The host's own link fails: nobody seems to answer. If it ended every flow it would break all
+    // of them; beyond half of a service it takes the fault to be its own.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3]);
+    let flows: Vec<(u16, u8)> = (0..30).map(|flow| (flow, rig.establish(flow))).collect();
+    rig.pass(500);
+    for _copy in 0..6 {
+        for (flow, upstream) in &flows {
+            rig.request(*flow, *upstream, 0);
+        }
+        rig.pass(400);
+    }
+    for (flow, upstream) in &flows {
+        assert_eq!(forwarded(&rig.request(*flow, *upstream, 0)), [*upstream]);
+    }
+}
+
+#[test]
+fn test_frozen_host_blames_nobody() {
+    // The machine stands still for seconds while callers send again. When it wakes, the copies of
+    // all requests lie in its socket at once and look like silence of the upstreams.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3, 4]);
+    let flows: Vec<(u16, u8)> = (0..16).map(|flow| (flow, rig.establish(flow))).collect();
+    rig.pass(500);
+    for (flow, upstream) in &flows {
+        rig.request(*flow, *upstream, 0);
+    }
+    rig.now += Duration::from_secs(3);
+    rig.core.woke_up(rig.now);
+    for _copy in 0..2 {
+        for (flow, upstream) in &flows {
+            let again = rig.request(*flow, *upstream, 0);
+            assert_eq!(
+                forwarded(&again),
+                [*upstream],
+                "a flow that lives was ended"
+            );
+        }
+    }
+}
+
+#[test]
+fn test_registrations_that_lapse_with_the_store() {
+    // The store is away for ten seconds. Upstreams cannot renew their registrations, and on its
+    // return all of them are reported as removed, for two seconds. They answer all the while.
+    struct Case {
+        name: &'static str,
+        answers: bool,
+        still_used: bool,
+    }
+    let cases = [
+        Case {
+            name: "one that answers is used on",
+            answers: true,
+            still_used: true,
+        },
+        Case {
+            name: "one that is silent is gone",
+            answers: false,
+            still_used: false,
+        },
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1, 2]);
+        let flow = (0..10)
+            .find(|flow| rig.establish(*flow) == 1)
+            .expect("a flow at 1");
+        rig.pass(3000);
+        if case.answers {
+            rig.request(flow, 1, 0);
+            rig.pass(20);
+            rig.acknowledge(flow, 1, 0);
+        }
+        rig.publish(|revision| removed_item(revision, 1));
+        let used = (100..140).any(|flow| rig.open(flow, 0).contains(&1));
+        assert_eq!(used, case.still_used, "{}", case.name);
+        rig.pass(2600);
+        let used = (200..240).any(|flow| rig.open(flow, 0).contains(&1));
+        assert!(!used, "{}: still missing after the grace", case.name);
+    }
+}
+
+#[test]
+fn test_flow_of_a_former_upstream() {
+    // An upstream is gone from the registry. While it still answers its flows go on; once it is
+    // silent a caller's next request is answered with a reset, and it can ask elsewhere at once.
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    let flow = (0..10)
+        .find(|flow| rig.establish(*flow) == 1)
+        .expect("a flow at 1");
+    let mut leaving = entry(1, "ledger");
+    leaving.state = EntryState::Draining;
+    rig.publish(|revision| upstream_item(revision, leaving));
+    rig.request(flow, 1, 0);
+    rig.pass(20);
+    rig.acknowledge(flow, 1, 0);
+    rig.publish(|revision| removed_item(revision, 1));
+    assert_eq!(
+        forwarded(&rig.request(flow, 1, 1)),
+        [1],
+        "it answered just now"
+    );
+    rig.pass(700);
+    let actions = rig.request(flow, 1, 1);
+    assert_eq!(reset_code(&actions), Some(ResultCode::UpstreamSilent));
+}
+
+#[test]
+fn test_flow_of_an_upstream_from_before_the_start() {
+    // A fresh process gets a packet of a flow whose upstream left the registry before it started.
+    // Right after the start, or while the store is away, the registration may just have lapsed.
+    struct Case {
+        name: &'static str,
+        wait_ms: u64,
+        store_lost: bool,
+        expected: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "right after the start",
+            wait_ms: 100,
+            store_lost: false,
+            expected: "drop 208",
+        },
+        Case {
+            name: "with the store away",
+            wait_ms: 9000,
+            store_lost: true,
+            expected: "drop 208",
+        },
+        Case {
+            name: "sure that it is gone",
+            wait_ms: 9000,
+            store_lost: false,
+            expected: "reset 208",
+        },
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1]);
+        rig.pass(case.wait_ms);
+        if case.store_lost {
+            rig.core.store_lost();
+        }
+        let actions = rig.request(1, 9, 0);
+        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_tag_is_remembered_for_a_flows_life() {
+    // A former upstream's flows may be a minute old; after that its place is given to another, and
+    // packets with the old tag must not reach that one.
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    rig.publish(|revision| removed_item(revision, 1));
+    assert!(rig.core.upstreams().by_tag(tag(1)).is_some());
+    rig.pass(61_000);
+    assert!(rig.core.upstreams().by_tag(tag(1)).is_none());
+    rig.publish(|revision| upstream_item(revision, entry(5, "ledger")));
+    let actions = rig.request(1, 1, 0);
+    assert!(forwarded(&actions).is_empty(), "the old tag leads nowhere");
+}
+
+#[test]
+fn test_host_without_state_forwards_nothing() {
+    let mut rig = CoreRig::empty();
+    let actions = rig.packet(&open_head(1, 0));
+    assert_eq!(describe(&actions[0]), "drop 212");
+    assert!(!rig.core.is_ready());
+}
--- /dev/null
+++ b/packet/tests/test_peer_table.rs
@@ -0,0 +1,213 @@
+//! Tests of knowing the other hosts.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy_packet::peer_beat::BeatFault;
+use lagoonproxy_packet::peer_beat::PeerBeat;
+use lagoonproxy_packet::peer_beat::UpstreamReport;
+use lagoonproxy_packet::peer_table::PeerTable;
+use proptest::prelude::*;
+
+use crate::core_rig::*;
+
+fn address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), 7720)
+}
+
+fn beat(zone: &str, through: u64) -> PeerBeat {
+    PeerBeat {
+        zone: zone.into(),
+        ready: true,
+        through,
+        named: Vec::new(),
+        reports: Vec::new(),
+    }
+}
+
+fn table(seeds: &[u8]) -> PeerTable {
+    let seeds = seeds.iter().map(|number| address(*number)).collect();
+    PeerTable::new(address(1), ZONE.into(), seeds)
+}
+
+#[test]
+fn test_hosts_find_each_other_through_seeds() {
+    // Forty hosts start at once and know three addresses, one of which is dead. Every host has to
+    // know every other of its zone within seconds, at a bounded number of beats a round.
+    let mut now = Instant::now();
+    let mut hosts: Vec<PeerTable> = (1..=40)
+        .map(|number| {
+            PeerTable::new(
+                address(number),
+                ZONE.into(),
+                vec![address(1), address(2), address(99)],
+            )
+        })
+        .collect();
+    let mut most = 0;
+    for _round in 0..20 {
+        now += Duration::from_millis(500);
+        for sender in 0..hosts.len() {
+            let from = address(sender as u8 + 1);
+            let targets = hosts[sender].round(now);
+            most = most.max(targets.len());
+            let mut word = beat(ZONE, 1);
+            word.named = hosts[sender].some_alive(now);
+            for target in targets {
+                let index = usize::from(target.ip().octets()[3]) - 1;
+                if index < hosts.len() {
+                    let new = hosts[index].heard(now, from, word.clone());
+                    if new {
+                        let mut reply = beat(ZONE, 1);
+                        reply.named = hosts[index].some_alive(now);
+                        hosts[sender].heard(now, target, reply);
+                    }
+                }
+            }
+        }
+    }
+    for host in &hosts {
+        assert_eq!(host.near_hosts(now), 40);
+    }
+    assert!(most <= 9, "{most} beats in a round");
+}
+
+#[test]
+fn test_silent_peers_are_gone() {
+    let mut now = Instant::now();
+    let mut table = table(&[]);
+    table.heard(now, address(2), beat(ZONE, 1));
+    table.heard(now, address(3), beat("b", 1));
+    assert_eq!((table.near_hosts(now), table.alive_hosts(now)), (2, 2));
+    now += Duration::from_secs(4);
+    assert_eq!((table.near_hosts(now), table.alive_hosts(now)), (1, 0));
+}
+
+#[test]
+fn test_whom_to_ask_for_state() {
+    struct Case {
+        name: &'static str,
+        peers: &'static [(u8, &'static str, u64)],
+        own: u64,
+        wait_ms: u64,
+        expected: Option<u8>,
+    }
+    let cases = [
+        Case {
+            name: "a fresh host asks at once",
+            peers: &[(2, ZONE, 5)],
+            own: 0,
+            wait_ms: 0,
+            expected: Some(2),
+        },
+        Case {
+            name: "nobody knows more",
+            peers: &[(2, ZONE, 5)],
+            own: 5,
+            wait_ms: 2000,
+            expected: None,
+        },
+        Case {
+            name: "one who reads for itself waits a little",
+            peers: &[(2, ZONE, 6)],
+            own: 5,
+            wait_ms: 300,
+            expected: None,
+        },
+        Case {
+            name: "and then asks",
+            peers: &[(2, ZONE, 6)],
+            own: 5,
+            wait_ms: 800,
+            expected: Some(2),
+        },
+        Case {
+            name: "the own zone first",
+            peers: &[(2, "b", 6), (3, ZONE, 6), (4, "b", 6)],
+            own: 5,
+            wait_ms: 800,
+            expected: Some(3),
+        },
+        Case {
+            name: "who knows most first",
+            peers: &[(2, "b", 9), (3, ZONE, 6)],
+            own: 5,
+            wait_ms: 800,
+            expected: Some(2),
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut table = table(&[]);
+        for (number, zone, through) in case.peers {
+            table.heard(start, address(*number), beat(zone, *through));
+        }
+        let first = table.source(start, case.own);
+        let now = start + Duration::from_millis(case.wait_ms);
+        let asked = if case.wait_ms == 0 {
+            first
+        } else {
+            table.source(now, case.own)
+        };
+        assert_eq!(asked, case.expected.map(address), "{}", case.name);
+        assert_eq!(
+            table.source(now, case.own),
+            None,
+            "{}: not twice at once",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn test_reports_count_once_and_end_with_their_host() {
+    // A host that has just joined would send every new flow to the upstream that it has fewest
+    // flows on, which may be the one that all others have filled.
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    for _beat in 0..3 {
+        let mut word = beat(ZONE, 10);
+        word.reports = vec![UpstreamReport {
+            tag: tag(1),
+            flows: 30,
+            heard_ago: Some(Duration::ZERO),
+        }];
+        rig.core.heard(rig.now, address(2), word);
+    }
+    assert!(
+        (0..20).all(|flow| rig.establish(flow) == 2),
+        "the other has 30"
+    );
+    let now = rig.now + Duration::from_secs(10);
+    rig.core.heard(now, address(3), beat(ZONE, 10));
+    let elsewhere: u32 = rig
+        .core
+        .upstreams()
+        .records()
+        .map(|record| record.flows_elsewhere)
+        .sum();
+    assert_eq!(elsewhere, 0, "the reporting host is gone");
+}
+
+#[test]
+fn test_beat_is_read_as_it_was_written() {
+    let mut word = beat("b", 77);
+    word.named = vec![address(7)];
+    word.reports = vec![UpstreamReport {
+        tag: 5,
+        flows: 3,
+        heard_ago: None,
+    }];
+    let bytes = word.encode().expect("encodes");
+    assert_eq!(PeerBeat::decode(&bytes), Ok(word));
+    assert_eq!(PeerBeat::decode(&[]), Err(BeatFault::Foreign));
+    assert_eq!(PeerBeat::decode(&[9, 1, 2]), Err(BeatFault::Foreign));
+}
+
+proptest! {
+    #[test]
+    fn test_any_bytes_are_no_fault(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _beat = PeerBeat::decode(&bytes);
+    }
+}
--- /dev/null
+++ b/packet/tests/test_published_view.rs
@@ -0,0 +1,190 @@
+//! Tests of joining published state: never back, from whichever source.
+
+use lagoonproxy_packet::published_view::ItemContent;
+use lagoonproxy_packet::published_view::ItemKey;
+use lagoonproxy_packet::published_view::PublishedItem;
+use lagoonproxy_packet::published_view::PublishedView;
+use lagoonproxy_packet::published_view::ViewUpdate;
+use proptest::prelude::*;
+
+use crate::core_rig::*;
+
+/// What a view holds, for comparison.
+fn content(view: &PublishedView) -> (Vec<PublishedItem>, u64) {
+    let update = view.update_since(0);
+    (update.items, update.through)
+}
+
+fn first_state() -> ViewUpdate {
+    let items = vec![
+        routes_item(3, usual_routes(7)),
+        upstream_item(4, entry(1, "ledger")),
+        upstream_item(5, entry(2, "ledger")),
+    ];
+    whole(10, items)
+}
+
+#[test]
+fn test_join_cases() {
+    struct Case {
+        name: &'static str,
+        update: ViewUpdate,
+        through: u64,
+        version: u64,
+        upstreams: &'static [u8],
+    }
+    let cases = [
+        Case {
+            name: "changes that continue",
+            update: changes(
+                10,
+                12,
+                vec![upstream_item(11, entry(3, "ledger")), removed_item(12, 1)],
+            ),
+            through: 12,
+            version: 7,
+            upstreams: &[2, 3],
+        },
+        Case {
+            name: "changes seen already, and newer ones",
+            update: changes(
+                4,
+                11,
+                vec![upstream_item(5, entry(2, "ledger")), removed_item(11, 2)],
+            ),
+            through: 11,
+            version: 7,
+            upstreams: &[1],
+        },
+        Case {
+            name: "changes after a gap are no continuation",
+            update: changes(20, 21, vec![removed_item(21, 1)]),
+            through: 10,
+            version: 7,
+            upstreams: &[1, 2],
+        },
+        Case {
+            name: "an older copy of everything",
+            update: whole(6, vec![routes_item(2, usual_routes(6))]),
+            through: 10,
+            version: 7,
+            upstreams: &[1, 2],
+        },
+        Case {
+            name: "a newer list without one of them",
+            update: whole(
+                15,
+                vec![
+                    routes_item(3, usual_routes(7)),
+                    upstream_item(4, entry(1, "ledger")),
+                ],
+            ),
+            through: 15,
+            version: 7,
+            upstreams: &[1],
+        },
+        Case {
+            name: "older routes under a newer revision",
+            update: changes(10, 11, vec![routes_item(11, usual_routes(2))]),
+            through: 11,
+            version: 7,
+            upstreams: &[1, 2],
+        },
+        Case {
+            name: "routes removed",
+            update: changes(
+                10,
+                11,
+                vec![PublishedItem {
+                    key: ItemKey::Routes,
+                    revision: 11,
+                    content: ItemContent::Removed,
+                }],
+            ),
+            through: 11,
+            version: 7,
+            upstreams: &[1, 2],
+        },
+        Case {
+            name: "an entry that cannot be read any more",
+            update: changes(
+                10,
+                11,
+                vec![PublishedItem {
+                    key: ItemKey::Upstream(upstream_name(1)),
+                    revision: 11,
+                    content: ItemContent::Unreadable,
+                }],
+            ),
+            through: 11,
+            version: 7,
+            upstreams: &[2],
+        },
+    ];
+    for case in cases {
+        let mut view = PublishedView::default();
+        view.join(&first_state());
+        view.join(&case.update);
+        assert_eq!(view.through(), case.through, "{}", case.name);
+        let version = view.routes().map(|routes| routes.version);
+        assert_eq!(version, Some(case.version), "{}", case.name);
+        let names: Vec<_> = content(&view)
+            .0
+            .into_iter()
+            .filter_map(|item| match item.content {
+                ItemContent::Upstream(entry) => Some(entry.number as u8),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(names, case.upstreams, "{}", case.name);
+    }
+}
+
+/// A history of the store: each change gets the next revision.
+fn history() -> impl Strategy<Value = Vec<PublishedItem>> {
+    let change = (0..6_u8, any::<bool>());
+    prop::collection::vec(change, 1..40).prop_map(|changes| {
+        let items = changes
+            .into_iter()
+            .enumerate()
+            .map(|(index, (number, put))| {
+                let revision = index as u64 + 1;
+                match (number, put) {
+                    (0, _) => routes_item(revision, usual_routes(revision)),
+                    (number, true) => upstream_item(revision, entry(number, "ledger")),
+                    (number, false) => removed_item(revision, number),
+                }
+            });
+        items.collect()
+    })
+}
+
+proptest! {
+    /// A peer that gets differences, in any steps and also from a host that is behind, ends with
+    /// the state of who read everything.
+    #[test]
+    fn test_differences_lead_to_the_same_state(
+        items in history(),
+        cuts in prop::collection::vec(0..40_usize, 0..6),
+    ) {
+        let mut reader = PublishedView::default();
+        let mut peer = PublishedView::default();
+        let mut late = PublishedView::default();
+        reader.join(&whole(0, Vec::new()));
+        for (index, item) in items.iter().enumerate() {
+            let revision = index as u64;
+            reader.join(&changes(revision, revision + 1, vec![item.clone()]));
+            if cuts.contains(&index) {
+                late.join(&reader.update_since(late.through()));
+            }
+            if index % 3 == 0 {
+                peer.join(&late.update_since(peer.through()));
+                peer.join(&reader.update_since(peer.through()));
+            }
+        }
+        peer.join(&reader.update_since(peer.through()));
+        late.join(&reader.update_since(late.through()));
+        prop_assert_eq!(content(&peer), content(&reader));
+        prop_assert_eq!(content(&late), content(&reader));
+    }
+}
--- /dev/null
+++ b/packet/tests/test_silence_record.rs
@@ -0,0 +1,164 @@
+//! Tests of telling a dark upstream from one that was unlucky.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy_packet::silence_record::SilenceRecord;
+
+/// Something that happens to an upstream, in milliseconds.
+#[derive(Clone, Copy)]
+enum Happening {
+    /// It proves to be alive.
+    Sign,
+    /// It proved to be alive to another host, so long ago.
+    Elsewhere(u64),
+    /// An attempt that was sent so long ago has had no answer.
+    Failed(u64),
+    /// Nothing, but the time passes on.
+    Tick,
+}
+
+#[test]
+fn test_silence_cases() {
+    use Happening::*;
+    struct Case {
+        name: &'static str,
+        happenings: &'static [(u64, Happening)],
+        avoided: bool,
+        dark: bool,
+    }
+    let cases = [
+        Case {
+            name: "one lost datagram",
+            happenings: &[(0, Sign), (300, Failed(200))],
+            avoided: false,
+            dark: false,
+        },
+        Case {
+            name: "two attempts, nothing heard",
+            happenings: &[(0, Sign), (300, Failed(200)), (310, Failed(200))],
+            avoided: true,
+            dark: false,
+        },
+        Case {
+            name: "an answer between the attempts",
+            happenings: &[
+                (0, Sign),
+                (300, Failed(200)),
+                (305, Sign),
+                (310, Failed(200)),
+            ],
+            avoided: false,
+            dark: false,
+        },
+        Case {
+            name: "an answer since the attempt was sent",
+            happenings: &[
+                (200, Sign),
+                (300, Failed(200)),
+                (310, Failed(200)),
+                (320, Failed(200)),
+            ],
+            avoided: false,
+            dark: false,
+        },
+        Case {
+            name: "three attempts for long",
+            happenings: &[
+                (0, Sign),
+                (300, Failed(200)),
+                (310, Failed(200)),
+                (500, Failed(200)),
+            ],
+            avoided: true,
+            dark: true,
+        },
+        Case {
+            name: "three attempts at once are not long",
+            happenings: &[
+                (0, Sign),
+                (300, Failed(200)),
+                (300, Failed(200)),
+                (300, Failed(200)),
+            ],
+            avoided: true,
+            dark: false,
+        },
+        Case {
+            name: "another host heard it since",
+            happenings: &[
+                (0, Sign),
+                (300, Failed(200)),
+                (310, Failed(200)),
+                (500, Failed(200)),
+                (510, Elsewhere(50)),
+            ],
+            avoided: false,
+            dark: false,
+        },
+        Case {
+            name: "another host heard it before",
+            happenings: &[
+                (0, Sign),
+                (300, Failed(200)),
+                (310, Failed(200)),
+                (500, Failed(200)),
+                (510, Elsewhere(450)),
+            ],
+            avoided: true,
+            dark: true,
+        },
+        Case {
+            name: "it answers again",
+            happenings: &[(300, Failed(200)), (310, Failed(200)), (900, Sign)],
+            avoided: false,
+            dark: false,
+        },
+        Case {
+            name: "time alone proves nothing",
+            happenings: &[(300, Failed(200)), (310, Failed(200)), (5000, Tick)],
+            avoided: true,
+            dark: false,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now() + Duration::from_secs(10);
+        let at = |millis: u64| start + Duration::from_millis(millis);
+        let mut record = SilenceRecord::default();
+        let mut now = start;
+        for (millis, happening) in case.happenings {
+            now = at(*millis);
+            let before = |ago: u64| now - Duration::from_millis(ago);
+            match happening {
+                Sign => drop(record.sign(now)),
+                Elsewhere(ago) => record.sign_elsewhere(before(*ago)),
+                Failed(ago) => drop(record.attempt_failed(now, before(*ago))),
+                Tick => record.tick(now),
+            }
+        }
+        assert_eq!(record.is_avoided(), case.avoided, "{}: avoided", case.name);
+        assert_eq!(record.is_dark(now), case.dark, "{}: dark", case.name);
+    }
+}
+
+#[test]
+fn test_avoided_upstream_is_tried_with_pauses() {
+    // An avoided upstream gets no flows, so that nothing can show that it is back. It is tried
+    // beside another one, at most every 300 ms.
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut record = SilenceRecord::default();
+    record.attempt_failed(at(200), at(0));
+    record.attempt_failed(at(200), at(0));
+    assert!(
+        !record.wants_trial(at(900)),
+        "not while the first second runs"
+    );
+    record.tick(at(1300));
+    assert!(record.wants_trial(at(1300)));
+    record.trial_sent(at(1300));
+    assert!(!record.wants_trial(at(1500)));
+    assert!(record.wants_trial(at(1600)));
+    assert!(record.sign(at(1650)), "it had been avoided");
+    assert!(!record.is_avoided());
+}
--- /dev/null
+++ b/packet/tests/test_store_feed.rs
@@ -0,0 +1,203 @@
+//! Tests of reading the store through its failures.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy_packet::store_feed::FeedStep;
+use lagoonproxy_packet::store_feed::ListPage;
+use lagoonproxy_packet::store_feed::StoreFault;
+use lagoonproxy_packet::store_feed::StoreFeed;
+use lagoonproxy_packet::store_feed::WatchBatch;
+
+use crate::core_rig::*;
+
+fn list_page(revision: u64, numbers: &[u8], next_after: Option<&str>) -> ListPage {
+    let items = numbers
+        .iter()
+        .map(|number| upstream_item(revision, entry(*number, "ledger")));
+    ListPage {
+        items: items.collect(),
+        next_after: next_after.map(Into::into),
+        revision,
+    }
+}
+
+fn listed_feed() -> StoreFeed {
+    let mut feed = StoreFeed::default();
+    feed.listed(list_page(10, &[1], None));
+    feed
+}
+
+#[test]
+fn test_pages_are_no_snapshot() {
+    // Between two pages an entry of the first one changes. If the watch began at the second page's
+    // revision, that change would never be seen.
+    let mut feed = StoreFeed::default();
+    let now = Instant::now();
+    assert_eq!(feed.listed(list_page(10, &[1], Some("servers/i-01"))), None);
+    let next = FeedStep::List {
+        after: Some("servers/i-01".into()),
+    };
+    assert_eq!(feed.next_step(now), next);
+    let update = feed
+        .listed(list_page(14, &[2], None))
+        .expect("the list is whole");
+    assert_eq!(
+        (update.items.len(), update.through, update.whole),
+        (2, 10, true)
+    );
+    assert_eq!(feed.next_step(now), FeedStep::Watch { after: 10 });
+}
+
+#[test]
+fn test_faults_while_watching() {
+    struct Case {
+        name: &'static str,
+        fault: StoreFault,
+        lists_again: bool,
+        waits: bool,
+    }
+    let cases = [
+        Case {
+            name: "history dropped",
+            fault: StoreFault::HistoryDropped,
+            lists_again: true,
+            waits: false,
+        },
+        Case {
+            name: "no connection",
+            fault: StoreFault::Unreachable {
+                reason: String::new(),
+            },
+            lists_again: false,
+            waits: true,
+        },
+        Case {
+            name: "no answer",
+            fault: StoreFault::TimedOut,
+            lists_again: false,
+            waits: true,
+        },
+        Case {
+            name: "too many calls",
+            fault: StoreFault::Refused { status: 429 },
+            lists_again: false,
+            waits: true,
+        },
+        Case {
+            name: "unreadable answer",
+            fault: StoreFault::Malformed {
+                reason: String::new(),
+            },
+            lists_again: false,
+            waits: true,
+        },
+    ];
+    for case in cases {
+        let mut feed = listed_feed();
+        let now = Instant::now();
+        feed.failed(now, &case.fault);
+        let waits = matches!(feed.next_step(now), FeedStep::Wait { .. });
+        assert_eq!(waits, case.waits, "{}", case.name);
+        let later = now + Duration::from_secs(2);
+        let expected = if case.lists_again {
+            FeedStep::List { after: None }
+        } else {
+            FeedStep::Watch { after: 10 }
+        };
+        assert_eq!(feed.next_step(later), expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_store_that_drops_history_again_and_again_is_not_pressed() {
+    // The store forgets its history every moment. A host that lists at once each time would spend
+    // the calls of all others.
+    let mut feed = listed_feed();
+    let now = Instant::now();
+    feed.failed(now, &StoreFault::HistoryDropped);
+    feed.failed(now, &StoreFault::HistoryDropped);
+    assert!(matches!(feed.next_step(now), FeedStep::Wait { .. }));
+}
+
+#[test]
+fn test_outage_costs_few_calls() {
+    // The store is away for a minute. Calls that are refused have their price too.
+    let mut feed = listed_feed();
+    let start = Instant::now();
+    let mut now = start;
+    let mut calls = 0;
+    while now < start + Duration::from_secs(60) {
+        match feed.next_step(now) {
+            FeedStep::Wait { until } => now = until,
+            _ => {
+                calls += 1;
+                feed.failed(now, &StoreFault::TimedOut);
+            }
+        }
+    }
+    assert!(
+        (55..=65).contains(&calls),
+        "about one a second, made {calls}"
+    );
+}
+
+#[test]
+fn test_fault_in_the_middle_of_a_list_begins_it_anew() {
+    // A page fails after others have come. Going on with a later list's pages would mix two states.
+    let mut feed = StoreFeed::default();
+    feed.listed(list_page(10, &[1], Some("servers/i-01")));
+    let now = Instant::now();
+    feed.failed(now, &StoreFault::TimedOut);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(feed.next_step(later), FeedStep::List { after: None });
+    let update = feed
+        .listed(list_page(20, &[2], None))
+        .expect("one page is all");
+    assert_eq!((update.items.len(), update.through), (1, 20));
+}
+
+#[test]
+fn test_changes_come_together() {
+    let mut feed = listed_feed();
+    let now = Instant::now();
+    let batch = WatchBatch {
+        items: Vec::new(),
+        changed: true,
+        revision: 12,
+    };
+    let update = feed.changed(now, batch);
+    assert_eq!((update.after, update.through), (10, 12));
+    assert!(
+        matches!(feed.next_step(now), FeedStep::Wait { .. }),
+        "a pause after changes"
+    );
+    let quiet = WatchBatch {
+        items: Vec::new(),
+        changed: false,
+        revision: 12,
+    };
+    let mut feed = listed_feed();
+    feed.changed(now, quiet);
+    assert_eq!(
+        feed.next_step(now),
+        FeedStep::Watch { after: 12 },
+        "none after a quiet wait"
+    );
+}
+
+#[test]
+fn test_state_from_a_peer_moves_the_watch_on() {
+    let mut feed = listed_feed();
+    feed.skip_to(30);
+    assert_eq!(
+        feed.next_step(Instant::now()),
+        FeedStep::Watch { after: 30 }
+    );
+    feed.skip_to(20);
+    assert_eq!(
+        feed.next_step(Instant::now()),
+        FeedStep::Watch { after: 30 },
+        "never back"
+    );
+}
--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -122,5 +122,7 @@
 }
 
 fn modified(path: &Path) -> Option<std::time::SystemTime> {
-    std::fs::metadata(path).and_then(|file| file.modified()).ok()
+    std::fs::metadata(path)
+        .and_then(|file| file.modified())
+        .ok()
 }
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -6,8 +6,8 @@
 use std::time::Instant;
 
 use lagoonproxy_packet::host_settings::HostSettings;
-use lagoonproxy_packet::packet_core::PacketCore;
 use lagoonproxy_packet::packet_action::PacketOutput;
+use lagoonproxy_packet::packet_core::PacketCore;
 use lagoonproxy_packet::published_view::ViewUpdate;
 use tokio::sync::Notify;
 
