--- a/packet/src/peer_beat.rs
+++ b/packet/src/peer_beat.rs
@@ -71,7 +71,7 @@
     /// The beat as a datagram.
     pub fn encode(&self) -> Result<Vec<u8>, BeatFault> {
         let bytes = vec![BEAT_FORMAT];
-        postcard::to_extend(self, bytes).map_err(malformed)
+        postcard::to_extend(self, bytes).map_err(|error| malformed(&error))
     }
 
     /// Reads a datagram.
@@ -79,11 +79,11 @@
         let Some((&BEAT_FORMAT, body)) = bytes.split_first() else {
             return Err(BeatFault::Foreign);
         };
-        postcard::from_bytes(body).map_err(malformed)
+        postcard::from_bytes(body).map_err(|error| malformed(&error))
     }
 }
 
-fn malformed(error: postcard::Error) -> BeatFault {
+fn malformed(error: &postcard::Error) -> BeatFault {
     BeatFault::Malformed {
         reason: error.to_string(),
     }
--- /dev/null
+++ b/packetd/tests/packet_cell.rs
@@ -0,0 +1,281 @@
+//! Entry hosts as child processes, among stand-ins for the store, upstreams, fabric and callers.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use lagoonproxy_standin::packet_caller::PacketCaller;
+use lagoonproxy_standin::packet_caller::PacketFabric;
+use lagoonproxy_standin::packet_store::PacketStore;
+use lagoonproxy_standin::packet_store::StoreMood;
+use lagoonproxy_standin::packet_store::StorePort;
+use lagoonproxy_standin::packet_upstream::PacketUpstream;
+use serde_json::Value;
+use serde_json::json;
+use tokio::process::Child;
+use tokio::process::Command;
+
+/// Ends a wait that can only be a hang; no verdict depends on it otherwise.
+pub const HANG_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time between two looks at something that is waited for.
+pub const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// How long a request may take in tests: long enough for every copy of it.
+pub const REQUEST_LIMIT: Duration = Duration::from_secs(8);
+
+/// Port at which callers are answered and hosts take packets.
+const PACKET_PORT: u16 = 28_172;
+const READY_PORT: u16 = 28_167;
+const PEER_PORT: u16 = 28_720;
+
+/// Numbers the cells of this test program, each with addresses of its own.
+static NEXT_CELL: AtomicU8 = AtomicU8::new(1);
+
+/// One entry host.
+pub struct CellHost {
+    /// Where its packets arrive.
+    pub packets: SocketAddrV4,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddrV4,
+    /// The store as this host meets it.
+    pub store: StorePort,
+    settings: PathBuf,
+    child: Child,
+}
+
+/// Hosts, upstreams and a store.
+pub struct PacketCell {
+    number: u8,
+    /// The store.
+    pub store: PacketStore,
+    /// The fabric.
+    pub fabric: PacketFabric,
+    /// The hosts.
+    pub hosts: Vec<CellHost>,
+    /// The upstreams of the ledger.
+    pub upstreams: Vec<PacketUpstream>,
+    next_caller: u8,
+}
+
+/// The address of the ledger.
+pub fn ledger() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+/// The address of the certificate service.
+pub fn certs() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443)
+}
+
+impl PacketCell {
+    /// A cell without hosts, with upstreams of the ledger that are registered.
+    pub async fn with_upstreams(count: u8) -> Self {
+        let mut cell = Self {
+            number: NEXT_CELL.fetch_add(1, Ordering::Relaxed),
+            store: PacketStore::default(),
+            fabric: PacketFabric::default(),
+            hosts: Vec::new(),
+            upstreams: Vec::new(),
+            next_caller: 0,
+        };
+        cell.publish_routes(1, &[(ledger(), "ledger"), (certs(), "certs")]);
+        for index in 0..count {
+            let upstream = cell.start_upstream(index + 1, index + 1).await;
+            cell.register(&upstream, "ledger", "ready");
+            cell.upstreams.push(upstream);
+        }
+        cell
+    }
+
+    /// A cell with hosts that are ready and in the rotation.
+    pub async fn ready(hosts: u8, upstreams: u8) -> Self {
+        let mut cell = Self::with_upstreams(upstreams).await;
+        for _host in 0..hosts {
+            cell.start_host(StoreMood::Serve).await;
+        }
+        cell.wait_for_rotation(usize::from(hosts)).await;
+        cell
+    }
+
+    /// Starts an upstream with this number at the address of this place.
+    pub async fn start_upstream(&self, number: u8, place: u8) -> PacketUpstream {
+        let address = SocketAddrV4::new(self.ip(100 + place), 9_000);
+        PacketUpstream::start(u64::from(number), address, PACKET_PORT)
+            .await
+            .unwrap()
+    }
+
+    /// Writes an upstream's registration.
+    pub fn register(&self, upstream: &PacketUpstream, service: &str, state: &str) {
+        let entry = json!({
+            "Service": service, "Address": upstream.address.to_string(), "Zone": "a", "Version": "v1",
+            "Slots": 2, "State": state, "WarmupLeftMs": 0, "Sequence": 4, "born": 1_772_323_200_000_u64,
+        });
+        self.store.put(&registration_key(upstream), &entry);
+    }
+
+    /// Writes a configuration.
+    pub fn publish_routes(&self, version: u64, routes: &[(SocketAddrV4, &str)]) {
+        let routes: Vec<Value> = routes
+            .iter()
+            .map(|(address, service)| {
+                json!({
+                    "Name": "r", "Hostname": address.ip().to_string(),
+                    "Prefix": format!("/{}/", address.port()), "RouteType": "safe", "Service": service,
+                })
+            })
+            .collect();
+        let limits = json!({"IdleTimeoutMs": 15_000});
+        let config =
+            json!({"Version": version, "Routes": routes, "Services": [], "Limits": limits});
+        self.store.put("op/config", &config);
+    }
+
+    /// Starts a host whose store treats it so, with the first host as its only seed.
+    pub async fn start_host(&mut self, mood: StoreMood) {
+        let place = self.hosts.len() as u8 + 1;
+        let store = self.store.open_port(mood).await.unwrap();
+        let settings = self.write_settings(place, &store);
+        let host = CellHost {
+            packets: SocketAddrV4::new(self.ip(place), PACKET_PORT),
+            ready: SocketAddrV4::new(self.ip(place), READY_PORT),
+            store,
+            child: spawn(&settings),
+            settings,
+        };
+        self.fabric.follow(host.packets, host.ready);
+        self.hosts.push(host);
+    }
+
+    /// A caller of its own address.
+    pub async fn caller(&mut self) -> PacketCaller {
+        self.next_caller += 1;
+        let address = SocketAddrV4::new(self.ip(200 + self.next_caller), PACKET_PORT);
+        PacketCaller::bind(address, self.fabric.clone())
+            .await
+            .unwrap()
+    }
+
+    /// Waits until so many hosts are in the rotation.
+    pub async fn wait_for_rotation(&self, hosts: usize) {
+        let fabric = self.fabric.clone();
+        wait_until("the rotation", || fabric.hosts() == hosts).await;
+    }
+
+    /// The settings file of the host at this place, written anew.
+    pub fn write_settings(&self, place: u8, store: &StorePort) -> PathBuf {
+        let ip = self.ip(place);
+        let settings = json!({
+            "NodeName": format!("host-{}-{place}", self.number), "Ip": ip.to_string(), "Zone": "a",
+            "Listen": {
+                "DatagramAddr": format!("{ip}:{PACKET_PORT}"), "Ready": format!("{ip}:{READY_PORT}"),
+                "Control": format!("{ip}:28166"),
+            },
+            "InternalPorts": [PEER_PORT, PEER_PORT + 15],
+            "Seeds": [format!("{}:28166", self.ip(1))],
+            "Bounds": {"GraceS": 6, "FlowTimeoutS": 60},
+            "platform": {"Address": store.address.to_string()},
+        });
+        let name = format!("packet-{}-{}-{place}.json", std::process::id(), self.number);
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, settings.to_string()).unwrap();
+        path
+    }
+
+    fn ip(&self, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, 77, self.number, last)
+    }
+}
+
+impl CellHost {
+    /// Sends a signal to this host's process.
+    pub async fn signal(&self, name: &str) {
+        let id = self.child.id().expect("the process runs");
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id.to_string()])
+            .status()
+            .await;
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for the process to end.
+    pub async fn ended(&mut self) -> ExitStatus {
+        tokio::time::timeout(HANG_LIMIT, self.child.wait())
+            .await
+            .expect("it ends")
+            .unwrap()
+    }
+
+    /// Kills the process, as when its machine loses power.
+    pub async fn kill(&mut self) {
+        self.child.start_kill().unwrap();
+        self.child.wait().await.unwrap();
+    }
+
+    /// Starts the process again.
+    pub fn start_again(&mut self) {
+        self.child = spawn(&self.settings);
+    }
+
+    /// One metric, by the beginning of its line; 0 while the process does not listen yet.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let address = SocketAddr::from((*self.ready.ip(), 9180));
+        let Ok(response) = reqwest::get(format!("http://{address}/metrics")).await else {
+            return 0.0;
+        };
+        let text = response.text().await.unwrap();
+        let line = text.lines().find(|line| line.starts_with(name));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        value.map_or(0.0, |value| value.parse().unwrap())
+    }
+
+    /// Waits until a metric has a value that is wanted.
+    pub async fn wait_for_metric(&self, name: &str, wanted: impl Fn(f64) -> bool) {
+        let wait = async {
+            while !wanted(self.metric(name).await) {
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        };
+        let waited = tokio::time::timeout(HANG_LIMIT, wait).await;
+        assert!(waited.is_ok(), "{name} never as wanted");
+    }
+}
+
+impl Drop for CellHost {
+    fn drop(&mut self) {
+        let _removed = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// The key of an upstream's registration.
+pub fn registration_key(upstream: &PacketUpstream) -> String {
+    format!("servers/i-{:x}", upstream.number)
+}
+
+/// Waits for something that must become so.
+pub async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    };
+    let waited = tokio::time::timeout(HANG_LIMIT, wait).await;
+    assert!(waited.is_ok(), "{what}: never so");
+}
+
+fn spawn(settings: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_lagoon-packet"))
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::null())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap()
+}
--- /dev/null
+++ b/packetd/tests/test_packet_changes.rs
@@ -0,0 +1,193 @@
+//! Tests of planned work and of settings, with the real program.
+
+use std::time::Duration;
+
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_standin::packet_caller::CallFault;
+use lagoonproxy_standin::packet_store::StoreMood;
+use lagoonproxy_standin::packet_upstream::answer_to;
+use tokio::process::Command;
+
+use crate::packet_cell::*;
+
+#[tokio::test]
+async fn test_calm_day() {
+    let mut cell = PacketCell::ready(2, 3).await;
+    let mut caller = cell.caller().await;
+    for number in 0..20 {
+        let mut flow = caller.open(ledger()).await.expect("a flow");
+        for turn in 0..3 {
+            let data = format!("request {number}.{turn}");
+            let answer = caller
+                .request(&mut flow, data.as_bytes(), REQUEST_LIMIT)
+                .await
+                .expect("an answer");
+            let whole = (1..=3).any(|number| answer == answer_to(data.as_bytes(), number));
+            assert!(whole, "{}", String::from_utf8_lossy(&answer));
+        }
+        caller.close(&flow).await;
+    }
+    let tallies: Vec<_> = cell
+        .upstreams
+        .iter()
+        .map(|upstream| upstream.tally())
+        .collect();
+    assert_eq!(tallies.iter().map(|tally| tally.requests).sum::<u64>(), 60);
+    assert!(
+        tallies
+            .iter()
+            .all(|tally| tally.forged + tally.not_meant + tally.unknown == 0)
+    );
+    assert!(
+        tallies.iter().all(|tally| tally.requests > 0),
+        "the load is spread: {tallies:?}"
+    );
+    assert_eq!(
+        caller.open(certs()).await.err(),
+        Some(CallFault::Reset),
+        "nobody serves it"
+    );
+}
+
+#[tokio::test]
+async fn test_rolling_restart_loses_no_request() {
+    // Operators restart one host after the other while callers work. A host that ends while the
+    // fabric still sends to it loses their packets, and each costs its caller 200 ms or more.
+    let mut cell = PacketCell::ready(3, 3).await;
+    let mut caller = cell.caller().await;
+    let load = tokio::spawn(async move {
+        let mut flow = caller.open(ledger()).await.expect("a flow");
+        let mut slowest = Duration::ZERO;
+        for turn in 0..900 {
+            if turn % 9 == 0 {
+                flow = caller.open(ledger()).await.expect("a flow");
+            }
+            let started = std::time::Instant::now();
+            caller
+                .request(&mut flow, b"post", REQUEST_LIMIT)
+                .await
+                .expect("an answer");
+            slowest = slowest.max(started.elapsed());
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        slowest
+    });
+    for place in 0..3 {
+        cell.hosts[place].signal("TERM").await;
+        assert!(cell.hosts[place].ended().await.success());
+        cell.hosts[place].start_again();
+        cell.wait_for_rotation(3).await;
+    }
+    load.await.expect("every request is answered");
+}
+
+#[tokio::test]
+async fn test_drained_upstream_gets_no_new_flows() {
+    let mut cell = PacketCell::ready(1, 2).await;
+    let mut caller = cell.caller().await;
+    cell.register(&cell.upstreams[0], "ledger", "draining");
+    cell.hosts[0]
+        .wait_for_metric("lagoon_packet_through", |through| through >= 104.0)
+        .await;
+    let before = cell.upstreams[0].tally().openings;
+    for _flow in 0..20 {
+        caller.open(ledger()).await.expect("a flow");
+    }
+    assert_eq!(cell.upstreams[0].tally().openings, before);
+}
+
+#[tokio::test]
+async fn test_address_goes_to_another_service() {
+    // An upstream of the ledger ends and its address is given to one of the certificate service.
+    // A caller's packet on its old flow must not be taken by the heir.
+    let mut cell = PacketCell::ready(1, 1).await;
+    let mut caller = cell.caller().await;
+    let mut flow = caller.open(ledger()).await.expect("a flow");
+    caller
+        .request(&mut flow, b"first", REQUEST_LIMIT)
+        .await
+        .expect("an answer");
+    let old = cell.upstreams.remove(0);
+    let key = registration_key(&old);
+    old.end().await;
+    let heir = cell.start_upstream(9, 1).await;
+    cell.store.remove(&key);
+    cell.register(&heir, "certs", "ready");
+    cell.hosts[0]
+        .wait_for_metric("lagoon_packet_through", |through| through >= 104.0)
+        .await;
+    let answer = caller
+        .request(&mut flow, b"second", Duration::from_secs(1))
+        .await;
+    assert!(answer.is_err(), "nobody may answer for the old upstream");
+    let tally = heir.tally();
+    assert_eq!(
+        (tally.openings, tally.requests, tally.unknown),
+        (0, 0, 0),
+        "the heir took a foreign flow"
+    );
+}
+
+#[tokio::test]
+async fn test_routes_never_go_back() {
+    let mut cell = PacketCell::ready(1, 1).await;
+    let mut caller = cell.caller().await;
+    cell.publish_routes(9, &[(certs(), "certs")]);
+    cell.hosts[0]
+        .wait_for_metric("lagoon_packet_routes_version", |version| version == 9.0)
+        .await;
+    assert_eq!(caller.open(ledger()).await.err(), Some(CallFault::Reset));
+    cell.publish_routes(5, &[(ledger(), "ledger")]);
+    cell.hosts[0]
+        .wait_for_metric("lagoon_packet_through", |through| through >= 104.0)
+        .await;
+    assert_eq!(
+        caller.open(ledger()).await.err(),
+        Some(CallFault::Reset),
+        "older routes are back"
+    );
+}
+
+#[tokio::test]
+async fn test_settings_change_with_and_without_a_signal() {
+    // The store moves to another address. Operators change the settings file and send SIGHUP, or
+    // forget to. The host must follow, and must die of neither.
+    for with_signal in [true, false] {
+        let mut cell = PacketCell::with_upstreams(1).await;
+        cell.start_host(StoreMood::Refuse(503)).await;
+        let moved = cell.store.open_port(StoreMood::Serve).await.unwrap();
+        cell.write_settings(1, &moved);
+        if with_signal {
+            cell.hosts[0].signal("HUP").await;
+        }
+        cell.wait_for_rotation(1).await;
+        cell.hosts[0].signal("TERM").await;
+        assert!(
+            cell.hosts[0].ended().await.success(),
+            "with a signal: {with_signal}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn test_faulty_settings_are_refused() {
+    let path = std::env::temp_dir().join(format!("packet-faulty-{}.json", std::process::id()));
+    std::fs::write(&path, "{\"NodeName\": 7}").unwrap();
+    for extra in [&["--check"][..], &[]] {
+        let program = env!("CARGO_BIN_EXE_lagoon-packet");
+        let output = Command::new(program)
+            .arg("--settings")
+            .arg(&path)
+            .args(extra)
+            .output()
+            .await
+            .unwrap();
+        let code = i32::from(ResultCode::SettingsInvalid.number());
+        assert_eq!(output.status.code(), Some(code));
+        assert!(
+            !output.stdout.is_empty() || !output.stderr.is_empty(),
+            "it says why"
+        );
+    }
+    std::fs::remove_file(path).unwrap();
+}
--- /dev/null
+++ b/packetd/tests/test_packet_failures.rs
@@ -0,0 +1,167 @@
+//! Tests of failures, with the real program.
+
+use std::time::Duration;
+
+use lagoonproxy_standin::packet_store::StoreMood;
+
+use crate::packet_cell::*;
+
+#[tokio::test]
+async fn test_host_is_killed_under_flows() {
+    // A host loses power. The fabric hands its flows to the others, which never saw them open, and
+    // every caller's next request has to be answered by the same upstream.
+    let mut cell = PacketCell::ready(3, 3).await;
+    let mut caller = cell.caller().await;
+    let mut flows = Vec::new();
+    for _flow in 0..12 {
+        let mut flow = caller.open(ledger()).await.expect("a flow");
+        let answer = caller
+            .request(&mut flow, b"one", REQUEST_LIMIT)
+            .await
+            .expect("an answer");
+        flows.push((flow, answer));
+    }
+    cell.hosts[0].kill().await;
+    for (flow, first) in &mut flows {
+        let answer = caller
+            .request(flow, b"one", REQUEST_LIMIT)
+            .await
+            .expect("an answer");
+        assert_eq!(answer, *first, "by the same upstream");
+    }
+}
+
+#[tokio::test]
+async fn test_store_turns_one_host_away() {
+    // The store refuses one host and serves the others, or just never answers it. Meanwhile an
+    // upstream is drained and a route dropped. The host has to learn both from the others.
+    for mood in [
+        StoreMood::Refuse(503),
+        StoreMood::Refuse(429),
+        StoreMood::Silent,
+    ] {
+        let mut cell = PacketCell::ready(2, 2).await;
+        cell.hosts[1].store.set_mood(mood);
+        cell.register(&cell.upstreams[0], "ledger", "draining");
+        cell.publish_routes(2, &[(ledger(), "ledger")]);
+        cell.hosts[1]
+            .wait_for_metric("lagoon_packet_routes_version", |version| version == 2.0)
+            .await;
+        cell.hosts[0].kill().await;
+        cell.wait_for_rotation(1).await;
+        let mut caller = cell.caller().await;
+        let before = cell.upstreams[0].tally().openings;
+        for _flow in 0..10 {
+            caller.open(ledger()).await.expect("a flow");
+        }
+        assert_eq!(cell.upstreams[0].tally().openings, before, "{mood:?}");
+    }
+}
+
+#[tokio::test]
+async fn test_host_starts_while_the_store_is_away() {
+    // A host is replaced while the store is down. Without its peers' copy it could serve nobody.
+    let mut cell = PacketCell::ready(1, 2).await;
+    cell.hosts[0].store.set_mood(StoreMood::Silent);
+    cell.start_host(StoreMood::Silent).await;
+    cell.wait_for_rotation(2).await;
+    cell.hosts[0].kill().await;
+    cell.wait_for_rotation(1).await;
+    let mut caller = cell.caller().await;
+    let mut flow = caller.open(ledger()).await.expect("a flow");
+    caller
+        .request(&mut flow, b"one", REQUEST_LIMIT)
+        .await
+        .expect("an answer");
+}
+
+#[tokio::test]
+async fn test_host_that_knows_nothing_is_not_ready() {
+    // No store and no peers: a host that called itself ready would drop whatever it gets.
+    let mut cell = PacketCell::with_upstreams(1).await;
+    cell.start_host(StoreMood::Refuse(503)).await;
+    cell.hosts[0]
+        .wait_for_metric("lagoon_packet_store_calls", |calls| calls >= 2.0)
+        .await;
+    assert_eq!(cell.fabric.hosts(), 0);
+    cell.hosts[0].store.set_mood(StoreMood::Serve);
+    cell.wait_for_rotation(1).await;
+}
+
+#[tokio::test]
+async fn test_store_forgets_its_history() {
+    // The store drops its history while a host was turned away. The host has to read the list
+    // again, learn from it who is missing, and keep serving all the while.
+    let mut cell = PacketCell::ready(1, 2).await;
+    cell.hosts[0].store.set_mood(StoreMood::Refuse(503));
+    cell.hosts[0]
+        .wait_for_metric("lagoon_packet_store_calls_total{code=\"502\"", |calls| {
+            calls >= 1.0
+        })
+        .await;
+    cell.store.remove(&registration_key(&cell.upstreams[0]));
+    cell.publish_routes(2, &[(ledger(), "ledger")]);
+    cell.store.drop_history();
+    cell.hosts[0].store.set_mood(StoreMood::Serve);
+    cell.hosts[0]
+        .wait_for_metric("lagoon_packet_routes_version", |version| version == 2.0)
+        .await;
+    let mut caller = cell.caller().await;
+    let before = cell.upstreams[0].tally().openings;
+    for _flow in 0..10 {
+        caller.open(ledger()).await.expect("a flow");
+    }
+    assert_eq!(cell.upstreams[0].tally().openings, before);
+}
+
+#[tokio::test]
+async fn test_other_writers_entries_harm_nobody() {
+    let mut cell = PacketCell::ready(1, 1).await;
+    cell.store.put_bytes("servers/i-ff", b"\xff\xfe not json");
+    cell.store.put_bytes("servers/none", b"{}");
+    cell.store.put_bytes("op/config", b"{\"Version\":");
+    cell.store.put_bytes("someone/else", b"");
+    cell.hosts[0]
+        .wait_for_metric("lagoon_packet_through", |through| through >= 106.0)
+        .await;
+    let mut caller = cell.caller().await;
+    let mut flow = caller.open(ledger()).await.expect("a flow");
+    caller
+        .request(&mut flow, b"one", REQUEST_LIMIT)
+        .await
+        .expect("an answer");
+    let unreadable = cell.hosts[0].metric("lagoon_packet_unreadable").await;
+    assert!((unreadable - 3.0).abs() < 0.5, "{unreadable} items counted");
+}
+
+#[tokio::test]
+async fn test_upstream_goes_dark() {
+    // An upstream loses power and its registration stays. Callers that wait on its flows are told
+    // within about half a second, and new flows go to others.
+    let mut cell = PacketCell::ready(1, 3).await;
+    let mut caller = cell.caller().await;
+    let mut on_dark = Vec::new();
+    for _flow in 0..30 {
+        let mut flow = caller.open(ledger()).await.expect("a flow");
+        let answer = caller
+            .request(&mut flow, b"one", REQUEST_LIMIT)
+            .await
+            .expect("an answer");
+        if answer.ends_with(b"by 1") {
+            on_dark.push(flow);
+        }
+    }
+    assert!(on_dark.len() >= 5);
+    cell.upstreams[0].set_dark(true);
+    for flow in on_dark.iter_mut().take(4) {
+        let ended = caller.request(flow, b"two", REQUEST_LIMIT).await;
+        assert!(ended.is_err());
+    }
+    for _flow in 0..10 {
+        let mut flow = caller.open(ledger()).await.expect("a flow");
+        let answer = caller
+            .request(&mut flow, b"one", Duration::from_millis(190))
+            .await;
+        assert!(answer.is_ok(), "a new flow into the dark");
+    }
+}
--- /dev/null
+++ b/standin/src/packet_store.rs
@@ -0,0 +1,280 @@
+//! The store of the users' platform: read and watched by hosts, written by tests.
+//!
+//! Each host gets a port of its own, so that the store can turn one away and serve the others.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Most items of a page; small, so that tests meet several pages.
+const PAGE_ITEMS: usize = 3;
+
+/// How the store treats one host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreMood {
+    /// It answers.
+    #[default]
+    Serve,
+    /// It refuses with this status.
+    Refuse(u16),
+    /// It accepts calls and never answers.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct Content {
+    revision: u64,
+    /// Values in base64, with the revision of their last change.
+    items: BTreeMap<String, (String, u64)>,
+    /// Every change: key, value or nothing, revision.
+    history: Vec<(String, Option<String>, u64)>,
+    /// Changes up to this revision are forgotten.
+    dropped: u64,
+    calls: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    content: Mutex<Content>,
+    changed: watch::Sender<u64>,
+}
+
+/// The store.
+#[derive(Clone, Debug)]
+pub struct PacketStore {
+    shared: Arc<Shared>,
+}
+
+/// The store as one host meets it.
+#[derive(Clone, Debug)]
+pub struct StorePort {
+    /// Where it answers.
+    pub address: SocketAddrV4,
+    mood: watch::Sender<StoreMood>,
+}
+
+#[derive(Clone)]
+struct PortState {
+    shared: Arc<Shared>,
+    mood: watch::Receiver<StoreMood>,
+}
+
+impl Default for PacketStore {
+    fn default() -> Self {
+        let content = Content {
+            revision: 100,
+            ..Content::default()
+        };
+        let (changed, _receiver) = watch::channel(100);
+        Self {
+            shared: Arc::new(Shared {
+                content: Mutex::new(content),
+                changed,
+            }),
+        }
+    }
+}
+
+impl Shared {
+    fn content(&self) -> MutexGuard<'_, Content> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl StorePort {
+    /// Changes how the store treats this host, from now and for calls that wait.
+    pub fn set_mood(&self, mood: StoreMood) {
+        self.mood.send_replace(mood);
+    }
+}
+
+impl PacketStore {
+    /// Opens a port for one host.
+    pub async fn open_port(&self, mood: StoreMood) -> std::io::Result<StorePort> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let SocketAddr::V4(address) = listener.local_addr()? else {
+            return Err(std::io::Error::other("not IPv4"));
+        };
+        let (sender, receiver) = watch::channel(mood);
+        let state = PortState {
+            shared: self.shared.clone(),
+            mood: receiver,
+        };
+        let router = Router::new()
+            .route("/v1/kv-range", get(range))
+            .route("/v1/kv-watch", get(watch_changes))
+            .with_state(state);
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(StorePort {
+            address,
+            mood: sender,
+        })
+    }
+
+    /// Writes a value.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes a value that may be anything.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        let text = base64_text(value);
+        let mut content = self.shared.content();
+        content.revision += 1;
+        let revision = content.revision;
+        content
+            .items
+            .insert(key.to_owned(), (text.clone(), revision));
+        content.history.push((key.to_owned(), Some(text), revision));
+        self.shared.changed.send_replace(revision);
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut content = self.shared.content();
+        content.revision += 1;
+        let revision = content.revision;
+        content.items.remove(key);
+        content.history.push((key.to_owned(), None, revision));
+        self.shared.changed.send_replace(revision);
+    }
+
+    /// Forgets the history: watches that begin earlier get 410.
+    pub fn drop_history(&self) {
+        let mut content = self.shared.content();
+        content.dropped = content.revision;
+        content.history.clear();
+    }
+
+    /// Calls of all hosts, refused ones included.
+    pub fn calls(&self) -> u64 {
+        self.shared.content().calls
+    }
+}
+
+type Words = Query<HashMap<String, String>>;
+
+/// Waits out the mood; `Some` if the call ends with that.
+async fn moody(state: &PortState) -> Option<Response> {
+    state.shared.content().calls += 1;
+    let mut mood = state.mood.clone();
+    loop {
+        let present = *mood.borrow_and_update();
+        match present {
+            StoreMood::Serve => return None,
+            StoreMood::Refuse(status) => return Some(refusal(status)),
+            StoreMood::Silent => mood.changed().await.ok()?,
+        }
+    }
+}
+
+fn refusal(status: u16) -> Response {
+    StatusCode::from_u16(status)
+        .unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+        .into_response()
+}
+
+async fn range(State(state): State<PortState>, Query(words): Words) -> Response {
+    if let Some(response) = moody(&state).await {
+        return response;
+    }
+    let prefix = words.get("Prefix").cloned().unwrap_or_default();
+    let after = words.get("after").cloned().unwrap_or_default();
+    let content = state.shared.content();
+    let matching = content
+        .items
+        .iter()
+        .filter(|(key, _item)| key.starts_with(&prefix) && **key > after);
+    let items: Vec<Value> = matching
+        .clone()
+        .take(PAGE_ITEMS)
+        .map(|(key, (value, revision))| item(key, value, *revision))
+        .collect();
+    let truncated = matching.count() > PAGE_ITEMS;
+    axum::Json(json!({"items": items, "Truncated": truncated, "CurrentRev": content.revision}))
+        .into_response()
+}
+
+async fn watch_changes(State(state): State<PortState>, Query(words): Words) -> Response {
+    if let Some(response) = moody(&state).await {
+        return response;
+    }
+    let number = |name: &str| {
+        words
+            .get(name)
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or_default()
+    };
+    let after = number("after");
+    let wait = Duration::from_millis(number("WaitMs"));
+    if after < state.shared.content().dropped {
+        return refusal(410);
+    }
+    let mut changed = state.shared.changed.subscribe();
+    let mut mood = state.mood.clone();
+    tokio::select! {
+        _ = timeout(wait, changed.wait_for(|revision| *revision > after)) => {}
+        _ = mood.wait_for(|mood| *mood != StoreMood::Serve) => {}
+    }
+    if let Some(response) = moody(&state).await {
+        return response;
+    }
+    let content = state.shared.content();
+    if after < content.dropped {
+        return refusal(410);
+    }
+    let newer = content
+        .history
+        .iter()
+        .filter(|(_key, _value, revision)| *revision > after);
+    let events: Vec<Value> = newer
+        .map(|(key, value, revision)| match value {
+            Some(value) => item(key, value, *revision),
+            None => json!({"Key": key, "Revision": revision, "Deleted": true}),
+        })
+        .collect();
+    axum::Json(json!({"events": events, "CurrentRev": content.revision})).into_response()
+}
+
+fn item(key: &str, value: &str, revision: u64) -> Value {
+    json!({"Key": key, "Value": value, "Revision": revision, "Created": revision, "Lease": 0})
+}
+
+/// Base64 with padding, written apart from the library that the adapter uses.
+fn base64_text(bytes: &[u8]) -> String {
+    const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for chunk in bytes.chunks(3) {
+        let mut group = [0; 3];
+        group[..chunk.len()].copy_from_slice(chunk);
+        let bits = u32::from_be_bytes([0, group[0], group[1], group[2]]);
+        for place in 0..4 {
+            if place <= chunk.len() {
+                let index = (bits >> (18 - 6 * place)) & 63;
+                text.push(char::from(LETTERS[index as usize]));
+            } else {
+                text.push('=');
+            }
+        }
+    }
+    text
+}
