--- a/packetd/src/log_lines.rs
+++ b/packetd/src/log_lines.rs
@@ -16,11 +16,12 @@
 use std::time::Instant;
 
 use logforth::append::Append;
-use logforth::layout::JsonLayout;
 use logforth::record::Level;
 use logforth::record::LevelFilter;
 use logforth::record::Record;
 
+use crate::line_layout::LineLayout;
+
 /// Lines a second over time. A decision takes about 0.4 KB, so that this is 20 KB a second.
 const LINES_PER_SECOND: f64 = 50.0;
 
@@ -70,7 +71,7 @@
     };
     let append = LineAppend {
         lines: lines.clone(),
-        layout: JsonLayout::default(),
+        layout: LineLayout,
     };
     logforth::starter_log::builder()
         .dispatch(|dispatch| {
@@ -136,7 +137,7 @@
 #[derive(Debug)]
 struct LineAppend {
     lines: LogLines,
-    layout: JsonLayout,
+    layout: LineLayout,
 }
 
 impl Append for LineAppend {
--- a/packetd/src/main.rs
+++ b/packetd/src/main.rs
@@ -4,6 +4,7 @@
 mod host_metrics;
 mod host_process;
 mod host_state;
+mod line_layout;
 mod log_lines;
 mod note_log;
 mod packet_socket;
