--- a/cli/src/admin_client.rs
+++ b/cli/src/admin_client.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use lagoonproxy::host_status::HostStatus;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::json;
 use snafu::ResultExt;
 
 use crate::command_error::CommandError;
@@ -14,15 +17,28 @@
 const HOST_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What one host said, or why it did not answer.
-pub struct HostReply {
+pub struct HostReply<S> {
     /// Its admin address.
     pub address: SocketAddr,
     /// Its status.
-    pub status: Result<HostStatus, CommandError>,
+    pub status: Result<S, CommandError>,
+}
+
+impl<S: Serialize> HostReply<S> {
+    /// The reply for programs.
+    pub fn to_json(&self) -> Value {
+        let address = self.address.to_string();
+        match &self.status {
+            Ok(status) => json!({"address": address, "status": status}),
+            Err(error) => json!({"address": address, "error": error.to_string()}),
+        }
+    }
 }
 
 /// Asks every host at once; the replies are in the order of `hosts`.
-pub async fn read_hosts(hosts: &[SocketAddr]) -> Result<Vec<HostReply>, CommandError> {
+pub async fn read_hosts<S: DeserializeOwned + Send + 'static>(
+    hosts: &[SocketAddr],
+) -> Result<Vec<HostReply<S>>, CommandError> {
     if hosts.is_empty() {
         return NoHostSnafu.fail();
     }
@@ -40,7 +56,10 @@
     Ok(replies)
 }
 
-async fn read_host(client: reqwest::Client, address: SocketAddr) -> HostReply {
+async fn read_host<S: DeserializeOwned>(
+    client: reqwest::Client,
+    address: SocketAddr,
+) -> HostReply<S> {
     let url = format!("http://{address}/v1/status");
     let response = client.get(url).timeout(HOST_TIMEOUT).send().await;
     let status = match response.and_then(reqwest::Response::error_for_status) {
--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod drain;
 pub mod explain;
+pub mod forwarders;
 pub mod status;
 pub mod watch;
 
@@ -30,6 +31,8 @@
     Check(check::CheckArgs),
     /// Show the state of hosts.
     Status(status::StatusArgs),
+    /// Show the state of hosts that forward packets.
+    Forwarders(forwarders::ForwardersArgs),
     /// Say why an upstream may or may not carry a service.
     Explain(explain::ExplainArgs),
     /// Wait until a version is in force everywhere.
@@ -43,6 +46,7 @@
     match command {
         CtlCommand::Check(args) => check::cmd_check(&args),
         CtlCommand::Status(args) => status::cmd_status(&args).await,
+        CtlCommand::Forwarders(args) => forwarders::cmd_forwarders(&args).await,
         CtlCommand::Explain(args) => explain::cmd_explain(&args).await,
         CtlCommand::Watch(args) => watch::cmd_watch(&args).await,
         CtlCommand::Drain(args) => drain::cmd_drain(&args).await,
--- a/cli/src/commands/drain.rs
+++ b/cli/src/commands/drain.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use lagoonproxy::host_status::HostStatus;
 
 use crate::admin_client::HostReply;
 use crate::command_error::CommandError;
@@ -33,7 +34,7 @@
 }
 
 /// A host that no longer answers has stopped, which a drain ends in.
-fn is_drained(reply: &HostReply) -> bool {
+fn is_drained(reply: &HostReply<HostStatus>) -> bool {
     match &reply.status {
         Ok(status) => status.draining && status.requests == 0,
         Err(_stopped) => true,
--- /dev/null
+++ b/cli/src/commands/forwarders.rs
@@ -0,0 +1,118 @@
+//! `lagoonctl forwarders`: the state of hosts that forward packets, and what they believe.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy::unit_text::format_duration;
+use lagoonproxy_packet::packet_status::PacketStatus;
+use lagoonproxy_packet::packet_status::UpstreamStatus;
+use serde_json::json;
+
+use crate::admin_client::HostReply;
+use crate::admin_client::read_hosts;
+use crate::command_error::CommandError;
+use crate::command_report::CommandReport;
+use crate::command_report::layout_table;
+
+const HOST_HEAD: [&str; 8] = [
+    "host", "address", "zone", "version", "through", "peers", "flows", "state",
+];
+
+const UPSTREAM_HEAD: [&str; 8] = [
+    "host", "upstream", "service", "zone", "standing", "flows", "waiting", "heard",
+];
+
+/// Show what hosts that forward packets have in force, and what they believe of upstreams.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "forwarders")]
+pub struct ForwardersArgs {
+    /// address of a host's metrics; may stand several times
+    #[argh(option)]
+    pub host: Vec<SocketAddr>,
+    /// show each host's upstreams as well
+    #[argh(switch)]
+    pub upstreams: bool,
+}
+
+/// Asks every host and lays out what they say.
+pub async fn cmd_forwarders(args: &ForwardersArgs) -> Result<CommandReport, CommandError> {
+    let replies = read_hosts::<PacketStatus>(&args.host).await?;
+    Ok(forwarders_report(&replies, args.upstreams))
+}
+
+/// A report of all replies; hosts that did not answer are named and decide the code.
+pub fn forwarders_report(replies: &[HostReply<PacketStatus>], upstreams: bool) -> CommandReport {
+    let mut rows = vec![HOST_HEAD.map(str::to_owned).to_vec()];
+    rows.extend(replies.iter().map(host_row));
+    let mut lines = layout_table(&rows);
+    if upstreams {
+        let mut rows = vec![UPSTREAM_HEAD.map(str::to_owned).to_vec()];
+        for status in replies
+            .iter()
+            .filter_map(|reply| reply.status.as_ref().ok())
+        {
+            let of_host = status.upstreams.iter();
+            rows.extend(of_host.map(|upstream| upstream_row(status, upstream)));
+        }
+        lines.push(String::new());
+        lines.extend(layout_table(&rows));
+    }
+    let silent = replies.iter().any(|reply| reply.status.is_err());
+    let code = if silent {
+        ResultCode::SourceUnreachable
+    } else {
+        ResultCode::Success
+    };
+    let hosts: Vec<_> = replies.iter().map(HostReply::to_json).collect();
+    CommandReport {
+        code,
+        lines,
+        json: json!({"hosts": hosts}),
+    }
+}
+
+fn host_row(reply: &HostReply<PacketStatus>) -> Vec<String> {
+    let address = reply.address.to_string();
+    let status = match &reply.status {
+        Ok(status) => status,
+        Err(error) => return vec!["-".to_owned(), address, error.to_string()],
+    };
+    let state = match (status.stopping, status.ready) {
+        (true, _) => "stopping",
+        (false, true) => "ready",
+        (false, false) => "nothing read yet",
+    };
+    vec![
+        status.host.to_string(),
+        address,
+        status.zone.to_string(),
+        status
+            .version
+            .map_or("-".to_owned(), |version| version.to_string()),
+        status.through.to_string(),
+        status.peers.to_string(),
+        status.flows.to_string(),
+        state.to_owned(),
+    ]
+}
+
+fn upstream_row(status: &PacketStatus, upstream: &UpstreamStatus) -> Vec<String> {
+    let standing = if upstream.avoided {
+        format!("{}, avoided", upstream.standing)
+    } else {
+        upstream.standing.to_string()
+    };
+    vec![
+        status.host.to_string(),
+        upstream.name.to_string(),
+        upstream.service.to_string(),
+        upstream.zone.to_string(),
+        standing,
+        upstream.flows.to_string(),
+        upstream.waiting.to_string(),
+        upstream.heard_ago.map_or("never".to_owned(), |ago| {
+            format!("{} ago", format_duration(ago))
+        }),
+    ]
+}
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -34,10 +34,10 @@
 }
 
 /// A report of all replies; hosts that did not answer are named and decide the code.
-pub fn status_report(replies: &[HostReply]) -> CommandReport {
+pub fn status_report(replies: &[HostReply<HostStatus>]) -> CommandReport {
     let mut rows = vec![HEAD.map(str::to_owned).to_vec()];
     rows.extend(replies.iter().map(status_row));
-    let hosts: Vec<_> = replies.iter().map(status_json).collect();
+    let hosts: Vec<_> = replies.iter().map(HostReply::to_json).collect();
     let silent = replies.iter().any(|reply| reply.status.is_err());
     let code = if silent {
         ResultCode::SourceUnreachable
@@ -51,7 +51,7 @@
     }
 }
 
-fn status_row(reply: &HostReply) -> Vec<String> {
+fn status_row(reply: &HostReply<HostStatus>) -> Vec<String> {
     let address = reply.address.to_string();
     let status = match &reply.status {
         Ok(status) => status,
@@ -79,11 +79,3 @@
         None => "ready, without a claim",
     }
 }
-
-fn status_json(reply: &HostReply) -> serde_json::Value {
-    let address = reply.address.to_string();
-    match &reply.status {
-        Ok(status) => json!({"address": address, "status": status}),
-        Err(error) => json!({"address": address, "error": error.to_string()}),
-    }
-}
--- a/cli/src/commands/watch.rs
+++ b/cli/src/commands/watch.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use argh::FromArgs;
+use lagoonproxy::host_status::HostStatus;
 use lagoonproxy::ids::Version;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::unit_text::UnitError;
@@ -40,7 +41,7 @@
 
 /// Looks at the hosts until all have the version, with progress on standard error.
 pub async fn cmd_watch(args: &WatchArgs) -> Result<CommandReport, CommandError> {
-    let has_version = |reply: &HostReply| {
+    let has_version = |reply: &HostReply<HostStatus>| {
         let status = reply.status.as_ref();
         status.is_ok_and(|status| status.config_version >= Some(args.version))
     };
@@ -52,7 +53,7 @@
     hosts: &[SocketAddr],
     wait: Duration,
     what: &str,
-    is_done: impl Fn(&HostReply) -> bool,
+    is_done: impl Fn(&HostReply<HostStatus>) -> bool,
 ) -> Result<CommandReport, CommandError> {
     let deadline = Instant::now() + wait;
     let mut shown = None;
--- a/cli/tests/test_hosts.rs
+++ b/cli/tests/test_hosts.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use argh::FromArgs;
 use lagoonctl::command_report::CommandReport;
@@ -13,9 +14,48 @@
 use lagoonproxy_daemon::admin_server::AdminSource;
 use lagoonproxy_daemon::admin_server::bind_admin;
 use lagoonproxy_daemon::admin_server::serve_admin;
+use lagoonproxy_packet::packet_status::PacketStatus;
+use lagoonproxy_packet::packet_status::UpstreamStatus;
 use serde_json::Value;
 use tokio::net::TcpSocket;
 
+/// A host that forwards packets and believes one upstream to be silent.
+struct ForwardingHost;
+
+impl AdminSource for ForwardingHost {
+    fn metrics_text(&self) -> String {
+        String::new()
+    }
+
+    fn unready_reason(&self) -> Option<String> {
+        None
+    }
+
+    fn status(&self) -> Value {
+        let upstream = UpstreamStatus {
+            name: "i-7f".into(),
+            service: "ledger".into(),
+            zone: "a".into(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            standing: "ready".into(),
+            avoided: true,
+            flows: 3,
+            waiting: 2,
+            heard_ago: Some(Duration::from_millis(1500)),
+        };
+        let status = PacketStatus {
+            host: "entry-1".into(),
+            zone: "a".into(),
+            ready: true,
+            version: Some(7),
+            through: 41,
+            upstreams: vec![upstream],
+            ..PacketStatus::default()
+        };
+        serde_json::to_value(status).unwrap()
+    }
+}
+
 /// A host whose configuration moves on by one version each time it is asked.
 #[derive(Default)]
 struct MovingHost {
@@ -82,6 +122,34 @@
     );
 }
 
+#[tokio::test]
+async fn test_forwarders_show_what_they_believe() {
+    let listener = bind_admin("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(serve_admin(listener, Arc::new(ForwardingHost)));
+    let (_bound, silent) = silent_address();
+    let words = [
+        "forwarders",
+        "--host",
+        &address,
+        "--host",
+        &silent,
+        "--upstreams",
+    ];
+    let report = ctl(&words).await;
+    assert_eq!(report.code, ResultCode::SourceUnreachable);
+    assert!(report.lines[1].starts_with("entry-1"), "{:?}", report.lines);
+    assert!(report.lines[1].ends_with("ready"), "{:?}", report.lines);
+    assert!(
+        report.lines[2].contains("does not answer"),
+        "{:?}",
+        report.lines
+    );
+    let upstream = report.lines.last().unwrap();
+    assert!(upstream.contains("ready, avoided"), "{upstream}");
+    assert!(upstream.ends_with("1500ms ago"), "{upstream}");
+}
+
 #[tokio::test]
 async fn test_watch_ends_when_version_is_in_force() {
     let host = start_host(HostStatus::default()).await.to_string();
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod packet_action;
 pub mod packet_core;
 pub mod packet_head;
+pub mod packet_status;
 pub mod peer_beat;
 pub mod peer_table;
 pub mod published_view;
--- /dev/null
+++ b/packet/src/packet_status.rs
@@ -0,0 +1,109 @@
+//! What an entry host that forwards packets tells operators of itself.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::ids::Version;
+use lagoonproxy::ids::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
+use smol_str::SmolStr;
+
+use crate::ids::Revision;
+use crate::ids::ServiceName;
+use crate::ids::UpstreamName;
+use crate::packet_core::PacketCore;
+use crate::upstream_record::UpstreamRecord;
+use crate::upstream_record::UpstreamStanding;
+
+/// One host's state at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PacketStatus {
+    /// Name of the host.
+    pub host: SmolStr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether the fabric should send it packets.
+    pub ready: bool,
+    /// Whether it was asked to stop.
+    pub stopping: bool,
+    /// Version of the routes in force; `None` before the first.
+    pub version: Option<Version>,
+    /// Revision of the store up to which it knows every change.
+    pub through: Revision,
+    /// Other hosts that it has heard of late.
+    pub peers: usize,
+    /// Flows that it watches.
+    pub flows: usize,
+    /// Every upstream that it knows, by name.
+    pub upstreams: Vec<UpstreamStatus>,
+}
+
+/// What a host believes of one upstream.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamStatus {
+    /// Its name.
+    pub name: UpstreamName,
+    /// The service whose flows it may take.
+    pub service: ServiceName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// What the registry says, in a word.
+    pub standing: SmolStr,
+    /// Whether new flows avoid it because it was silent.
+    pub avoided: bool,
+    /// Flows that it has through this host.
+    pub flows: u32,
+    /// Those of them that wait for an answer.
+    pub waiting: u32,
+    /// Time since it last proved to be alive.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub heard_ago: Option<Duration>,
+}
+
+impl PacketStatus {
+    /// The state of a core; what the shell knows is left to it.
+    pub fn of(core: &PacketCore, now: Instant) -> Self {
+        let mut upstreams: Vec<UpstreamStatus> = core
+            .upstreams()
+            .records()
+            .map(|record| upstream_status(core, record, now))
+            .collect();
+        upstreams.sort_by(|left, right| left.name.cmp(&right.name));
+        Self {
+            version: core.view().routes().map(|routes| routes.version),
+            through: core.view().through(),
+            peers: core.peers().alive_hosts(now),
+            flows: core.evidence().open_flows(),
+            upstreams,
+            ..Self::default()
+        }
+    }
+}
+
+fn upstream_status(core: &PacketCore, record: &UpstreamRecord, now: Instant) -> UpstreamStatus {
+    let standing = match record.standing {
+        UpstreamStanding::Ready => "ready",
+        UpstreamStanding::Draining => "draining",
+        UpstreamStanding::Missing { .. } => "missing",
+        UpstreamStanding::Former { .. } => "former",
+    };
+    let sign = record.silence.last_sign();
+    UpstreamStatus {
+        name: record.name.clone(),
+        service: core.upstreams().pool(record.service).name.clone(),
+        zone: record.zone.clone(),
+        address: record.address,
+        standing: standing.into(),
+        avoided: record.silence.is_avoided(),
+        flows: record.flows,
+        waiting: record.waiting,
+        heard_ago: sign.map(|sign| now.saturating_duration_since(sign)),
+    }
+}
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -8,6 +8,7 @@
 use lagoonproxy_packet::host_settings::HostSettings;
 use lagoonproxy_packet::packet_action::PacketOutput;
 use lagoonproxy_packet::packet_core::PacketCore;
+use lagoonproxy_packet::packet_status::PacketStatus;
 use lagoonproxy_packet::published_view::ViewUpdate;
 use tokio::sync::Notify;
 
@@ -48,6 +49,18 @@
         !self.stopping.get() && self.core.borrow().is_ready()
     }
 
+    /// The state for operators.
+    pub fn status(&self) -> PacketStatus {
+        let settings = self.settings.borrow();
+        PacketStatus {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            ready: self.is_ready(),
+            stopping: self.stopping.get(),
+            ..PacketStatus::of(&self.core.borrow(), Instant::now())
+        }
+    }
+
     /// Takes in published state.
     pub fn join(&self, update: &ViewUpdate) {
         let mut output = PacketOutput::default();
--- a/packetd/src/web_server.rs
+++ b/packetd/src/web_server.rs
@@ -25,6 +25,9 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the state for operators' tools.
+const STATUS_PATH: &str = "/v1/status";
+
 /// How long a connection is kept: the fabric asks twice a second and may keep one for long; one
 /// that has gone silent must not stay for ever.
 const CONNECTION_LIFE: Duration = Duration::from_secs(60);
@@ -80,6 +83,13 @@
             let text = state.metrics.text(&state.core.borrow());
             Response::new(Full::from(text))
         }
+        STATUS_PATH => match serde_json::to_vec(&state.status()) {
+            Ok(body) => Response::new(Full::from(body)),
+            Err(error) => {
+                log::error!("the status cannot be written: {error}");
+                with_status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        },
         _ => with_status(StatusCode::NOT_FOUND),
     }
 }
