--- a/lib/tests/test_invariants.rs
+++ b/lib/tests/test_invariants.rs
@@ -4,7 +4,9 @@
 use std::fs;
 use std::path::Path;
 
-const CRATES: [&str; 5] = ["lib", "daemon", "cli", "standin", "bench"];
+const CRATES: [&str; 8] = [
+    "lib", "packet", "platform", "packetd", "daemon", "cli", "standin", "bench",
+];
 
 /// Every word of `text` that looks like the name of a test.
 fn test_names(text: &str) -> BTreeSet<&str> {
@@ -32,7 +34,12 @@
 fn test_invariants_page_names_tests_that_exist() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let sources = test_sources(&root);
-    for page in ["docs/INVARIANTS.md", "docs/design/at-most-once.md"] {
+    for page in [
+        "docs/INVARIANTS.md",
+        "docs/design/at-most-once.md",
+        "docs/design/packet-path.md",
+        "docs/technical/packets.md",
+    ] {
         let text = fs::read_to_string(root.join(page)).unwrap();
         for name in test_names(&text) {
             if name == "test_invariants" {
--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -45,8 +45,8 @@
 pub struct PacketSeen {
     /// An answer began; how long after the request.
     pub answered: Option<Duration>,
-    /// The caller sent again what had no answer.
-    pub repeated: bool,
+    /// The caller sent again what had no answer; how long it has waited.
+    pub repeated: Option<Duration>,
     /// The upstream is avoided from now.
     pub avoided: bool,
     /// The upstream was avoided and has answered.
@@ -299,7 +299,7 @@
         return;
     };
     if !fresh {
-        seen.repeated = true;
+        seen.repeated = Some(now.saturating_duration_since(since));
         let silence = &mut upstreams.get_mut(record.upstream).silence;
         seen.avoided = silence.attempt_failed(now, since);
     }
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -93,7 +93,20 @@
         took: Duration,
     },
     /// A caller sent again what had no answer.
-    Repeated,
+    Repeated {
+        /// The caller's end.
+        caller: SocketAddrV4,
+        /// The service's end.
+        service: SocketAddrV4,
+        /// The upstream that owes the answer.
+        upstream: UpstreamName,
+        /// Time since this host first saw the request.
+        waited: Duration,
+        /// Time since that upstream last proved to be alive, if it has.
+        heard_ago: Option<Duration>,
+        /// Attempts of anybody that it has left without an answer since then.
+        attempts: u32,
+    },
     /// An upstream is looked at differently.
     Upstream {
         /// Which.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -261,8 +261,8 @@
         if let Some(took) = seen.answered {
             output.notes.push(DecisionNote::Answered { took });
         }
-        if seen.repeated {
-            output.notes.push(DecisionNote::Repeated);
+        if let Some(waited) = seen.repeated {
+            self.note_repeated(now, head, index, waited, output);
         }
         if seen.returned {
             self.note_belief(now, index, BeliefChange::Answers, output);
@@ -403,6 +403,25 @@
         });
     }
 
+    fn note_repeated(
+        &self,
+        now: Instant,
+        head: &PacketHead,
+        index: UpstreamIndex,
+        waited: Duration,
+        output: &mut PacketOutput,
+    ) {
+        let record = self.upstreams.get(index);
+        output.notes.push(DecisionNote::Repeated {
+            caller: head.caller,
+            service: head.service,
+            upstream: record.name.clone(),
+            waited,
+            heard_ago: heard_ago(now, record.silence.last_sign()),
+            attempts: record.silence.attempts(),
+        });
+    }
+
     fn note_belief(
         &self,
         now: Instant,
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -67,7 +67,7 @@
         let mut core = self.core.borrow_mut();
         let was_ready = core.is_ready();
         core.join(Instant::now(), update, &mut output);
-        record_notes(&output.notes, &self.metrics);
+        record_notes(&output.notes, None, &self.metrics);
         if !was_ready && core.is_ready() {
             log::info!(through = core.view().through(); "ready");
             self.became_ready.notify_waiters();
@@ -79,6 +79,6 @@
         let mut output = PacketOutput::default();
         let mut core = self.core.borrow_mut();
         core.tick(Instant::now(), &mut output);
-        record_notes(&output.notes, &self.metrics);
+        record_notes(&output.notes, None, &self.metrics);
     }
 }
--- a/packetd/src/note_log.rs
+++ b/packetd/src/note_log.rs
@@ -7,14 +7,15 @@
 
 use crate::host_metrics::HostMetrics;
 
-/// Logs and counts what the core decided.
-pub fn record_notes(notes: &[DecisionNote], metrics: &HostMetrics) {
+/// Logs and counts what the core decided; `request` is the id in the packet at hand, if it has one.
+pub fn record_notes(notes: &[DecisionNote], request: Option<&str>, metrics: &HostMetrics) {
+    let request = request.unwrap_or_default();
     for note in notes {
-        record_note(note, metrics);
+        record_note(note, request, metrics);
     }
 }
 
-fn record_note(note: &DecisionNote, metrics: &HostMetrics) {
+fn record_note(note: &DecisionNote, request: &str, metrics: &HostMetrics) {
     match note {
         DecisionNote::Placed {
             caller,
@@ -42,11 +43,21 @@
         } => {
             let upstream = upstream.as_deref().unwrap_or_default();
             let code = code.number();
-            log::info!(caller:% = caller, service:% = service, code, upstream, version; "flow refused");
+            log::info!(request, caller:% = caller, service:% = service, code, upstream, version; "flow refused");
         }
         DecisionNote::Answered { took } => metrics.answer_seconds.observe(took.as_secs_f64()),
-        DecisionNote::Repeated => {
+        DecisionNote::Repeated {
+            caller,
+            service,
+            upstream,
+            waited,
+            heard_ago,
+            attempts,
+        } => {
             metrics.repeated.inc();
+            let waited_ms = millis(Some(*waited));
+            let heard_ms = millis(*heard_ago);
+            log::info!(request, caller:% = caller, service:% = service, upstream:% = upstream, waited_ms, heard_ms, attempts; "request sent again");
         }
         DecisionNote::Upstream {
             upstream,
--- a/packetd/src/packet_socket.rs
+++ b/packetd/src/packet_socket.rs
@@ -11,6 +11,7 @@
 use lagoonproxy_platform::packet_format::INTENDED_BYTES;
 use lagoonproxy_platform::packet_format::MOST_BYTES;
 use lagoonproxy_platform::packet_format::decode_head;
+use lagoonproxy_platform::packet_format::request_id;
 use lagoonproxy_platform::packet_format::reset_packet;
 use lagoonproxy_platform::packet_format::write_intended;
 use lagoonproxy_platform::packet_format::write_tag;
@@ -75,7 +76,10 @@
     for action in &output.actions {
         carry_out(state, socket, &head, datagram, action);
     }
-    record_notes(&output.notes, &state.metrics);
+    if !output.notes.is_empty() {
+        let request = request_id(&datagram[INTENDED_BYTES..]);
+        record_notes(&output.notes, request, &state.metrics);
+    }
 }
 
 fn carry_out(
