--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -170,6 +170,23 @@
         }
     }
 
+    /// Forgets every open flow of an upstream; returns them, and how far each caller has received.
+    pub fn end_all(
+        &mut self,
+        index: UpstreamIndex,
+        upstreams: &mut UpstreamTable,
+    ) -> Vec<(FlowKey, u32)> {
+        let flows = self.table.flows.iter();
+        let ended: Vec<(FlowKey, u32)> = flows
+            .filter(|(_key, record)| record.upstream == index && !record.closing)
+            .map(|(key, record)| (*key, record.acked))
+            .collect();
+        for (key, _acked) in &ended {
+            self.end(key, upstreams);
+        }
+        ended
+    }
+
     /// Lets everybody who waits wait anew from now, for what they waited until now is unknown.
     pub fn restart_waits(&mut self, now: Instant) {
         for record in self.table.flows.values_mut() {
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -37,6 +37,19 @@
     },
 }
 
+/// A flow to be ended although none of its packets is at hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FlowReset {
+    /// The caller's end.
+    pub caller: SocketAddrV4,
+    /// The service's end.
+    pub service: SocketAddrV4,
+    /// Position that the caller has acknowledged; it believes resets that are near it.
+    pub near: u32,
+    /// Why.
+    pub code: ResultCode,
+}
+
 /// Why an upstream is looked at differently.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BeliefChange {
@@ -147,6 +160,8 @@
 pub struct PacketOutput {
     /// To be carried out for the packet that was handed in, in order.
     pub actions: Vec<PacketAction>,
+    /// To be sent to callers, whatever packet was handed in.
+    pub resets: Vec<FlowReset>,
     /// For logs and metrics.
     pub notes: Vec<DecisionNote>,
 }
@@ -155,6 +170,7 @@
     /// Empties it for the next packet.
     pub fn clear(&mut self) {
         self.actions.clear();
+        self.resets.clear();
         self.notes.clear();
     }
 }
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -18,6 +18,7 @@
 use crate::ids::UpstreamIndex;
 use crate::packet_action::BeliefChange;
 use crate::packet_action::DecisionNote;
+use crate::packet_action::FlowReset;
 use crate::packet_action::PacketAction;
 use crate::packet_action::PacketOutput;
 use crate::packet_head::PacketHead;
@@ -184,6 +185,40 @@
         for index in avoided {
             self.note_belief(now, index, BeliefChange::Avoided, output);
         }
+        self.end_lost_flows(now, output);
+    }
+
+    /// Ends the flows of upstreams that do not answer any more, also those that wait for nothing.
+    ///
+    /// Callers keep flows open between requests. A request that may not run twice and is sent on a
+    /// flow of a dead upstream fails, for nobody can tell whether it ran; on a new flow it is
+    /// served. So a caller is better told before it sends.
+    fn end_lost_flows(&mut self, now: Instant, output: &mut PacketOutput) {
+        let lost: Vec<UpstreamIndex> = self
+            .upstreams
+            .indices()
+            .filter(|index| self.upstreams.get(*index).flows > 0 && self.is_gone(now, *index))
+            .collect();
+        for index in lost {
+            let code = ResultCode::UpstreamSilent;
+            let ended = self.evidence.end_all(index, &mut self.upstreams);
+            for (key, near) in ended {
+                let (caller, service) = (key.caller, key.service);
+                output.resets.push(FlowReset {
+                    caller,
+                    service,
+                    near,
+                    code,
+                });
+                output.notes.push(DecisionNote::Refused {
+                    caller,
+                    service,
+                    code,
+                    upstream: Some(self.upstreams.get(index).name.clone()),
+                    version: self.version,
+                });
+            }
+        }
     }
 
     /// Decides about one packet from a caller.
--- a/packet/src/upstream_table.rs
+++ b/packet/src/upstream_table.rs
@@ -120,6 +120,11 @@
         self.by_name.values().map(|index| self.get(*index))
     }
 
+    /// The places in use.
+    pub fn indices(&self) -> impl Iterator<Item = UpstreamIndex> {
+        self.by_name.values().copied()
+    }
+
     /// Takes a registration in; returns its place.
     pub fn register(&mut self, now: Instant, entry: &UpstreamEntry) -> UpstreamIndex {
         let service = self.service(&entry.service);
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -12,6 +12,7 @@
 use lagoonproxy_packet::ids::Revision;
 use lagoonproxy_packet::ids::UpstreamName;
 use lagoonproxy_packet::packet_action::DecisionNote;
+use lagoonproxy_packet::packet_action::FlowReset;
 use lagoonproxy_packet::packet_action::PacketAction;
 use lagoonproxy_packet::packet_action::PacketOutput;
 use lagoonproxy_packet::packet_core::PacketCore;
@@ -166,6 +167,8 @@
     pub core: PacketCore,
     /// The present time.
     pub now: Instant,
+    /// The flows that were ended without a packet of theirs.
+    pub resets: Vec<FlowReset>,
     /// The notes since they were last taken.
     pub notes: Vec<DecisionNote>,
     /// The store's revision.
@@ -194,6 +197,7 @@
         Self {
             core: PacketCore::new(&settings()),
             now: Instant::now(),
+            resets: Vec::new(),
             notes: Vec::new(),
             revision: 0,
         }
@@ -206,6 +210,7 @@
             self.now = end.min(self.now + Duration::from_millis(100));
             let mut output = PacketOutput::default();
             self.core.tick(self.now, &mut output);
+            self.resets.extend(output.resets);
             self.notes.extend(output.notes);
         }
     }
--- a/packet/tests/test_packet_core.rs
+++ b/packet/tests/test_packet_core.rs
@@ -247,6 +247,38 @@
     }
 }
 
+#[test]
+fn test_idle_flows_of_a_dark_upstream_are_ended_before_they_are_used() {
+    // An upstream goes dark. A caller has an idle flow there, and sends a transfer on it seconds
+    // later: it waits, fails, and may not be repeated, for nobody can tell whether it ran.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3]);
+    let flows: Vec<(u16, u8)> = (0..30).map(|flow| (flow, rig.establish(flow))).collect();
+    let on = |upstream: u8| {
+        let of = flows.iter().filter(move |(_flow, at)| *at == upstream);
+        of.map(|(flow, _at)| *flow)
+    };
+    let (busy, idle): (Vec<u16>, Vec<u16>) =
+        on(1).partition(|flow| on(1).take(3).any(|first| first == *flow));
+    assert!(!idle.is_empty());
+    rig.pass(1000);
+    for _copy in 0..2 {
+        for flow in &busy {
+            rig.request(*flow, 1, 0);
+        }
+        rig.pass(200);
+    }
+    rig.pass(200);
+    let mut ended: Vec<_> = rig.resets.iter().map(|reset| reset.caller).collect();
+    ended.sort_unstable();
+    assert_eq!(
+        ended,
+        on(1).map(caller).collect::<Vec<_>>(),
+        "all of its flows, and no other"
+    );
+    let kept = on(2).next().expect("a flow at 2");
+    assert_eq!(forwarded(&rig.request(kept, 2, 0)), [2]);
+}
+
 #[test]
 fn test_slow_answer_ends_no_flow() {
     // One request takes long, and its caller sends it again and again, while other flows of the
@@ -263,6 +295,7 @@
         let again = rig.request(1, 1, 0);
         assert_eq!(forwarded(&again), [1], "after {turn} answers to others");
     }
+    assert!(rig.resets.is_empty());
 }
 
 #[test]
@@ -281,6 +314,7 @@
     for (flow, upstream) in &flows {
         assert_eq!(forwarded(&rig.request(*flow, *upstream, 0)), [*upstream]);
     }
+    assert!(rig.resets.is_empty());
 }
 
 #[test]
--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -18,6 +18,7 @@
 use crate::host_state::HostState;
 use crate::log_lines::LogLines;
 use crate::packet_socket::forward_packets;
+use crate::packet_socket::send_reset;
 use crate::peer_socket;
 use crate::settings_watch::exit_code;
 use crate::settings_watch::read_settings;
@@ -53,7 +54,7 @@
     let metrics_address = SocketAddrV4::new(*settings.peer_address.ip(), METRICS_PORT);
     let state = Rc::new(HostState::new(settings));
     spawn_local(read_store(state.clone()));
-    spawn_local(forward_packets(state.clone(), socket));
+    spawn_local(forward_packets(state.clone(), socket.clone()));
     let Some(listener) = web_server::listen(ready_address).await else {
         return exit_code(ResultCode::AddressUnavailable);
     };
@@ -62,7 +63,7 @@
         spawn_local(web_server::serve(state.clone(), listener));
     }
     peer_socket::start(&state, peer_address).await;
-    spawn_local(keep_time(state.clone(), logs));
+    spawn_local(keep_time(state.clone(), socket.clone(), logs));
     spawn_local(follow_settings(state.clone(), path.to_owned()));
     if let Err(error) = stop_asked().await {
         log::error!("cannot wait for signals: {error}");
@@ -86,7 +87,7 @@
     Ok(())
 }
 
-async fn keep_time(state: Rc<HostState>, logs: LogLines) {
+async fn keep_time(state: Rc<HostState>, socket: Rc<UdpSocket>, logs: LogLines) {
     let mut freeze = FreezeWatch::new();
     loop {
         tokio::time::sleep(TICK).await;
@@ -94,7 +95,9 @@
             log::warn!(lost_ms = lost.as_millis() as u64; "the machine stood still");
             state.core.borrow_mut().woke_up(Instant::now());
         }
-        state.tick();
+        for reset in state.tick() {
+            send_reset(&state, &socket, &reset);
+        }
         logs.flush();
     }
 }
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use lagoonproxy_packet::host_settings::HostSettings;
+use lagoonproxy_packet::packet_action::FlowReset;
 use lagoonproxy_packet::packet_action::PacketOutput;
 use lagoonproxy_packet::packet_core::PacketCore;
 use lagoonproxy_packet::packet_status::PacketStatus;
@@ -74,11 +75,12 @@
         }
     }
 
-    /// Lets time pass.
-    pub fn tick(&self) {
+    /// Lets time pass; returns the flows to be ended.
+    pub fn tick(&self) -> Vec<FlowReset> {
         let mut output = PacketOutput::default();
         let mut core = self.core.borrow_mut();
         core.tick(Instant::now(), &mut output);
         record_notes(&output.notes, None, &self.metrics);
+        output.resets
     }
 }
--- a/packetd/src/packet_socket.rs
+++ b/packetd/src/packet_socket.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use lagoonproxy_packet::packet_action::FlowReset;
 use lagoonproxy_packet::packet_action::PacketAction;
 use lagoonproxy_packet::packet_action::PacketOutput;
 use lagoonproxy_packet::packet_head::PacketHead;
@@ -103,15 +104,27 @@
             send(state, socket, datagram, *address);
         }
         PacketAction::Reset { near, code } => {
-            state.metrics.count_result(*code);
-            let port = state.settings.borrow().packet_address.port();
-            let target = SocketAddrV4::new(*head.caller.ip(), port);
-            send(state, socket, &reset_packet(head, *near), target);
+            let reset = FlowReset {
+                caller: head.caller,
+                service: head.service,
+                near: *near,
+                code: *code,
+            };
+            send_reset(state, socket, &reset);
         }
         PacketAction::Drop { code } => state.metrics.count_result(*code),
     }
 }
 
+/// Tells a caller that its flow is no more; callers are answered at the port of the packet address.
+pub fn send_reset(state: &HostState, socket: &UdpSocket, reset: &FlowReset) {
+    state.metrics.count_result(reset.code);
+    let port = state.settings.borrow().packet_address.port();
+    let target = SocketAddrV4::new(*reset.caller.ip(), port);
+    let packet = reset_packet(reset.caller, reset.service, reset.near);
+    send(state, socket, &packet, target);
+}
+
 /// Sends without waiting: what the network does not take at once, its sender sends again.
 fn send(state: &HostState, socket: &UdpSocket, bytes: &[u8], target: SocketAddrV4) {
     if let Err(error) = socket.try_send_to(bytes, SocketAddr::V4(target)) {
