--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -145,9 +145,7 @@
 
     /// Takes in a peer's beat; true if the peer should get one in return at once.
     pub fn heard(&mut self, now: Instant, from: SocketAddrV4, beat: PeerBeat) -> bool {
-        let is_new = self.peers.heard(now, from, beat);
-        self.upstreams.learn_reports(self.peers.near_reports(now));
-        is_new
+        self.peers.heard(now, from, beat)
     }
 
     /// The beat to send now, and to whom; nobody between rounds.
@@ -167,6 +165,7 @@
             through: self.view.through(),
             named: self.peers.some_alive(now),
             reports: self.upstreams.reports(now),
+            pools: self.upstreams.pool_reports(),
         }
     }
 
@@ -177,6 +176,8 @@
 
     /// Ends what has lasted its time. To be called several times a second.
     pub fn tick(&mut self, now: Instant, output: &mut PacketOutput) {
+        self.upstreams.learn_reports(self.peers.near_reports(now));
+        self.upstreams.learn_pools(&self.peers.far_pools(now));
         for index in self.upstreams.tick(now) {
             self.note_belief(now, index, BeliefChange::Gone, output);
         }
--- a/packet/src/peer_beat.rs
+++ b/packet/src/peer_beat.rs
@@ -15,6 +15,7 @@
 
 use crate::ids::FlowTag;
 use crate::ids::Revision;
+use crate::ids::ServiceTag;
 
 /// First byte of a beat; changes with the format.
 const BEAT_FORMAT: u8 = 1;
@@ -25,6 +26,9 @@
 /// Most upstreams reported in a beat: 100 of them are about 1 KB, one datagram.
 pub const MOST_REPORTS: usize = 100;
 
+/// Most services reported in a beat.
+pub const MOST_POOLS: usize = 32;
+
 /// One host's word about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerBeat {
@@ -36,8 +40,19 @@
     pub through: Revision,
     /// Some other hosts that the sender has heard of late.
     pub named: Vec<SocketAddrV4>,
-    /// The upstreams of the sender's zone; empty for receivers in other zones.
+    /// The upstreams of the sender's zone.
     pub reports: Vec<UpstreamReport>,
+    /// The services of the sender's zone, as far as it knows all of its hosts.
+    pub pools: Vec<PoolReport>,
+}
+
+/// How loaded the upstreams of one service in the sender's zone are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolReport {
+    /// Short form of the service's name.
+    pub service: ServiceTag,
+    /// Load a slot, in hundredths of a flow.
+    pub load: u64,
 }
 
 /// What the sender's flows tell about one upstream.
--- a/packet/src/peer_table.rs
+++ b/packet/src/peer_table.rs
@@ -14,6 +14,7 @@
 use crate::ids::Revision;
 use crate::peer_beat::MOST_NAMED;
 use crate::peer_beat::PeerBeat;
+use crate::peer_beat::PoolReport;
 use crate::peer_beat::UpstreamReport;
 
 /// Pause between rounds of beats.
@@ -52,6 +53,7 @@
     /// When its last beat came; `None` if it was only named by others.
     heard: Option<Instant>,
     reports: Vec<UpstreamReport>,
+    pools: Vec<PoolReport>,
     /// When a peer that was only named is forgotten.
     forget_at: Instant,
 }
@@ -114,6 +116,7 @@
             through: beat.through,
             heard: Some(now),
             reports: beat.reports,
+            pools: beat.pools,
             forget_at: now + FORGET_AFTER,
         };
         self.peers.insert(from, record);
@@ -168,6 +171,17 @@
         })
     }
 
+    /// The loads of services in other zones, as the hosts there last said, oldest word first.
+    pub fn far_pools(&self, now: Instant) -> Vec<(&ZoneName, &[PoolReport])> {
+        let alive = self.alive(now).map(|(_address, peer)| peer);
+        let mut far: Vec<&PeerRecord> = alive.filter(|peer| peer.zone != self.zone).collect();
+        far.sort_by_key(|peer| peer.heard);
+        let pools = far
+            .into_iter()
+            .map(|peer| (&peer.zone, peer.pools.as_slice()));
+        pools.collect()
+    }
+
     /// The peer to ask for what this host is missing, if it has been missing for long enough; the
     /// one that knows most, of the own zone if there is a choice.
     pub fn source(&mut self, now: Instant, through: Revision) -> Option<SocketAddrV4> {
@@ -200,6 +214,7 @@
             through: 0,
             heard: None,
             reports: Vec::new(),
+            pools: Vec::new(),
             forget_at: now + FORGET_AFTER,
         };
         self.peers.insert(address, record);
--- a/packet/src/upstream_choice.rs
+++ b/packet/src/upstream_choice.rs
@@ -4,7 +4,7 @@
 //! of them, upstreams with two slots. Placing by hash alone gives some upstreams twice the flows
 //! of others and their requests wait; placing by load alone fills whoever is dark, since nothing
 //! is in progress there. So: least loaded a slot among those that answer, in the own zone as long
-//! as one is there (a flow that leaves the zone pays two crossings a packet and ends with the next
+//! as it has room (a flow that leaves the zone pays two crossings a packet and ends with the next
 //! cut), and of equals the one with the larger rendezvous weight, so that hosts that know nothing
 //! yet do not all begin with the same.
 
@@ -16,11 +16,9 @@
 use crate::ids::ServiceIndex;
 use crate::ids::UpstreamIndex;
 use crate::upstream_record::UpstreamRecord;
+use crate::upstream_table::FLOW_LOAD;
 use crate::upstream_table::UpstreamTable;
 
-/// Parts of load that one flow counts for on a warm upstream.
-const FLOW_LOAD: u64 = 100;
-
 /// The same on an upstream that has just started. Cold upstreams take 1.6 times as long here.
 const COLD_FLOW_LOAD: u64 = 160;
 
@@ -32,6 +30,16 @@
 /// more seem silent, the fault is likely this host's own path, and crowding the rest makes it worse.
 const MOST_AVOIDED: usize = 2;
 
+/// A flow leaves its zone when the least loaded upstream there has more than this share of the load
+/// of the least loaded one elsewhere, and some flows more. Zones with 4 and 5 upstreams for the same
+/// callers differ by 1.25, which costs nobody anything; a zone that has lost three of five by 2.5.
+/// Of 1.6 and 2, the latter served more on days with cuts, which end the flows that left.
+const SPILL_RATIO: (u64, u64) = (2, 1);
+
+/// The flows a slot by which it has to be loaded more; at a request a second and flow, and 25 ms
+/// a request, three flows are 8 % of a slot.
+const SPILL_MARGIN: u64 = 3 * FLOW_LOAD;
+
 /// Upstreams of a zone that a new flow looks at. The least loaded of 48 drawn ones is among the
 /// least loaded fiftieth of any number; looking at all 5,000 of a large zone takes 90 us a flow.
 const MOST_LOOKED_AT: usize = 48;
@@ -64,7 +72,9 @@
 struct ChoiceRank {
     avoided: bool,
     tried: bool,
-    far: bool,
+    /// It is in another zone, and nobody said how loaded that is.
+    unknown: bool,
+    /// What counts against it, in hundredths of a flow a slot.
     load: u64,
 }
 
@@ -86,10 +96,13 @@
 /// Chooses the upstreams of a new flow; `None` if the service has nobody that takes flows.
 pub fn choose_upstream(table: &UpstreamTable, query: ChoiceQuery<'_>) -> Option<FlowChoice> {
     let pool = table.pool(query.service);
+    let near = window(&pool.near, query.flow_hash);
+    let panic = is_panic_among(table, near.clone()) && is_panic(table, query.service);
     let mut found = BestUpstreams::default();
-    found.look_at(table, window(&pool.near, query.flow_hash), query);
+    found.look_at(table, near, query, panic);
     if !found.is_enough(table) {
-        found.look_at(table, window(&pool.far, query.flow_hash), query);
+        let far = window(&pool.far, query.flow_hash);
+        found.look_at(table, far, query, panic);
     }
     let first = found.best?.index;
     let doubtful = table.get(first).silence.is_doubtful();
@@ -136,7 +149,8 @@
             return false;
         };
         let alone = self.next.is_none() && table.get(best.index).silence.is_doubtful();
-        !best.rank.avoided && !best.rank.tried && !alone
+        let loaded = best.rank.load > SPILL_MARGIN;
+        !best.rank.avoided && !best.rank.tried && !alone && !loaded
     }
 
     fn look_at(
@@ -144,8 +158,8 @@
         table: &UpstreamTable,
         members: impl Iterator<Item = UpstreamIndex> + Clone,
         query: ChoiceQuery<'_>,
+        panic: bool,
     ) {
-        let panic = is_panic_among(table, members.clone());
         for index in members {
             let record = table.get(index);
             if !record.takes_flows() {
@@ -195,7 +209,22 @@
     query: ChoiceQuery<'_>,
     panic: bool,
 ) -> ChoiceRank {
-    let flow_load = if record.warm_at > query.now {
+    let load = upstream_load(record, query.now);
+    ChoiceRank {
+        avoided: record.silence.is_avoided() && !panic,
+        tried: query.tried.contains(&index),
+        unknown: !record.near && record.zone_load.is_none(),
+        load: if record.near {
+            load
+        } else {
+            spilled_load(load)
+        },
+    }
+}
+
+/// Load a slot, in hundredths of a flow, as far as this host knows.
+fn upstream_load(record: &UpstreamRecord, now: Instant) -> u64 {
+    let flow_load = if record.warm_at > now {
         COLD_FLOW_LOAD
     } else {
         FLOW_LOAD
@@ -203,10 +232,10 @@
     let flows = u64::from(record.flows)
         + u64::from(record.flows_elsewhere)
         + WAITING_FLOWS * u64::from(record.waiting);
-    ChoiceRank {
-        avoided: record.silence.is_avoided() && !panic,
-        tried: query.tried.contains(&index),
-        far: !record.near,
-        load: flows * flow_load / u64::from(record.slots),
-    }
+    flows * flow_load / u64::from(record.slots) + record.zone_load.unwrap_or_default()
+}
+
+/// The load that an upstream of another zone is taken to have, against those of this zone.
+fn spilled_load(load: u64) -> u64 {
+    load * SPILL_RATIO.0 / SPILL_RATIO.1 + SPILL_MARGIN
 }
--- a/packet/src/upstream_record.rs
+++ b/packet/src/upstream_record.rs
@@ -62,6 +62,9 @@
     pub flows: u32,
     /// Those of them that wait for an answer.
     pub waiting: u32,
+    /// Load a slot that its zone has through its own hosts, in hundredths of a flow, if they said so
+    /// of late; for upstreams of other zones only.
+    pub zone_load: Option<u64>,
     /// Flows that it has through the other hosts of this zone, as they last said.
     pub flows_elsewhere: u32,
     /// What its flows tell.
--- a/packet/src/upstream_table.rs
+++ b/packet/src/upstream_table.rs
@@ -10,9 +10,12 @@
 use crate::ids::FlowTag;
 use crate::ids::ServiceIndex;
 use crate::ids::ServiceName;
+use crate::ids::ServiceTag;
 use crate::ids::UpstreamIndex;
 use crate::ids::UpstreamName;
+use crate::peer_beat::MOST_POOLS;
 use crate::peer_beat::MOST_REPORTS;
+use crate::peer_beat::PoolReport;
 use crate::peer_beat::UpstreamReport;
 use crate::upstream_entry::EntryState;
 use crate::upstream_entry::UpstreamEntry;
@@ -28,6 +31,9 @@
 /// every 50 to 400 ms an upstream that answers has one; one that left has none for its drain's end.
 const RECENT_SIGN: Duration = Duration::from_millis(1000);
 
+/// Parts of load that one flow counts for on a warm upstream.
+pub const FLOW_LOAD: u64 = 100;
+
 /// The upstreams of one service.
 #[derive(Clone, Debug)]
 pub struct ServicePool {
@@ -53,6 +59,11 @@
     pool_by_name: HashMap<ServiceName, ServiceIndex>,
 }
 
+/// Short form of a service's name, alike on every host.
+pub fn service_tag(name: &ServiceName) -> ServiceTag {
+    xxh3_64(name.as_bytes()) as ServiceTag
+}
+
 /// The tag of an upstream's flows: alike on every host, whatever its view.
 pub fn flow_tag(name: &UpstreamName) -> FlowTag {
     let hash = xxh3_64(name.as_bytes());
@@ -231,6 +242,43 @@
         }
     }
 
+    /// Takes over what hosts of other zones say of their services, in place of what was said before;
+    /// the last word about a zone counts.
+    pub fn learn_pools(&mut self, pools: &[(&ZoneName, &[PoolReport])]) {
+        for pool in &self.pools {
+            let tag = service_tag(&pool.name);
+            for index in &pool.far {
+                let record = &mut self.records[*index as usize];
+                let of_zone = pools
+                    .iter()
+                    .rev()
+                    .find(|(zone, _pools)| **zone == record.zone);
+                let report = of_zone
+                    .and_then(|(_zone, pools)| pools.iter().find(|report| report.service == tag));
+                record.zone_load = report.map(|report| report.load);
+            }
+        }
+    }
+
+    /// How loaded each service is in this zone, through all of its hosts that report.
+    pub fn pool_reports(&self) -> Vec<PoolReport> {
+        let pools = self.pools.iter().filter(|pool| !pool.near.is_empty());
+        let reports = pools.filter_map(|pool| {
+            let records = pool.near.iter().map(|index| self.get(*index));
+            let usable =
+                records.filter(|record| record.takes_flows() && !record.silence.is_avoided());
+            let (mut flows, mut slots) = (0, 0);
+            for record in usable {
+                flows += u64::from(record.flows) + u64::from(record.flows_elsewhere);
+                slots += u64::from(record.slots);
+            }
+            let load = (flows * FLOW_LOAD).checked_div(slots)?;
+            let service = service_tag(&pool.name);
+            Some(PoolReport { service, load })
+        });
+        reports.take(MOST_POOLS).collect()
+    }
+
     /// What this host's flows tell about the upstreams of its zone.
     pub fn reports(&self, now: Instant) -> Vec<UpstreamReport> {
         let near = self.records().filter(|record| record.near);
@@ -281,6 +329,7 @@
             flows: 0,
             waiting: 0,
             flows_elsewhere: 0,
+            zone_load: None,
             silence: Default::default(),
         };
         let index = match self.free.pop() {
--- a/packet/tests/test_peer_table.rs
+++ b/packet/tests/test_peer_table.rs
@@ -24,6 +24,7 @@
         through,
         named: Vec::new(),
         reports: Vec::new(),
+        pools: Vec::new(),
     }
 }
 
@@ -175,12 +176,14 @@
         }];
         rig.core.heard(rig.now, address(2), word);
     }
+    rig.pass(100);
     assert!(
         (0..20).all(|flow| rig.establish(flow) == 2),
         "the other has 30"
     );
-    let now = rig.now + Duration::from_secs(10);
-    rig.core.heard(now, address(3), beat(ZONE, 10));
+    rig.pass(10_000);
+    rig.core.heard(rig.now, address(3), beat(ZONE, 10));
+    rig.pass(100);
     let elsewhere: u32 = rig
         .core
         .upstreams()
--- a/packet/tests/test_upstream_choice.rs
+++ b/packet/tests/test_upstream_choice.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use lagoonproxy_packet::peer_beat::PeerBeat;
+use lagoonproxy_packet::peer_beat::PoolReport;
 use lagoonproxy_packet::upstream_entry::UpstreamEntry;
+use lagoonproxy_packet::upstream_table::service_tag;
 
 use crate::core_rig::*;
 
@@ -59,6 +62,94 @@
     }
 }
 
+/// A word of another zone's host about the load of the ledger there.
+fn far_word(load: u64) -> PeerBeat {
+    PeerBeat {
+        zone: "b".into(),
+        ready: true,
+        through: 10,
+        named: Vec::new(),
+        reports: Vec::new(),
+        pools: vec![PoolReport {
+            service: service_tag(&"ledger".into()),
+            load,
+        }],
+    }
+}
+
+#[test]
+fn test_full_zone_sends_flows_elsewhere() {
+    // A zone loses most of its upstreams, or many callers come to it at once. If its flows stayed,
+    // the few that are left would shed requests while those of other zones have room.
+    struct Case {
+        name: &'static str,
+        far_load: Option<u64>,
+        spilled: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case {
+            name: "nobody says how loaded the others are",
+            far_load: None,
+            spilled: 0..=0,
+        },
+        Case {
+            name: "the others are as loaded",
+            far_load: Some(1500),
+            spilled: 0..=0,
+        },
+        Case {
+            name: "the others have room",
+            far_load: Some(200),
+            spilled: 12..=20,
+        },
+    ];
+    for case in cases {
+        let entries = vec![entry(1, "ledger"), far_entry(2), far_entry(3)];
+        let mut rig = CoreRig::with_entries(entries);
+        let peer = "10.2.0.1:7720".parse().unwrap();
+        let mut spilled = 0;
+        for flow in 0..40 {
+            if let Some(load) = case.far_load {
+                rig.core.heard(rig.now, peer, far_word(load));
+            }
+            rig.pass(100);
+            spilled += usize::from(rig.establish(flow) != 1);
+        }
+        assert!(
+            case.spilled.contains(&spilled),
+            "{}: {spilled} of 40",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn test_dark_zone_is_no_panic() {
+    // Three of a zone's four upstreams go dark; those of other zones are well. Were the zone alone
+    // asked whether so many can be silent, its flows would be sent into the dark again and again.
+    let near = [1, 2, 3, 4].map(|number| entry(number, "ledger"));
+    let far = [5, 6, 7, 8, 9, 10].map(far_entry);
+    let mut rig = CoreRig::with_entries(near.into_iter().chain(far).collect());
+    let flows: Vec<(u16, u8)> = (0..40).map(|flow| (flow, rig.establish(flow))).collect();
+    rig.pass(1000);
+    for _copy in 0..3 {
+        for (flow, upstream) in &flows {
+            rig.request(*flow, *upstream, 0);
+            if *upstream == 4 {
+                rig.acknowledge(*flow, 4, 0);
+            }
+        }
+        rig.pass(200);
+    }
+    for flow in 100..140 {
+        let first = rig.open(flow, 0)[0];
+        assert!(
+            !(1..=3).contains(&first),
+            "a new flow at {first}, which is dark"
+        );
+    }
+}
+
 #[test]
 fn test_copies_of_an_opening_packet_go_elsewhere() {
     // The first upstream does not answer an opening packet. A copy that went there again would
