readers: one host a zone reads the store and passes changes on

The largest host of a zone reads, by the product's own duty over the hosts that are heard; the next takes over after 1.6 s without its beat, or at once when it says that the store refuses it; a host that hears nobody reads for itself.

--- a/bench/src/packet_cost.rs
+++ b/bench/src/packet_cost.rs
@@ -164,6 +164,7 @@
     HostSettings {
         host: "bench".into(),
         zone: "a".into(),
+        capacity: 250,
         packet_address: own,
         ready_address: own,
         peer_address: own,
--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -28,6 +28,7 @@
 use crate::ids::ZoneName;
 use crate::platform_feed::FeedDemand;
 use crate::platform_feed::PlatformFeed;
+use crate::reader_duty::DutySettings;
 use crate::reader_duty::READER_SILENCE;
 use crate::reader_duty::ReaderDuty;
 use crate::reader_rank::FAR_LINKS;
@@ -135,7 +136,12 @@
             far_peers: Vec::new(),
             avoided: BTreeMap::new(),
             connecting: BTreeMap::new(),
-            duty: ReaderDuty::new(now, identity.host, identity.first_beat),
+            duty: ReaderDuty::new(
+                now,
+                identity.host,
+                DutySettings::default(),
+                identity.first_beat,
+            ),
             reading: false,
             accompanied: now,
             started: now,
@@ -318,7 +324,9 @@
     fn decide_reading(&mut self, now: Instant) {
         let alone = now.saturating_duration_since(self.accompanied) >= READER_SILENCE;
         let beats = self.relay.beats();
-        self.reading = self.duty.decide(now, beats, alone);
+        self.reading = self
+            .duty
+            .decide(now, |host| !beats.is_silent(now, host), alone);
         // Only a reader in touch with the platform says so: one that is cut off is replaced.
         if self.reading && self.feed.in_touch() {
             let beat = self.duty.next_beat(now);
--- a/lib/src/reader_rank.rs
+++ b/lib/src/reader_rank.rs
@@ -40,7 +40,8 @@
     (ranked(key, near), ranked(key, far))
 }
 
-fn ranked(key: u64, members: impl Iterator<Item = HostId>) -> Vec<HostId> {
+/// The members in the order of their rendezvous weight for a key, largest first.
+pub fn ranked(key: u64, members: impl Iterator<Item = HostId>) -> Vec<HostId> {
     let mut weighted: Vec<(u64, HostId)> = members
         .map(|host| (rendezvous_weight(key, u64::from(host)), host))
         .collect();
--- a/packet/src/host_settings.rs
+++ b/packet/src/host_settings.rs
@@ -13,6 +13,8 @@
     pub host: SmolStr,
     /// Availability zone of the host.
     pub zone: ZoneName,
+    /// Thousandths of a core that the host has.
+    pub capacity: u32,
     /// Where callers' packets arrive.
     pub packet_address: SocketAddrV4,
     /// Where the fabric asks whether the host takes packets.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -29,6 +29,7 @@
 use crate::published_view::PublishedView;
 use crate::published_view::ViewChange;
 use crate::published_view::ViewUpdate;
+use crate::read_role::ReadRole;
 use crate::route_table::RouteTable;
 use crate::upstream_choice::ChoiceQuery;
 use crate::upstream_choice::choose_upstream;
@@ -56,6 +57,12 @@
     evidence: FlowEvidence,
     peers: PeerTable,
     zone: ZoneName,
+    capacity: u32,
+    role: ReadRole,
+    /// Whether this host reads the store for its zone.
+    reads: bool,
+    /// Whether the last call of the store was answered.
+    in_touch: bool,
     /// Since when the published state has been held without a break in the contact to the store.
     steady_since: Option<Instant>,
     version: Version,
@@ -75,6 +82,10 @@
                 settings.seed_peers.clone(),
             ),
             zone: settings.zone.clone(),
+            capacity: settings.capacity,
+            role: ReadRole::new(settings.peer_address, &settings.zone, settings.capacity),
+            reads: false,
+            in_touch: false,
             steady_since: None,
             version: 0,
         }
@@ -110,11 +121,12 @@
         &self.evidence
     }
 
-    /// Takes in what the store or a peer published.
-    pub fn join(&mut self, now: Instant, update: &ViewUpdate, output: &mut PacketOutput) {
+    /// Takes in what the store or a peer published; true if it was something new.
+    pub fn join(&mut self, now: Instant, update: &ViewUpdate, output: &mut PacketOutput) -> bool {
+        let before = self.view.through();
         let outcome = self.view.join(update);
         if outcome.passed_over {
-            return;
+            return false;
         }
         self.note_outcome(&outcome, output);
         for change in &outcome.changes {
@@ -123,15 +135,18 @@
         if self.steady_since.is_none() && self.view.is_complete() {
             self.steady_since = Some(now);
         }
+        self.view.through() > before
     }
 
     /// Learns that the store cannot be reached: what is missing from its list may be alive.
     pub fn store_lost(&mut self) {
+        self.in_touch = false;
         self.steady_since = None;
     }
 
     /// Learns that the store answers, also when nothing has changed.
     pub fn store_answered(&mut self, now: Instant) {
+        self.in_touch = true;
         if self.view.is_complete() {
             self.steady_since.get_or_insert(now);
         }
@@ -150,7 +165,7 @@
 
     /// The beat to send now, and to whom; nobody between rounds.
     pub fn round(&mut self, now: Instant, stopping: bool) -> Option<(PeerBeat, Vec<SocketAddrV4>)> {
-        let targets = self.peers.round(now);
+        let targets = self.peers.round(now, self.reads);
         if targets.is_empty() {
             return None;
         }
@@ -161,6 +176,8 @@
     pub fn beat(&mut self, now: Instant, stopping: bool) -> PeerBeat {
         PeerBeat {
             zone: self.zone.clone(),
+            reads: self.reads && self.in_touch && !stopping,
+            capacity: self.capacity,
             ready: self.is_ready() && !stopping,
             through: self.view.through(),
             named: self.peers.some_alive(now),
@@ -171,7 +188,22 @@
 
     /// The peer to ask for state that this host is missing.
     pub fn source(&mut self, now: Instant) -> Option<SocketAddrV4> {
-        self.peers.source(now, self.view.through())
+        self.peers.source(now, self.view.through(), self.reads)
+    }
+
+    /// Whether this host is to read the store now.
+    pub fn should_read(&mut self, now: Instant) -> bool {
+        self.reads = self.role.decide(now, &self.peers);
+        self.reads
+    }
+
+    /// The hosts to which a reader passes on what it has read.
+    pub fn followers(&self, now: Instant) -> Vec<SocketAddrV4> {
+        if self.reads {
+            self.peers.near_addresses(now)
+        } else {
+            Vec::new()
+        }
     }
 
     /// Ends what has lasted its time. To be called several times a second.
@@ -186,9 +218,22 @@
         for index in avoided {
             self.note_belief(now, index, BeliefChange::Avoided, output);
         }
+        self.follow_reader(now);
         self.end_lost_flows(now, output);
     }
 
+    /// A host that does not read itself knows by its reader whether the store answers.
+    fn follow_reader(&mut self, now: Instant) {
+        if self.reads || !self.view.is_complete() {
+            return;
+        }
+        if self.peers.has_reader(now) {
+            self.steady_since.get_or_insert(now);
+        } else {
+            self.steady_since = None;
+        }
+    }
+
     /// Ends the flows of upstreams that do not answer any more, also those that wait for nothing.
     ///
     /// Callers keep flows open between requests. A request that may not run twice and is sent on a
--- a/packet/src/peer_beat.rs
+++ b/packet/src/peer_beat.rs
@@ -1,4 +1,4 @@
-//! What entry hosts tell each other, in one datagram.
+//! What entry hosts tell each other of themselves, twice a second, in one datagram.
 //!
 //! A beat says who the sender is, how far it has read, and what its flows tell about the upstreams
 //! of its zone. Nothing in it is believed beyond its age, and nothing a packet needs depends on it.
@@ -11,15 +11,11 @@
 use serde::Serialize;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
-use snafu::Snafu;
 
 use crate::ids::FlowTag;
 use crate::ids::Revision;
 use crate::ids::ServiceTag;
 
-/// First byte of a beat; changes with the format.
-const BEAT_FORMAT: u8 = 1;
-
 /// Most addresses of other peers in a beat.
 pub const MOST_NAMED: usize = 8;
 
@@ -34,6 +30,10 @@
 pub struct PeerBeat {
     /// The zone of the sender.
     pub zone: ZoneName,
+    /// Whether it reads the store for its zone and has an answer to its last call.
+    pub reads: bool,
+    /// Thousandths of a core that it has.
+    pub capacity: u32,
     /// Whether it takes packets: a host that is stopping no longer counts.
     pub ready: bool,
     /// Everything that the store changed up to this revision is known to the sender.
@@ -67,39 +67,3 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub heard_ago: Option<Duration>,
 }
-
-/// Why a datagram is no beat.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-pub enum BeatFault {
-    /// Another format, or nothing of a peer's.
-    #[snafu(display("not a beat of this format"))]
-    Foreign,
-    /// The rest cannot be read.
-    #[snafu(display("the beat cannot be read: {reason}"))]
-    Malformed {
-        /// What the reader said.
-        reason: String,
-    },
-}
-
-impl PeerBeat {
-    /// The beat as a datagram.
-    pub fn encode(&self) -> Result<Vec<u8>, BeatFault> {
-        let bytes = vec![BEAT_FORMAT];
-        postcard::to_extend(self, bytes).map_err(|error| malformed(&error))
-    }
-
-    /// Reads a datagram.
-    pub fn decode(bytes: &[u8]) -> Result<Self, BeatFault> {
-        let Some((&BEAT_FORMAT, body)) = bytes.split_first() else {
-            return Err(BeatFault::Foreign);
-        };
-        postcard::from_bytes(body).map_err(|error| malformed(&error))
-    }
-}
-
-fn malformed(error: &postcard::Error) -> BeatFault {
-    BeatFault::Malformed {
-        reason: error.to_string(),
-    }
-}
--- /dev/null
+++ b/packet/src/peer_datagram.rs
@@ -0,0 +1,59 @@
+//! The datagrams between entry hosts.
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+
+use crate::peer_beat::PeerBeat;
+use crate::published_view::ViewUpdate;
+
+/// First byte of a datagram; changes with the format.
+const DATAGRAM_FORMAT: u8 = 1;
+
+/// Most bytes of a datagram: what fits into one frame of the usual networks.
+pub const MOST_DATAGRAM: usize = 1400;
+
+/// What one host sends another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerDatagram {
+    /// What it says of itself.
+    Beat(PeerBeat),
+    /// What it has just read from the store.
+    Change(ViewUpdate),
+}
+
+/// Why a datagram is not a peer's.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum DatagramFault {
+    /// Another format, or nothing of a peer's.
+    #[snafu(display("not a peer's datagram of this format"))]
+    Foreign,
+    /// The rest cannot be read.
+    #[snafu(display("the datagram cannot be read: {reason}"))]
+    Malformed {
+        /// What the reader said.
+        reason: String,
+    },
+}
+
+impl PeerDatagram {
+    /// The bytes to send.
+    pub fn encode(&self) -> Result<Vec<u8>, DatagramFault> {
+        let bytes = vec![DATAGRAM_FORMAT];
+        postcard::to_extend(self, bytes).map_err(|error| malformed(&error))
+    }
+
+    /// Reads a datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DatagramFault> {
+        let Some((&DATAGRAM_FORMAT, body)) = bytes.split_first() else {
+            return Err(DatagramFault::Foreign);
+        };
+        postcard::from_bytes(body).map_err(|error| malformed(&error))
+    }
+}
+
+fn malformed(error: &postcard::Error) -> DatagramFault {
+    DatagramFault::Malformed {
+        reason: error.to_string(),
+    }
+}
--- a/packet/src/peer_table.rs
+++ b/packet/src/peer_table.rs
@@ -5,6 +5,7 @@
 //! cost of a host does not grow with their number.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
@@ -26,6 +27,13 @@
 /// The same for other zones, where each byte has its price.
 const FAR_A_ROUND: usize = 2;
 
+/// How long a peer that reads the store may not be heard until another takes over: two beats lost,
+/// for readers send one to each host of their zone in each round.
+const READER_SILENCE: Duration = Duration::from_millis(1600);
+
+/// How long what a host of another zone says of its load is believed.
+const FAR_WORD_LIFE: Duration = Duration::from_secs(3);
+
 /// Rounds without a beat after which a peer counts as gone, on top of those of a turn. Two may be
 /// lost.
 const MISSED_ROUNDS: u32 = 3;
@@ -49,6 +57,8 @@
 struct PeerRecord {
     zone: ZoneName,
     ready: bool,
+    reads: bool,
+    capacity: u32,
     through: Revision,
     /// When its last beat came; `None` if it was only named by others.
     heard: Option<Instant>,
@@ -113,6 +123,8 @@
         let record = PeerRecord {
             zone: beat.zone,
             ready: beat.ready,
+            reads: beat.reads,
+            capacity: beat.capacity,
             through: beat.through,
             heard: Some(now),
             reports: beat.reports,
@@ -123,8 +135,9 @@
         is_new
     }
 
-    /// The peers that get a beat now; empty between rounds.
-    pub fn round(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+    /// The peers that get a beat now; empty between rounds. A host that reads the store sends to all
+    /// of its zone, and to the readers of others.
+    pub fn round(&mut self, now: Instant, reads: bool) -> Vec<SocketAddrV4> {
         if self.next_round.is_some_and(|next| now < next) {
             return Vec::new();
         }
@@ -132,8 +145,14 @@
         self.peers.retain(|_address, peer| now < peer.forget_at);
         let near = self.addresses(|peer| peer.zone == self.zone);
         let far = self.addresses(|peer| peer.zone != self.zone);
-        let mut targets = take_turn(&near, &mut self.near_turn, NEAR_A_ROUND);
+        let near_a_round = if reads { near.len() } else { NEAR_A_ROUND };
+        let mut targets = take_turn(&near, &mut self.near_turn, near_a_round);
         targets.extend(take_turn(&far, &mut self.far_turn, FAR_A_ROUND));
+        if reads {
+            targets.extend(self.addresses(|peer| peer.zone != self.zone && peer.reads));
+            targets.sort_unstable();
+            targets.dedup();
+        }
         if self.alive(now).next().is_none() {
             let own = self.own;
             let seeds = self.seeds.iter().copied();
@@ -158,6 +177,34 @@
             .count()
     }
 
+    /// Every living host of the own zone but this one.
+    pub fn near_addresses(&self, now: Instant) -> Vec<SocketAddrV4> {
+        let near = self.alive(now);
+        near.filter(|(_address, peer)| peer.zone == self.zone)
+            .map(|(address, _peer)| address)
+            .collect()
+    }
+
+    /// The hosts of the own zone that may read the store, with the thousandths of a core they have.
+    pub fn near_readers(&self, now: Instant) -> impl Iterator<Item = (SocketAddrV4, u32)> {
+        let near = self.alive(now);
+        near.filter(|(_address, peer)| peer.ready && peer.zone == self.zone)
+            .map(|(address, peer)| (address, peer.capacity))
+    }
+
+    /// Whether the host with this IP number was heard to read the store.
+    pub fn is_reading(&self, now: Instant, ip: Ipv4Addr) -> bool {
+        let address = SocketAddrV4::new(ip, self.own.port());
+        let peer = self.peers.get(&address);
+        peer.is_some_and(|peer| peer.reads_now(now))
+    }
+
+    /// Whether any host of the zone was heard to read the store.
+    pub fn has_reader(&self, now: Instant) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.zone == self.zone && peer.reads_now(now))
+    }
+
     /// Peers that are alive.
     pub fn alive_hosts(&self, now: Instant) -> usize {
         self.alive(now).count()
@@ -174,7 +221,12 @@
     /// The loads of services in other zones, as the hosts there last said, oldest word first.
     pub fn far_pools(&self, now: Instant) -> Vec<(&ZoneName, &[PoolReport])> {
         let alive = self.alive(now).map(|(_address, peer)| peer);
-        let mut far: Vec<&PeerRecord> = alive.filter(|peer| peer.zone != self.zone).collect();
+        let is_fresh = |peer: &&PeerRecord| {
+            let heard = peer.heard.map(|heard| now.saturating_duration_since(heard));
+            heard.is_some_and(|ago| ago < FAR_WORD_LIFE)
+        };
+        let far = alive.filter(|peer| peer.zone != self.zone);
+        let mut far: Vec<&PeerRecord> = far.filter(is_fresh).collect();
         far.sort_by_key(|peer| peer.heard);
         let pools = far
             .into_iter()
@@ -182,9 +234,9 @@
         pools.collect()
     }
 
-    /// The peer to ask for what this host is missing, if it has been missing for long enough; the
-    /// one that knows most, of the own zone if there is a choice.
-    pub fn source(&mut self, now: Instant, through: Revision) -> Option<SocketAddrV4> {
+    /// The peer to ask for what this host is missing; the one that knows most, of the own zone if
+    /// there is a choice. A host that reads for itself first waits whether it reads the same.
+    pub fn source(&mut self, now: Instant, through: Revision, reads: bool) -> Option<SocketAddrV4> {
         let best = self
             .alive(now)
             .filter(|(_address, peer)| peer.through > through)
@@ -195,7 +247,8 @@
             return None;
         };
         let since = *self.behind_since.get_or_insert(now);
-        let patient = through > 0 && now.saturating_duration_since(since) < BEHIND_PATIENCE;
+        let patient =
+            reads && through > 0 && now.saturating_duration_since(since) < BEHIND_PATIENCE;
         if patient || self.next_ask.is_some_and(|next| now < next) {
             return None;
         }
@@ -211,6 +264,8 @@
         let record = PeerRecord {
             zone: ZoneName::default(),
             ready: false,
+            reads: false,
+            capacity: 0,
             through: 0,
             heard: None,
             reports: Vec::new(),
@@ -230,16 +285,35 @@
 
     /// Peers that were heard within the rounds that a turn takes and the missed ones allowed.
     fn alive(&self, now: Instant) -> impl Iterator<Item = (SocketAddrV4, &PeerRecord)> {
-        let turn = self.peers.len() / NEAR_A_ROUND.min(FAR_A_ROUND) + 1;
-        let rounds = MISSED_ROUNDS + u32::try_from(turn).unwrap_or(MISSED_ROUNDS);
-        let life = BEAT_PAUSE * rounds;
+        let near = self
+            .peers
+            .values()
+            .filter(|peer| peer.zone == self.zone)
+            .count();
+        let near_life = turn_time(near, NEAR_A_ROUND);
+        let far_life = turn_time(self.peers.len() - near, FAR_A_ROUND);
         self.peers.iter().filter_map(move |(address, peer)| {
             let heard = peer.heard?;
+            let is_near = peer.zone == self.zone;
+            let life = if is_near { near_life } else { far_life };
             (now.saturating_duration_since(heard) < life).then_some((*address, peer))
         })
     }
 }
 
+impl PeerRecord {
+    fn reads_now(&self, now: Instant) -> bool {
+        let ago = self.heard.map(|heard| now.saturating_duration_since(heard));
+        self.reads && ago.is_some_and(|ago| ago < READER_SILENCE)
+    }
+}
+
+/// The time in which each of so many peers has had its turn, and the beats that may be missed.
+fn turn_time(peers: usize, a_round: usize) -> Duration {
+    let rounds = u32::try_from(peers / a_round + 1).unwrap_or(u32::MAX);
+    BEAT_PAUSE.saturating_mul(rounds.saturating_add(MISSED_ROUNDS))
+}
+
 /// The next `count` addresses after the one that had the last turn, around the end.
 fn take_turn(
     addresses: &[SocketAddrV4],
--- a/packet/src/store_feed.rs
+++ b/packet/src/store_feed.rs
@@ -15,9 +15,9 @@
 use crate::published_view::PublishedItem;
 use crate::published_view::ViewUpdate;
 
-/// How long a watch may wait at the store. A shorter one costs calls, a longer one leaves a
-/// connection that has gone silent unnoticed; 30 s is the store's limit.
-pub const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long a watch may wait at the store. A shorter one costs calls, of which only the few readers
+/// make any; a longer one leaves a store that is silent to its reader unnoticed.
+pub const WATCH_WAIT: Duration = Duration::from_secs(5);
 
 /// How much longer than its wait a watch's answer may take, and how long any other answer. The
 /// store answers in 4 ms, and in 360 ms when it is slow.
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Whether the list was read, so that only changes are missing.
+    pub fn is_listed(&self) -> bool {
+        self.watched.is_some()
+    }
+
     /// Failures in a row.
     pub fn failures(&self) -> u32 {
         self.failures
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -151,6 +151,7 @@
     HostSettings {
         host: "host".into(),
         zone: ZONE.into(),
+        capacity: 250,
         packet_address: own,
         ready_address: own,
         peer_address: own,
@@ -173,6 +174,8 @@
     pub notes: Vec<DecisionNote>,
     /// The store's revision.
     pub revision: Revision,
+    /// The store answers nobody.
+    pub store_away: bool,
 }
 
 impl CoreRig {
@@ -200,6 +203,7 @@
             resets: Vec::new(),
             notes: Vec::new(),
             revision: 0,
+            store_away: false,
         }
     }
 
@@ -210,6 +214,9 @@
             self.now = end.min(self.now + Duration::from_millis(100));
             let mut output = PacketOutput::default();
             self.core.tick(self.now, &mut output);
+            if self.core.should_read(self.now) && !self.store_away {
+                self.core.store_answered(self.now);
+            }
             self.resets.extend(output.resets);
             self.notes.extend(output.notes);
         }
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_packet_core;
 mod test_peer_table;
 mod test_published_view;
+mod test_read_role;
 mod test_silence_record;
 mod test_store_feed;
 mod test_upstream_choice;
--- a/packet/tests/test_packet_core.rs
+++ b/packet/tests/test_packet_core.rs
@@ -387,6 +387,7 @@
     // An upstream is gone from the registry. While it still answers its flows go on; once it is
     // silent a caller's next request is answered with a reset, and it can ask elsewhere at once.
     let mut rig = CoreRig::with_ledger(&[1, 2]);
+    rig.pass(2000);
     let flow = (0..10)
         .find(|flow| rig.establish(*flow) == 1)
         .expect("a flow at 1");
@@ -439,10 +440,11 @@
     ];
     for case in cases {
         let mut rig = CoreRig::with_ledger(&[1]);
-        rig.pass(case.wait_ms);
+        rig.store_away = case.store_lost;
         if case.store_lost {
             rig.core.store_lost();
         }
+        rig.pass(case.wait_ms);
         let actions = rig.request(1, 9, 0);
         assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
     }
--- a/packet/tests/test_peer_table.rs
+++ b/packet/tests/test_peer_table.rs
@@ -5,9 +5,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use lagoonproxy_packet::peer_beat::BeatFault;
+use lagoonproxy_packet::peer_beat::MOST_NAMED;
+use lagoonproxy_packet::peer_beat::MOST_POOLS;
+use lagoonproxy_packet::peer_beat::MOST_REPORTS;
 use lagoonproxy_packet::peer_beat::PeerBeat;
+use lagoonproxy_packet::peer_beat::PoolReport;
 use lagoonproxy_packet::peer_beat::UpstreamReport;
+use lagoonproxy_packet::peer_datagram::DatagramFault;
+use lagoonproxy_packet::peer_datagram::MOST_DATAGRAM;
+use lagoonproxy_packet::peer_datagram::PeerDatagram;
 use lagoonproxy_packet::peer_table::PeerTable;
 use proptest::prelude::*;
 
@@ -21,6 +27,8 @@
     PeerBeat {
         zone: zone.into(),
         ready: true,
+        reads: false,
+        capacity: 250,
         through,
         named: Vec::new(),
         reports: Vec::new(),
@@ -52,7 +60,7 @@
         now += Duration::from_millis(500);
         for sender in 0..hosts.len() {
             let from = address(sender as u8 + 1);
-            let targets = hosts[sender].round(now);
+            let targets = hosts[sender].round(now, false);
             most = most.max(targets.len());
             let mut word = beat(ZONE, 1);
             word.named = hosts[sender].some_alive(now);
@@ -145,16 +153,16 @@
         for (number, zone, through) in case.peers {
             table.heard(start, address(*number), beat(zone, *through));
         }
-        let first = table.source(start, case.own);
+        let first = table.source(start, case.own, true);
         let now = start + Duration::from_millis(case.wait_ms);
         let asked = if case.wait_ms == 0 {
             first
         } else {
-            table.source(now, case.own)
+            table.source(now, case.own, true)
         };
         assert_eq!(asked, case.expected.map(address), "{}", case.name);
         assert_eq!(
-            table.source(now, case.own),
+            table.source(now, case.own, true),
             None,
             "{}: not twice at once",
             case.name
@@ -194,7 +202,7 @@
 }
 
 #[test]
-fn test_beat_is_read_as_it_was_written() {
+fn test_datagrams_are_read_as_they_were_written() {
     let mut word = beat("b", 77);
     word.named = vec![address(7)];
     word.reports = vec![UpstreamReport {
@@ -202,15 +210,47 @@
         flows: 3,
         heard_ago: None,
     }];
-    let bytes = word.encode().expect("encodes");
-    assert_eq!(PeerBeat::decode(&bytes), Ok(word));
-    assert_eq!(PeerBeat::decode(&[]), Err(BeatFault::Foreign));
-    assert_eq!(PeerBeat::decode(&[9, 1, 2]), Err(BeatFault::Foreign));
+    let change = changes(
+        7,
+        9,
+        vec![upstream_item(8, entry(1, "ledger")), removed_item(9, 2)],
+    );
+    for datagram in [PeerDatagram::Beat(word), PeerDatagram::Change(change)] {
+        let bytes = datagram.encode().expect("encodes");
+        assert_eq!(PeerDatagram::decode(&bytes), Ok(datagram));
+    }
+    assert_eq!(PeerDatagram::decode(&[]), Err(DatagramFault::Foreign));
+    assert_eq!(
+        PeerDatagram::decode(&[9, 1, 2]),
+        Err(DatagramFault::Foreign)
+    );
+}
+
+#[test]
+fn test_largest_beat_fits_into_a_datagram() {
+    // A beat that is cut up on the way is lost when any part is.
+    let mut word = beat("a-zone-with-a-long-name", u64::MAX);
+    word.named = vec![address(7); MOST_NAMED];
+    let report = UpstreamReport {
+        tag: u32::MAX,
+        flows: 300,
+        heard_ago: Some(Duration::from_secs(9)),
+    };
+    word.reports = vec![report; MOST_REPORTS];
+    word.pools = vec![
+        PoolReport {
+            service: u32::MAX,
+            load: 40_000
+        };
+        MOST_POOLS
+    ];
+    let bytes = PeerDatagram::Beat(word).encode().expect("encodes");
+    assert!(bytes.len() <= MOST_DATAGRAM, "{} bytes", bytes.len());
 }
 
 proptest! {
     #[test]
     fn test_any_bytes_are_no_fault(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
-        let _beat = PeerBeat::decode(&bytes);
+        let _datagram = PeerDatagram::decode(&bytes);
     }
 }
--- /dev/null
+++ b/packet/tests/test_read_role.rs
@@ -0,0 +1,187 @@
+//! Tests of who reads the store: cores of one zone that hear each other, in virtual time.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy_packet::packet_action::PacketOutput;
+use lagoonproxy_packet::packet_core::PacketCore;
+
+use crate::core_rig::*;
+
+/// One host of the zone.
+struct ZoneHost {
+    address: SocketAddrV4,
+    core: PacketCore,
+    /// It runs and its packets arrive.
+    alive: bool,
+    /// The store answers it.
+    in_touch: bool,
+    reads: bool,
+}
+
+/// The hosts of a zone, which tick every 100 ms.
+struct ZoneRig {
+    hosts: Vec<ZoneHost>,
+    now: Instant,
+}
+
+impl ZoneRig {
+    /// Hosts with these thousandths of a core, that all start now.
+    fn start(capacities: &[u32]) -> Self {
+        let now = Instant::now();
+        let hosts = capacities.iter().enumerate().map(|(index, capacity)| {
+            let address = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, index as u8 + 1), 7720);
+            let mut settings = settings();
+            settings.peer_address = address;
+            settings.capacity = *capacity;
+            settings.seed_peers = vec![SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 7720)];
+            let mut core = PacketCore::new(&settings);
+            let items = vec![
+                routes_item(1, usual_routes(1)),
+                upstream_item(1, entry(1, "ledger")),
+            ];
+            core.join(now, &whole(1, items), &mut PacketOutput::default());
+            ZoneHost {
+                address,
+                core,
+                alive: true,
+                in_touch: true,
+                reads: false,
+            }
+        });
+        Self {
+            hosts: hosts.collect(),
+            now,
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _tick in 0..millis / 100 {
+            self.now += Duration::from_millis(100);
+            for index in 0..self.hosts.len() {
+                self.tick(index);
+            }
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[index];
+        if !host.alive {
+            return;
+        }
+        host.core.tick(now, &mut PacketOutput::default());
+        host.reads = host.core.should_read(now);
+        if host.reads && host.in_touch {
+            host.core.store_answered(now);
+        } else if host.reads {
+            host.core.store_lost();
+        }
+        let from = host.address;
+        let Some((beat, targets)) = host.core.round(now, false) else {
+            return;
+        };
+        for target in targets {
+            let to = self.hosts.iter().position(|host| host.address == target);
+            let Some(to) = to.filter(|to| self.hosts[*to].alive) else {
+                continue;
+            };
+            if self.hosts[to].core.heard(now, from, beat.clone()) {
+                let reply = self.hosts[to].core.beat(now, false);
+                self.hosts[index].core.heard(now, target, reply);
+            }
+        }
+    }
+
+    /// The living hosts that read.
+    fn readers(&self) -> Vec<usize> {
+        let hosts = self.hosts.iter().enumerate();
+        let reading = hosts.filter(|(_index, host)| host.alive && host.reads);
+        reading.map(|(index, _host)| index).collect()
+    }
+}
+
+#[test]
+fn test_the_largest_host_reads_alone() {
+    for count in [1, 2, 3, 25, 60] {
+        let mut capacities = vec![38; count];
+        capacities[count / 2] = 500;
+        let mut rig = ZoneRig::start(&capacities);
+        rig.pass(10_000);
+        assert_eq!(rig.readers(), [count / 2], "of {count}");
+    }
+}
+
+#[test]
+fn test_reader_is_replaced_in_time() {
+    // The host that reads for its zone fails in one way or another. Until another reads, the zone
+    // learns of no drain and no dropped route, which have to be in force within three seconds.
+    struct Case {
+        name: &'static str,
+        fail: fn(&mut ZoneHost),
+        within_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "killed",
+            fail: |host| host.alive = false,
+            within_ms: 2000,
+        },
+        Case {
+            name: "turned away by the store",
+            fail: |host| host.in_touch = false,
+            within_ms: 1200,
+        },
+    ];
+    for case in cases {
+        let mut rig = ZoneRig::start(&[250, 250, 250, 250, 250, 250, 250, 250]);
+        rig.pass(5000);
+        let first = rig.readers();
+        assert_eq!(first.len(), 1, "{}", case.name);
+        (case.fail)(&mut rig.hosts[first[0]]);
+        rig.pass(case.within_ms);
+        let others = rig
+            .readers()
+            .into_iter()
+            .filter(|reader| *reader != first[0]);
+        assert!(
+            (1..=2).contains(&others.count()),
+            "{}: {:?}",
+            case.name,
+            rig.readers()
+        );
+        rig.pass(3000);
+        let others = rig
+            .readers()
+            .into_iter()
+            .filter(|reader| *reader != first[0]);
+        assert_eq!(others.count(), 1, "{}: one is enough", case.name);
+    }
+}
+
+#[test]
+fn test_former_reader_takes_over_again() {
+    let mut rig = ZoneRig::start(&[38, 500, 38]);
+    rig.pass(5000);
+    rig.hosts[1].alive = false;
+    rig.pass(5000);
+    assert_eq!(rig.readers().len(), 1);
+    rig.hosts[1].alive = true;
+    rig.pass(5000);
+    assert_eq!(rig.readers(), [1], "the larger one");
+}
+
+#[test]
+fn test_store_that_answers_nobody_meets_few_readers() {
+    // The store is away for everybody. Were each host to try for itself, those of a large fleet
+    // would press a store that comes back.
+    let mut rig = ZoneRig::start(&[38; 60]);
+    rig.pass(5000);
+    for host in &mut rig.hosts {
+        host.in_touch = false;
+    }
+    rig.pass(10_000);
+    assert!(rig.readers().len() <= 16, "{} readers", rig.readers().len());
+}
--- a/packet/tests/test_upstream_choice.rs
+++ b/packet/tests/test_upstream_choice.rs
@@ -67,6 +67,8 @@
     PeerBeat {
         zone: "b".into(),
         ready: true,
+        reads: false,
+        capacity: 250,
         through: 10,
         named: Vec::new(),
         reports: Vec::new(),
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -30,6 +30,10 @@
     pub last_packet: Cell<Instant>,
     /// Wakes who waits for the first whole state.
     pub became_ready: Notify,
+    /// What was read from the store and is to be passed on to the hosts of the zone.
+    pub to_pass_on: RefCell<Vec<ViewUpdate>>,
+    /// Wakes who passes it on.
+    pub read_something: Notify,
 }
 
 impl HostState {
@@ -42,6 +46,8 @@
             stopping: Cell::new(false),
             last_packet: Cell::new(Instant::now()),
             became_ready: Notify::new(),
+            to_pass_on: RefCell::new(Vec::new()),
+            read_something: Notify::new(),
         }
     }
 
@@ -62,17 +68,26 @@
         }
     }
 
-    /// Takes in published state.
-    pub fn join(&self, update: &ViewUpdate) {
+    /// Takes in published state, and passes on to the hosts of the zone what was new in it.
+    pub fn join_and_pass_on(&self, update: ViewUpdate) {
+        if self.join(&update) {
+            self.to_pass_on.borrow_mut().push(update);
+            self.read_something.notify_one();
+        }
+    }
+
+    /// Takes in published state; true if it was something new.
+    pub fn join(&self, update: &ViewUpdate) -> bool {
         let mut output = PacketOutput::default();
         let mut core = self.core.borrow_mut();
         let was_ready = core.is_ready();
-        core.join(Instant::now(), update, &mut output);
+        let is_new = core.join(Instant::now(), update, &mut output);
         record_notes(&output.notes, None, &self.metrics);
         if !was_ready && core.is_ready() {
             log::info!(through = core.view().through(); "ready");
             self.became_ready.notify_waiters();
         }
+        is_new
     }
 
     /// Lets time pass; returns the flows to be ended.
--- a/packetd/src/peer_socket.rs
+++ b/packetd/src/peer_socket.rs
@@ -1,4 +1,4 @@
-//! Sends beats to the other entry hosts and takes theirs in.
+//! Tells the other entry hosts what this one knows, and takes in what they tell.
 
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -8,13 +8,15 @@
 
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::peer_beat::PeerBeat;
+use lagoonproxy_packet::peer_datagram::MOST_DATAGRAM;
+use lagoonproxy_packet::peer_datagram::PeerDatagram;
 use tokio::net::UdpSocket;
 
 use crate::host_state::HostState;
 use crate::state_transfer;
 use crate::web_server;
 
-/// Room for the longest datagram that a beat may be.
+/// Room for the longest datagram of a peer.
 const BUFFER_BYTES: usize = 2048;
 
 /// How often it is looked whether a round is due or a peer has to be asked for state.
@@ -25,8 +27,8 @@
     match UdpSocket::bind(address).await {
         Ok(socket) => {
             let socket = Rc::new(socket);
-            tokio::task::spawn_local(receive_beats(state.clone(), socket.clone()));
-            tokio::task::spawn_local(send_beats(state.clone(), socket));
+            tokio::task::spawn_local(receive_datagrams(state.clone(), socket.clone()));
+            tokio::task::spawn_local(keep_peers_told(state.clone(), socket));
         }
         Err(error) => {
             let code = ResultCode::AddressUnavailable.number();
@@ -38,7 +40,7 @@
     }
 }
 
-async fn receive_beats(state: Rc<HostState>, socket: Rc<UdpSocket>) {
+async fn receive_datagrams(state: Rc<HostState>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; BUFFER_BYTES];
     loop {
         let (length, source) = match socket.recv_from(&mut buffer).await {
@@ -58,50 +60,75 @@
             state.metrics.count_result(ResultCode::PeerUnknown);
             continue;
         }
-        take_beat(&state, &socket, source, &buffer[..length]);
+        take_datagram(&state, &socket, source, &buffer[..length]);
     }
 }
 
-fn take_beat(state: &HostState, socket: &UdpSocket, source: SocketAddrV4, bytes: &[u8]) {
-    let beat = match PeerBeat::decode(bytes) {
-        Ok(beat) => beat,
+/// Takes in what a peer has sent.
+fn take_datagram(state: &HostState, socket: &UdpSocket, source: SocketAddrV4, bytes: &[u8]) {
+    match PeerDatagram::decode(bytes) {
+        Ok(PeerDatagram::Beat(beat)) => take_beat(state, socket, source, beat),
+        Ok(PeerDatagram::Change(update)) => {
+            state.join(&update);
+        }
         Err(fault) => {
             let code = ResultCode::FrameMalformed;
             state.metrics.count_result(code);
-            log::info!(code = code.number(), peer:% = source; "beat dropped: {fault}");
-            return;
+            log::info!(code = code.number(), peer:% = source; "dropped: {fault}");
         }
-    };
+    }
+}
+
+fn take_beat(state: &HostState, socket: &UdpSocket, source: SocketAddrV4, beat: PeerBeat) {
     let now = Instant::now();
     let mut core = state.core.borrow_mut();
     let (zone, through) = (beat.zone.clone(), beat.through);
     if core.heard(now, source, beat) {
         log::info!(peer:% = source, zone:%, through; "peer heard");
         let beat = core.beat(now, state.stopping.get());
-        send_beat(state, socket, &beat, &[source]);
+        send(state, socket, &PeerDatagram::Beat(beat), &[source]);
     }
 }
 
-async fn send_beats(state: Rc<HostState>, socket: Rc<UdpSocket>) {
+/// Sends beats when a round is due, passes on what was read, and asks for what is missing.
+async fn keep_peers_told(state: Rc<HostState>, socket: Rc<UdpSocket>) {
     loop {
         let now = Instant::now();
         let round = state.core.borrow_mut().round(now, state.stopping.get());
         if let Some((beat, targets)) = round {
-            send_beat(&state, &socket, &beat, &targets);
+            send(&state, &socket, &PeerDatagram::Beat(beat), &targets);
         }
         let source = state.core.borrow_mut().source(now);
         if let Some(source) = source {
             state_transfer::ask(&state, source).await;
         }
-        tokio::time::sleep(LOOK_PAUSE).await;
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_PAUSE) => {}
+            () = state.read_something.notified() => pass_on(&state, &socket),
+        }
+    }
+}
+
+/// Passes on what was read. What is too long for a datagram is announced by a beat, and asked for.
+fn pass_on(state: &HostState, socket: &UdpSocket) {
+    let now = Instant::now();
+    let followers = state.core.borrow().followers(now);
+    for update in state.to_pass_on.take() {
+        let change = PeerDatagram::Change(update);
+        let length = change.encode().map(|bytes| bytes.len());
+        let datagram = match length {
+            Ok(length) if length <= MOST_DATAGRAM => change,
+            _ => PeerDatagram::Beat(state.core.borrow_mut().beat(now, state.stopping.get())),
+        };
+        send(state, socket, &datagram, &followers);
     }
 }
 
-fn send_beat(state: &HostState, socket: &UdpSocket, beat: &PeerBeat, targets: &[SocketAddrV4]) {
-    let bytes = match beat.encode() {
+fn send(state: &HostState, socket: &UdpSocket, datagram: &PeerDatagram, targets: &[SocketAddrV4]) {
+    let bytes = match datagram.encode() {
         Ok(bytes) => bytes,
         Err(fault) => {
-            log::error!("beat not sent: {fault}");
+            log::error!("nothing sent to peers: {fault}");
             return;
         }
     };
--- a/packetd/src/state_transfer.rs
+++ b/packetd/src/state_transfer.rs
@@ -60,7 +60,7 @@
     let fault = match answer {
         Ok(Ok(update)) => {
             log::info!(peer:% = peer, after, through = update.through, items = update.items.len(); "state from a peer");
-            state.join(&update);
+            state.join_and_pass_on(update);
             return;
         }
         Ok(Err(fault)) => fault.to_string(),
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -1,6 +1,7 @@
 //! Reads the platform's store as the feed asks, for as long as the process lives.
 
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use lagoonproxy::result_code::ResultCode;
@@ -13,7 +14,10 @@
 
 use crate::host_state::HostState;
 
-/// Reads the store.
+/// How often a host that leaves the reading to another looks whether that still reads.
+const ROLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Reads the store, as long as this is the host that does so for its zone.
 pub async fn read_store(state: Rc<HostState>) {
     let mut feed = StoreFeed::default();
     let mut address = state.settings.borrow().store_address;
@@ -24,6 +28,10 @@
             address = configured;
             client = StoreClient::new(address);
         }
+        if feed.is_listed() && !state.core.borrow_mut().should_read(Instant::now()) {
+            tokio::time::sleep(ROLE_PAUSE).await;
+            continue;
+        }
         let failures = feed.failures();
         feed.skip_to(state.core.borrow().view().through());
         let outcome = match feed.next_step(Instant::now()) {
@@ -48,7 +56,7 @@
                 }
                 state.core.borrow_mut().store_answered(Instant::now());
                 if let Some(update) = update {
-                    state.join(&update);
+                    state.join_and_pass_on(update);
                 }
             }
             Err(fault) => {
