evidence: a host that was held up blames nobody, and old silence ends no flow

Cause: hosts that stood still for three seconds, with the steady clock going on, read what had piled up before the next tick and took the copies for silence; and ten seconds later a flow that came back from another host was ended for it. Now a gap of 0.4 s between ticks and packets counts as held up, attempts prove nothing for a second after it, and a verdict of darkness needs an attempt of the last two seconds. Both tests fail without their guard. Ruled out: the check of the clock that runs on in a suspension, which stays.

--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -28,6 +28,10 @@
 /// How long a silent flow is remembered while no configuration says.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
+/// How long attempts without an answer are not believed after the host was held up. Copies of old
+/// packets lie in its socket, and callers whose flows went to other hosts need some time to return.
+const BLIND_TIME: Duration = Duration::from_secs(1);
+
 /// How often the tables are searched for what has lasted its time.
 const SWEEP_PAUSE: Duration = Duration::from_millis(500);
 
@@ -58,6 +62,9 @@
 pub struct FlowEvidence {
     table: FlowTable,
     next_sweep: Option<Instant>,
+    /// Until when attempts without an answer prove nothing: the host was held up, and what waited
+    /// in its socket meanwhile is read.
+    blind_until: Option<Instant>,
 }
 
 impl FlowEvidence {
@@ -82,10 +89,11 @@
         let Some(opening) = self.table.openings.get(key) else {
             return seen;
         };
+        let blind = self.is_blind(now);
         for attempt in &opening.attempts {
             seen.tried.push(attempt.upstream);
             let silence = &mut upstreams.get_mut(attempt.upstream).silence;
-            if silence.attempt_failed(now, attempt.sent) {
+            if !blind && silence.attempt_failed(now, attempt.sent) {
                 seen.avoided.push(attempt.upstream);
             }
         }
@@ -147,12 +155,17 @@
         if self.flow(&key).is_none() && !self.begin(now, key, head, index, upstreams) {
             return seen;
         }
+        let blind = self.is_blind(now);
         let Some(record) = self.table.flows.get_mut(&key) else {
             return seen;
         };
         record.last_seen = now;
         observe_answer(now, record, head, upstreams, &mut seen);
         observe_data(now, record, head, upstreams, &mut seen);
+        if let (Some(waited), false) = (seen.repeated, blind) {
+            let silence = &mut upstreams.get_mut(index).silence;
+            seen.avoided = silence.attempt_failed(now, now - waited);
+        }
         if head.last && !record.closing {
             record.closing = true;
             let upstream = upstreams.get_mut(index);
@@ -189,8 +202,14 @@
         ended
     }
 
-    /// Lets everybody who waits wait anew from now, for what they waited until now is unknown.
+    fn is_blind(&self, now: Instant) -> bool {
+        self.blind_until.is_some_and(|until| now < until)
+    }
+
+    /// Lets everybody who waits wait anew from now, for what they waited until now is unknown, and
+    /// believes no attempt until what has piled up is read.
     pub fn restart_waits(&mut self, now: Instant) {
+        self.blind_until = Some(now + BLIND_TIME);
         for record in self.table.flows.values_mut() {
             if record.waiting_since.is_some() {
                 record.waiting_since = Some(now);
@@ -235,13 +254,14 @@
         upstreams: &mut UpstreamTable,
     ) -> Vec<UpstreamIndex> {
         let mut avoided = Vec::new();
+        let blind = self.is_blind(now);
         self.table.openings.retain(|_key, opening| {
             let last = opening.attempts.last().map(|attempt| attempt.sent);
             let keep = last.is_some_and(|sent| now.saturating_duration_since(sent) < OPENING_LIFE);
             if !keep {
                 for attempt in &opening.attempts {
                     let silence = &mut upstreams.get_mut(attempt.upstream).silence;
-                    if silence.attempt_failed(now, attempt.sent) {
+                    if !blind && silence.attempt_failed(now, attempt.sent) {
                         avoided.push(attempt.upstream);
                     }
                 }
@@ -319,8 +339,6 @@
     };
     if !fresh {
         seen.repeated = Some(now.saturating_duration_since(since));
-        let silence = &mut upstreams.get_mut(record.upstream).silence;
-        seen.avoided = silence.attempt_failed(now, since);
     }
 }
 
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -46,6 +46,10 @@
 /// the registry, so that silence for longer than callers wait to send again (200 ms) says enough.
 const FORMER_SIGN: Duration = Duration::from_millis(500);
 
+/// Time without a tick or a packet after which the host was held up. Ticks come every 100 ms; hosts
+/// whose share of a core is used up stand still for up to 100 ms.
+const HELD_UP: Duration = Duration::from_millis(400);
+
 /// How far the steady clock and the clock that runs on during a freeze may differ.
 pub const FREEZE_SLACK: Duration = Duration::from_millis(100);
 
@@ -59,6 +63,8 @@
     zone: ZoneName,
     capacity: u32,
     role: ReadRole,
+    /// When the last tick or packet came.
+    last_event: Option<Instant>,
     /// Whether this host reads the store for its zone.
     reads: bool,
     /// Whether the last call of the store was answered.
@@ -84,6 +90,7 @@
             zone: settings.zone.clone(),
             capacity: settings.capacity,
             role: ReadRole::new(settings.peer_address, &settings.zone, settings.capacity),
+            last_event: None,
             reads: false,
             in_touch: false,
             steady_since: None,
@@ -152,7 +159,18 @@
         }
     }
 
-    /// Learns that the host was frozen: nobody's silence during that time means anything.
+    /// Notices by the clock that the host was held up: frozen, or without processor time.
+    ///
+    /// Asked at each packet, because packets that piled up are read before the next tick: copies of
+    /// requests that were answered through other hosts, or not sent on, look like silence.
+    fn notice_hold_up(&mut self, now: Instant) {
+        let last = self.last_event.replace(now);
+        if last.is_some_and(|last| now.saturating_duration_since(last) >= HELD_UP) {
+            self.woke_up(now);
+        }
+    }
+
+    /// Learns that the host was held up: nobody's silence during that time means anything.
     pub fn woke_up(&mut self, now: Instant) {
         self.upstreams.forgive_all();
         self.evidence.restart_waits(now);
@@ -208,6 +226,7 @@
 
     /// Ends what has lasted its time. To be called several times a second.
     pub fn tick(&mut self, now: Instant, output: &mut PacketOutput) {
+        self.notice_hold_up(now);
         self.upstreams.learn_reports(self.peers.near_reports(now));
         self.upstreams.learn_pools(&self.peers.far_pools(now));
         for index in self.upstreams.tick(now) {
@@ -269,6 +288,7 @@
 
     /// Decides about one packet from a caller.
     pub fn packet(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
+        self.notice_hold_up(now);
         if !self.view.is_complete() {
             output.actions.push(PacketAction::Drop {
                 code: ResultCode::NoConfig,
--- a/packet/src/silence_record.rs
+++ b/packet/src/silence_record.rs
@@ -26,6 +26,10 @@
 /// again after 200 ms; a full upstream's queue (8 waiting at 2 slots of 30 ms) is done in 120 ms.
 const DARK_SILENCE: Duration = Duration::from_millis(350);
 
+/// How long the last attempt without an answer speaks for darkness. Flows move from host to host, so
+/// that one that hears nothing of an upstream for longer knows nothing of it, neither good nor bad.
+const DARK_MEMORY: Duration = Duration::from_secs(2);
+
 /// How long an upstream is avoided before it is tried again beside another.
 const EJECTION: Duration = Duration::from_millis(1000);
 
@@ -43,6 +47,8 @@
     /// When the first of the attempts without an answer was sent; later than `last_sign`.
     silent_since: Option<Instant>,
     attempts: u32,
+    /// When the last of them was seen.
+    last_failed: Option<Instant>,
     outlier: OutlierRecord,
     /// When an avoided upstream may be tried again.
     next_trial: Option<Instant>,
@@ -80,7 +86,10 @@
         let long = self
             .silent_since
             .is_some_and(|since| now.saturating_duration_since(since) >= DARK_SILENCE);
-        self.is_avoided() && self.attempts >= DARK_ATTEMPTS && long
+        let fresh = self
+            .last_failed
+            .is_some_and(|failed| now.saturating_duration_since(failed) <= DARK_MEMORY);
+        self.is_avoided() && self.attempts >= DARK_ATTEMPTS && long && fresh
     }
 
     /// Whether an avoided upstream should be tried beside another one now.
@@ -128,6 +137,7 @@
             return false;
         }
         self.attempts += 1;
+        self.last_failed = Some(now);
         self.silent_since = Some(self.silent_since.map_or(sent, |since| since.min(sent)));
         if !self.is_avoided() && self.outlier.lost(SILENT_ATTEMPTS) {
             self.outlier.eject(now, EJECTION);
--- a/packet/tests/test_packet_core.rs
+++ b/packet/tests/test_packet_core.rs
@@ -341,6 +341,48 @@
     }
 }
 
+#[test]
+fn test_host_that_was_held_up_blames_nobody() {
+    // A machine stands still for three seconds, and its steady clock goes on. What callers sent
+    // meanwhile, in several copies, is read before the next tick. Their flows went on through other
+    // hosts; ten seconds later one comes back, and must not be ended for what was seen then.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3, 4]);
+    let flows: Vec<(u16, u8)> = (0..24).map(|flow| (flow, rig.establish(flow))).collect();
+    rig.pass(500);
+    let on_first = || flows.iter().filter(|(_flow, at)| *at == 1);
+    for (flow, upstream) in on_first() {
+        rig.request(*flow, *upstream, 0);
+    }
+    rig.now += Duration::from_secs(3);
+    for _copy in 0..4 {
+        for (flow, upstream) in on_first() {
+            assert_eq!(forwarded(&rig.request(*flow, *upstream, 0)), [1]);
+        }
+    }
+    rig.pass(1500);
+    assert!(rig.resets.is_empty(), "flows that live were ended");
+    rig.pass(8000);
+    let (flow, upstream) = on_first().next().expect("a flow at 1");
+    assert_eq!(forwarded(&rig.request(*flow, *upstream, 1)), [1]);
+}
+
+#[test]
+fn test_old_silence_ends_no_flow() {
+    // A host once saw three attempts at an upstream fail, and nothing of it since: its flows went
+    // through other hosts. Ten seconds later a flow of that upstream comes to this host.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3, 4]);
+    let flows: Vec<u16> = (0..12).filter(|flow| rig.establish(*flow) == 1).collect();
+    rig.pass(1000);
+    for _copy in 0..2 {
+        for flow in &flows {
+            rig.request(*flow, 1, 0);
+        }
+        rig.pass(100);
+    }
+    rig.pass(10_000);
+    assert_eq!(forwarded(&rig.request(500, 1, 3)), [1], "a flow that lives");
+}
+
 #[test]
 fn test_registrations_that_lapse_with_the_store() {
     // The store is away for ten seconds. Upstreams cannot renew their registrations, and on its
--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -7,9 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use lagoonproxy::result_code::ResultCode;
 use tokio::net::UdpSocket;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::spawn_local;
@@ -38,6 +40,15 @@
 
 /// Runs the host until it is asked to stop.
 pub async fn run(path: &Path, logs: LogLines) -> ExitCode {
+    // Before anything else: until then, SIGHUP and SIGTERM end the process.
+    let (hangup, stop) = match (signal(SignalKind::hangup()), StopSignals::new()) {
+        (Ok(hangup), Ok(stop)) => (hangup, stop),
+        (Err(error), _) | (_, Err(error)) => {
+            log::error!("cannot wait for signals: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let read_at = modified(path);
     let Some(settings) = read_settings(path) else {
         return exit_code(ResultCode::SettingsInvalid);
     };
@@ -64,11 +75,9 @@
     }
     peer_socket::start(&state, peer_address).await;
     spawn_local(keep_time(state.clone(), socket.clone(), logs));
-    spawn_local(follow_settings(state.clone(), path.to_owned()));
-    if let Err(error) = stop_asked().await {
-        log::error!("cannot wait for signals: {error}");
-        return ExitCode::FAILURE;
-    }
+    let following = follow_settings(state.clone(), path.to_owned(), read_at, hangup);
+    spawn_local(following);
+    stop.received().await;
     state.stopping.set(true);
     log::info!("stop asked for; no longer ready");
     wait_for_silence(state.clone()).await;
@@ -76,15 +85,26 @@
     ExitCode::SUCCESS
 }
 
-/// Waits for SIGTERM or SIGINT.
-async fn stop_asked() -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that ask the process to stop.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn received(mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
 
 async fn keep_time(state: Rc<HostState>, socket: Rc<UdpSocket>, logs: LogLines) {
@@ -103,12 +123,16 @@
 }
 
 /// Reloads the settings on SIGHUP, and when the file changes without it.
-async fn follow_settings(state: Rc<HostState>, path: PathBuf) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log::error!("cannot wait for SIGHUP");
-        return;
-    };
-    let mut changed = modified(&path);
+///
+/// The file may change while the process starts, so `read_at` is when it was last changed before it
+/// was first read.
+async fn follow_settings(
+    state: Rc<HostState>,
+    path: PathBuf,
+    read_at: Option<SystemTime>,
+    mut hangup: Signal,
+) {
+    let mut changed = read_at;
     loop {
         tokio::select! {
             _ = hangup.recv() => log::info!("SIGHUP"),
@@ -124,7 +148,8 @@
     }
 }
 
-fn modified(path: &Path) -> Option<std::time::SystemTime> {
+/// When a file was last changed, if that can be told.
+fn modified(path: &Path) -> Option<SystemTime> {
     std::fs::metadata(path)
         .and_then(|file| file.modified())
         .ok()
--- a/standin/src/packet_upstream.rs
+++ b/standin/src/packet_upstream.rs
@@ -52,14 +52,14 @@
 }
 
 /// One upstream.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct PacketUpstream {
     /// The number in its name.
     pub number: u64,
     /// Where it takes packets.
     pub address: SocketAddrV4,
     inner: Arc<Mutex<Inner>>,
-    task: Arc<tokio::task::JoinHandle<()>>,
+    task: tokio::task::JoinHandle<()>,
 }
 
 impl PacketUpstream {
@@ -76,7 +76,7 @@
             number,
             address,
             inner,
-            task: Arc::new(task),
+            task,
         })
     }
 
@@ -93,9 +93,7 @@
     /// Ends it, so that another may have its address.
     pub async fn end(self) {
         self.task.abort();
-        while !self.task.is_finished() {
-            tokio::task::yield_now().await;
-        }
+        let _cancelled = self.task.await;
     }
 }
 
