evidence: packets in the wrong order are no repetition

Cause: the second packet of a request overtook the first, which then looked like a copy (waited 0 ms) and added to six attempts that were nine seconds old. A copy counts from 150 ms on (callers send again after 200), and attempts that are older than two seconds do not add up. Tests: reordered packets, old attempts; both fail without.

--- a/packet/src/silence_record.rs
+++ b/packet/src/silence_record.rs
@@ -26,6 +26,10 @@
 /// again after 200 ms; a full upstream's queue (8 waiting at 2 slots of 30 ms) is done in 120 ms.
 const DARK_SILENCE: Duration = Duration::from_millis(350);
 
+/// Shortest time after which a copy of a packet says that the first had no answer. Callers send
+/// again after 200 ms; what comes sooner was reordered or doubled by the network.
+const SOONEST_REPEAT: Duration = Duration::from_millis(150);
+
 /// How long the last attempt without an answer speaks for darkness. Flows move from host to host, so
 /// that one that hears nothing of an upstream for longer knows nothing of it, neither good nor bad.
 const DARK_MEMORY: Duration = Duration::from_secs(2);
@@ -86,10 +90,13 @@
         let long = self
             .silent_since
             .is_some_and(|since| now.saturating_duration_since(since) >= DARK_SILENCE);
-        let fresh = self
-            .last_failed
-            .is_some_and(|failed| now.saturating_duration_since(failed) <= DARK_MEMORY);
-        self.is_avoided() && self.attempts >= DARK_ATTEMPTS && long && fresh
+        self.is_avoided() && self.attempts >= DARK_ATTEMPTS && long && self.is_fresh(now)
+    }
+
+    /// Whether the last attempt without an answer was seen of late.
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.last_failed
+            .is_some_and(|failed| now.saturating_duration_since(failed) <= DARK_MEMORY)
     }
 
     /// Whether an avoided upstream should be tried beside another one now.
@@ -133,9 +140,14 @@
 
     /// Learns of an attempt, sent at `sent`, that has no answer yet; true if it is avoided from now.
     pub fn attempt_failed(&mut self, now: Instant, sent: Instant) -> bool {
-        if self.last_sign.is_some_and(|sign| sign >= sent) {
+        let too_soon = now.saturating_duration_since(sent) < SOONEST_REPEAT;
+        if too_soon || self.last_sign.is_some_and(|sign| sign >= sent) {
             return false;
         }
+        if !self.is_fresh(now) {
+            self.attempts = 0;
+            self.silent_since = None;
+        }
         self.attempts += 1;
         self.last_failed = Some(now);
         self.silent_since = Some(self.silent_since.map_or(sent, |since| since.min(sent)));
--- a/packet/tests/test_packet_core.rs
+++ b/packet/tests/test_packet_core.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_packet::packet_action::BeliefChange;
+use lagoonproxy_packet::packet_action::DecisionNote;
 use lagoonproxy_packet::packet_action::PacketAction;
 use lagoonproxy_packet::packet_head::PacketKind;
 use lagoonproxy_packet::upstream_entry::EntryState;
@@ -366,6 +368,33 @@
     assert_eq!(forwarded(&rig.request(*flow, *upstream, 1)), [1]);
 }
 
+#[test]
+fn test_reordered_packets_are_no_repetition() {
+    // Requests of two packets reach a host in the wrong order. The second looks like one that was
+    // sent before and had no answer, and a few such requests end the flows of a live upstream.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3, 4]);
+    let flows: Vec<u16> = (0..40).filter(|flow| rig.establish(*flow) == 1).collect();
+    rig.pass(500);
+    for flow in &flows {
+        for seq in [100, 0] {
+            let head = carry_head(*flow, 1, seq, 1, 100);
+            assert_eq!(forwarded(&rig.packet(&head)), [1]);
+        }
+        rig.pass(60);
+    }
+    assert!(rig.resets.is_empty(), "flows that live were ended");
+    let avoided = rig.notes.iter().any(|note| {
+        matches!(
+            note,
+            DecisionNote::Upstream {
+                change: BeliefChange::Avoided,
+                ..
+            }
+        )
+    });
+    assert!(!avoided, "a live upstream is avoided");
+}
+
 #[test]
 fn test_old_silence_ends_no_flow() {
     // A host once saw three attempts at an upstream fail, and nothing of it since: its flows went
--- a/packet/tests/test_silence_record.rs
+++ b/packet/tests/test_silence_record.rs
@@ -108,6 +108,28 @@
             avoided: true,
             dark: true,
         },
+        Case {
+            name: "copies that come too soon",
+            happenings: &[
+                (0, Sign),
+                (300, Failed(1)),
+                (310, Failed(3)),
+                (900, Failed(100)),
+            ],
+            avoided: false,
+            dark: false,
+        },
+        Case {
+            name: "old attempts do not add up with a new one",
+            happenings: &[
+                (300, Failed(200)),
+                (310, Failed(200)),
+                (320, Failed(200)),
+                (9000, Failed(500)),
+            ],
+            avoided: true,
+            dark: false,
+        },
         Case {
             name: "it answers again",
             happenings: &[(300, Failed(200)), (310, Failed(200)), (900, Sign)],
