--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -12,8 +12,6 @@
 use lagoonproxy::result_code::ResultCode;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::task::spawn_local;
 
 use crate::freeze_watch::FreezeWatch;
@@ -22,6 +20,7 @@
 use crate::packet_socket::forward_packets;
 use crate::packet_socket::send_reset;
 use crate::peer_socket;
+use crate::process_signals::ProcessSignals;
 use crate::settings_watch::exit_code;
 use crate::settings_watch::read_settings;
 use crate::settings_watch::reload;
@@ -39,15 +38,7 @@
 const METRICS_PORT: u16 = 9180;
 
 /// Runs the host until it is asked to stop.
-pub async fn run(path: &Path, logs: LogLines) -> ExitCode {
-    // Before anything else: until then, SIGHUP and SIGTERM end the process.
-    let (hangup, stop) = match (signal(SignalKind::hangup()), StopSignals::new()) {
-        (Ok(hangup), Ok(stop)) => (hangup, stop),
-        (Err(error), _) | (_, Err(error)) => {
-            log::error!("cannot wait for signals: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
+pub async fn run(path: &Path, signals: ProcessSignals, logs: LogLines) -> ExitCode {
     let read_at = modified(path);
     let Some(settings) = read_settings(path) else {
         return exit_code(ResultCode::SettingsInvalid);
@@ -75,9 +66,9 @@
     }
     peer_socket::start(&state, peer_address).await;
     spawn_local(keep_time(state.clone(), socket.clone(), logs));
-    let following = follow_settings(state.clone(), path.to_owned(), read_at, hangup);
+    let following = follow_settings(state.clone(), path.to_owned(), read_at, signals.hangup);
     spawn_local(following);
-    stop.received().await;
+    signals.stop.received().await;
     state.stopping.set(true);
     log::info!("stop asked for; no longer ready");
     wait_for_silence(state.clone()).await;
@@ -85,28 +76,6 @@
     ExitCode::SUCCESS
 }
 
-/// The signals that ask the process to stop.
-struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl StopSignals {
-    fn new() -> std::io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-        })
-    }
-
-    async fn received(mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
 async fn keep_time(state: Rc<HostState>, socket: Rc<UdpSocket>, logs: LogLines) {
     let mut freeze = FreezeWatch::new();
     loop {
--- a/packetd/src/main.rs
+++ b/packetd/src/main.rs
@@ -9,6 +9,7 @@
 mod note_log;
 mod packet_socket;
 mod peer_socket;
+mod process_signals;
 mod settings_watch;
 mod state_transfer;
 mod stop_wait;
@@ -23,6 +24,8 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
+use crate::process_signals::ProcessSignals;
+
 /// Forward callers' packets to the upstreams of their services.
 #[derive(FromArgs)]
 struct Arguments {
@@ -35,22 +38,32 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
-    let path = arguments.settings.unwrap_or_else(settings_path);
-    let logs = log_lines::init();
-    if arguments.check {
-        return settings_watch::check(&path);
-    }
     let runtime = match Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            log::error!("the runtime cannot start: {error}");
-            logs.flush();
+            eprintln!("the runtime cannot start: {error}");
             return ExitCode::FAILURE;
         }
     };
-    let local = LocalSet::new();
-    let code = local.block_on(&runtime, host_process::run(&path, logs.clone()));
+    LocalSet::new().block_on(&runtime, start())
+}
+
+/// Takes signals before anything else, for until then each of them ends the process.
+async fn start() -> ExitCode {
+    let signals = match ProcessSignals::new() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("cannot wait for signals: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let arguments: Arguments = argh::from_env();
+    let path = arguments.settings.unwrap_or_else(settings_path);
+    if arguments.check {
+        return settings_watch::check(&path);
+    }
+    let logs = log_lines::init();
+    let code = host_process::run(&path, signals, logs.clone()).await;
     logs.flush();
     code
 }
--- a/packetd/tests/test_packet_changes.rs
+++ b/packetd/tests/test_packet_changes.rs
@@ -8,11 +8,13 @@
 use lagoonproxy_standin::packet_upstream::answer_to;
 use tokio::process::Command;
 
-use crate::packet_cell::*;
+use lagoonproxy_standin::packet_cell::*;
+
+use crate::program;
 
 #[tokio::test]
 async fn test_calm_day() {
-    let mut cell = PacketCell::ready(2, 3).await;
+    let mut cell = PacketCell::ready(program(), 2, 3).await;
     let mut caller = cell.caller().await;
     for number in 0..20 {
         let mut flow = caller.open(ledger()).await.expect("a flow");
@@ -53,7 +55,7 @@
 async fn test_rolling_restart_loses_no_request() {
     // Operators restart one host after the other while callers work. A host that ends while the
     // fabric still sends to it loses their packets, and each costs its caller 200 ms or more.
-    let mut cell = PacketCell::ready(3, 3).await;
+    let mut cell = PacketCell::ready(program(), 3, 3).await;
     let mut caller = cell.caller().await;
     let load = tokio::spawn(async move {
         let mut flow = caller.open(ledger()).await.expect("a flow");
@@ -83,7 +85,7 @@
 
 #[tokio::test]
 async fn test_drained_upstream_gets_no_new_flows() {
-    let mut cell = PacketCell::ready(1, 2).await;
+    let mut cell = PacketCell::ready(program(), 1, 2).await;
     let mut caller = cell.caller().await;
     cell.register(&cell.upstreams[0], "ledger", "draining");
     cell.hosts[0]
@@ -100,7 +102,7 @@
 async fn test_address_goes_to_another_service() {
     // An upstream of the ledger ends and its address is given to one of the certificate service.
     // A caller's packet on its old flow must not be taken by the heir.
-    let mut cell = PacketCell::ready(1, 1).await;
+    let mut cell = PacketCell::ready(program(), 1, 1).await;
     let mut caller = cell.caller().await;
     let mut flow = caller.open(ledger()).await.expect("a flow");
     caller
@@ -130,7 +132,7 @@
 
 #[tokio::test]
 async fn test_routes_never_go_back() {
-    let mut cell = PacketCell::ready(1, 1).await;
+    let mut cell = PacketCell::ready(program(), 1, 1).await;
     let mut caller = cell.caller().await;
     cell.publish_routes(9, &[(certs(), "certs")]);
     cell.hosts[0]
@@ -153,7 +155,7 @@
     // The store moves to another address. Operators change the settings file and send SIGHUP, or
     // forget to. The host must follow, and must die of neither.
     for with_signal in [true, false] {
-        let mut cell = PacketCell::with_upstreams(1).await;
+        let mut cell = PacketCell::with_upstreams(program(), 1).await;
         cell.start_host(StoreMood::Refuse(503)).await;
         let moved = cell.store.open_port(StoreMood::Serve).await.unwrap();
         cell.write_settings(1, &moved);
--- a/packetd/tests/test_packet_failures.rs
+++ b/packetd/tests/test_packet_failures.rs
@@ -4,13 +4,15 @@
 
 use lagoonproxy_standin::packet_store::StoreMood;
 
-use crate::packet_cell::*;
+use lagoonproxy_standin::packet_cell::*;
+
+use crate::program;
 
 #[tokio::test]
 async fn test_host_is_killed_under_flows() {
     // A host loses power. The fabric hands its flows to the others, which never saw them open, and
     // every caller's next request has to be answered by the same upstream.
-    let mut cell = PacketCell::ready(3, 3).await;
+    let mut cell = PacketCell::ready(program(), 3, 3).await;
     let mut caller = cell.caller().await;
     let mut flows = Vec::new();
     for _flow in 0..12 {
@@ -40,7 +42,7 @@
         StoreMood::Refuse(429),
         StoreMood::Silent,
     ] {
-        let mut cell = PacketCell::ready(2, 2).await;
+        let mut cell = PacketCell::ready(program(), 2, 2).await;
         cell.hosts[1].store.set_mood(mood);
         cell.register(&cell.upstreams[0], "ledger", "draining");
         cell.publish_routes(2, &[(ledger(), "ledger")]);
@@ -61,7 +63,7 @@
 #[tokio::test]
 async fn test_host_starts_while_the_store_is_away() {
     // A host is replaced while the store is down. Without its peers' copy it could serve nobody.
-    let mut cell = PacketCell::ready(1, 2).await;
+    let mut cell = PacketCell::ready(program(), 1, 2).await;
     cell.hosts[0].store.set_mood(StoreMood::Silent);
     cell.start_host(StoreMood::Silent).await;
     cell.wait_for_rotation(2).await;
@@ -78,7 +80,7 @@
 #[tokio::test]
 async fn test_host_that_knows_nothing_is_not_ready() {
     // No store and no peers: a host that called itself ready would drop whatever it gets.
-    let mut cell = PacketCell::with_upstreams(1).await;
+    let mut cell = PacketCell::with_upstreams(program(), 1).await;
     cell.start_host(StoreMood::Refuse(503)).await;
     cell.hosts[0]
         .wait_for_metric("lagoon_packet_store_calls", |calls| calls >= 2.0)
@@ -92,7 +94,7 @@
 async fn test_store_forgets_its_history() {
     // The store drops its history while a host was turned away. The host has to read the list
     // again, learn from it who is missing, and keep serving all the while.
-    let mut cell = PacketCell::ready(1, 2).await;
+    let mut cell = PacketCell::ready(program(), 1, 2).await;
     cell.hosts[0].store.set_mood(StoreMood::Refuse(503));
     cell.hosts[0]
         .wait_for_metric("lagoon_packet_store_calls_total{code=\"502\"", |calls| {
@@ -116,7 +118,7 @@
 
 #[tokio::test]
 async fn test_other_writers_entries_harm_nobody() {
-    let mut cell = PacketCell::ready(1, 1).await;
+    let mut cell = PacketCell::ready(program(), 1, 1).await;
     cell.store.put_bytes("servers/i-ff", b"\xff\xfe not json");
     cell.store.put_bytes("servers/none", b"{}");
     cell.store.put_bytes("op/config", b"{\"Version\":");
@@ -138,7 +140,7 @@
 async fn test_upstream_goes_dark() {
     // An upstream loses power and its registration stays. Callers that wait on its flows are told
     // within about half a second, and new flows go to others.
-    let mut cell = PacketCell::ready(1, 3).await;
+    let mut cell = PacketCell::ready(program(), 1, 3).await;
     let mut caller = cell.caller().await;
     let mut on_dark = Vec::new();
     for _flow in 0..30 {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod load_report;
 pub mod load_run;
 pub mod packet_caller;
+pub mod packet_cell;
+pub mod packet_soak;
 pub mod packet_store;
 pub mod packet_upstream;
 pub mod packet_wire;
--- a/standin/src/packet_caller.rs
+++ b/standin/src/packet_caller.rs
@@ -218,6 +218,11 @@
 }
 
 impl CallerFlow {
+    /// The address that was asked for.
+    pub fn service(&self) -> SocketAddrV4 {
+        self.service
+    }
+
     fn packet(&self, flags: u8, data: &[u8]) -> WirePacket {
         let mut packet = WirePacket::bare(self.source, self.service, flags);
         packet.echo = self.echo;
--- a/packetd/tests/packet_cell.rs
+++ b/standin/src/packet_cell.rs
@@ -1,21 +1,25 @@
 //! Entry hosts as child processes, among stand-ins for the store, upstreams, fabric and callers.
+//!
+//! For tests and the soak: what cannot be set up panics.
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
-use lagoonproxy_standin::packet_caller::PacketCaller;
-use lagoonproxy_standin::packet_caller::PacketFabric;
-use lagoonproxy_standin::packet_store::PacketStore;
-use lagoonproxy_standin::packet_store::StoreMood;
-use lagoonproxy_standin::packet_store::StorePort;
-use lagoonproxy_standin::packet_upstream::PacketUpstream;
+use crate::packet_caller::PacketCaller;
+use crate::packet_caller::PacketFabric;
+use crate::packet_store::PacketStore;
+use crate::packet_store::StoreMood;
+use crate::packet_store::StorePort;
+use crate::packet_upstream::PacketUpstream;
 use serde_json::Value;
 use serde_json::json;
 use tokio::process::Child;
@@ -30,6 +34,9 @@
 /// How long a request may take in tests: long enough for every copy of it.
 pub const REQUEST_LIMIT: Duration = Duration::from_secs(8);
 
+/// Time after which a started process takes signals, also on a busy machine.
+const STARTING: Duration = Duration::from_millis(500);
+
 /// Port at which callers are answered and hosts take packets.
 const PACKET_PORT: u16 = 28_172;
 const READY_PORT: u16 = 28_167;
@@ -46,13 +53,16 @@
     pub ready: SocketAddrV4,
     /// The store as this host meets it.
     pub store: StorePort,
+    program: PathBuf,
     settings: PathBuf,
     child: Child,
+    started: Instant,
 }
 
 /// Hosts, upstreams and a store.
 pub struct PacketCell {
     number: u8,
+    program: PathBuf,
     /// The store.
     pub store: PacketStore,
     /// The fabric.
@@ -76,9 +86,10 @@
 
 impl PacketCell {
     /// A cell without hosts, with upstreams of the ledger that are registered.
-    pub async fn with_upstreams(count: u8) -> Self {
+    pub async fn with_upstreams(program: &Path, count: u8) -> Self {
         let mut cell = Self {
             number: NEXT_CELL.fetch_add(1, Ordering::Relaxed),
+            program: program.to_owned(),
             store: PacketStore::default(),
             fabric: PacketFabric::default(),
             hosts: Vec::new(),
@@ -95,8 +106,8 @@
     }
 
     /// A cell with hosts that are ready and in the rotation.
-    pub async fn ready(hosts: u8, upstreams: u8) -> Self {
-        let mut cell = Self::with_upstreams(upstreams).await;
+    pub async fn ready(program: &Path, hosts: u8, upstreams: u8) -> Self {
+        let mut cell = Self::with_upstreams(program, upstreams).await;
         for _host in 0..hosts {
             cell.start_host(StoreMood::Serve).await;
         }
@@ -147,8 +158,10 @@
             packets: SocketAddrV4::new(self.ip(place), PACKET_PORT),
             ready: SocketAddrV4::new(self.ip(place), READY_PORT),
             store,
-            child: spawn(&settings),
+            child: spawn(&self.program, &settings),
+            program: self.program.clone(),
             settings,
+            started: Instant::now(),
         };
         self.fabric.follow(host.packets, host.ready);
         self.hosts.push(host);
@@ -189,8 +202,10 @@
         path
     }
 
+    /// An address of this cell; cells of other processes that run at the same time have others.
     fn ip(&self, last: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, 77, self.number, last)
+        let process = 1 + (std::process::id() % 250) as u8;
+        Ipv4Addr::new(127, process, self.number, last)
     }
 }
 
@@ -219,9 +234,21 @@
         self.child.wait().await.unwrap();
     }
 
+    /// Whether the process was started so short a time ago that it may not take signals yet: until
+    /// a program has begun to run, the system ends it at any of them.
+    pub fn is_starting(&self) -> bool {
+        self.started.elapsed() < STARTING
+    }
+
+    /// How the process has ended, if it has.
+    pub fn has_ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
     /// Starts the process again.
     pub fn start_again(&mut self) {
-        self.child = spawn(&self.settings);
+        self.child = spawn(&self.program, &self.settings);
+        self.started = Instant::now();
     }
 
     /// One metric, by the beginning of its line; 0 while the process does not listen yet.
@@ -270,8 +297,8 @@
     assert!(waited.is_ok(), "{what}: never so");
 }
 
-fn spawn(settings: &PathBuf) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_lagoon-packet"))
+fn spawn(program: &Path, settings: &Path) -> Child {
+    Command::new(program)
         .arg("--settings")
         .arg(settings)
         .stdout(Stdio::null())
--- a/standin/src/packet_upstream.rs
+++ b/standin/src/packet_upstream.rs
@@ -1,5 +1,6 @@
 //! An upstream that speaks packets: it answers callers directly and judges what reaches it.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -32,6 +33,8 @@
     pub forged: u64,
     /// Packets of flows that it does not hold.
     pub unknown: u64,
+    /// Opening packets by the address that the caller asked for.
+    pub asked_for: BTreeMap<SocketAddrV4, u64>,
 }
 
 #[derive(Debug)]
@@ -166,6 +169,7 @@
 
     fn open(&mut self, packet: &WirePacket) -> WirePacket {
         self.tally.openings += 1;
+        *self.tally.asked_for.entry(packet.target).or_default() += 1;
         let flow = HeldFlow {
             echo: packet.echo,
             expected: packet.seq.wrapping_add(1),
