--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -3,7 +3,6 @@
 //! Packets, published state and ticks go in with the present time; actions and notes come out.
 //! The same inputs at the same times give the same outputs.
 
-use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,9 +22,7 @@
 use crate::packet_action::PacketOutput;
 use crate::packet_head::PacketHead;
 use crate::packet_head::PacketKind;
-use crate::peer_beat::PeerBeat;
 use crate::peer_table::PeerTable;
-use crate::published_view::JoinOutcome;
 use crate::published_view::PublishedView;
 use crate::published_view::ViewChange;
 use crate::published_view::ViewUpdate;
@@ -55,23 +52,23 @@
 
 /// The decisions of one entry host.
 pub struct PacketCore {
-    view: PublishedView,
-    upstreams: UpstreamTable,
-    routes: RouteTable,
-    evidence: FlowEvidence,
-    peers: PeerTable,
-    zone: ZoneName,
-    capacity: u32,
-    role: ReadRole,
+    pub(crate) view: PublishedView,
+    pub(crate) upstreams: UpstreamTable,
+    pub(crate) routes: RouteTable,
+    pub(crate) evidence: FlowEvidence,
+    pub(crate) peers: PeerTable,
+    pub(crate) zone: ZoneName,
+    pub(crate) capacity: u32,
+    pub(crate) role: ReadRole,
     /// When the last tick or packet came.
-    last_event: Option<Instant>,
+    pub(crate) last_event: Option<Instant>,
     /// Whether this host reads the store for its zone.
-    reads: bool,
+    pub(crate) reads: bool,
     /// Whether the last call of the store was answered.
-    in_touch: bool,
+    pub(crate) in_touch: bool,
     /// Since when the published state has been held without a break in the contact to the store.
-    steady_since: Option<Instant>,
-    version: Version,
+    pub(crate) steady_since: Option<Instant>,
+    pub(crate) version: Version,
 }
 
 impl PacketCore {
@@ -176,54 +173,6 @@
         self.evidence.restart_waits(now);
     }
 
-    /// Takes in a peer's beat; true if the peer should get one in return at once.
-    pub fn heard(&mut self, now: Instant, from: SocketAddrV4, beat: PeerBeat) -> bool {
-        self.peers.heard(now, from, beat)
-    }
-
-    /// The beat to send now, and to whom; nobody between rounds.
-    pub fn round(&mut self, now: Instant, stopping: bool) -> Option<(PeerBeat, Vec<SocketAddrV4>)> {
-        let targets = self.peers.round(now, self.reads);
-        if targets.is_empty() {
-            return None;
-        }
-        Some((self.beat(now, stopping), targets))
-    }
-
-    /// What this host says of itself.
-    pub fn beat(&mut self, now: Instant, stopping: bool) -> PeerBeat {
-        PeerBeat {
-            zone: self.zone.clone(),
-            reads: self.reads && self.in_touch && !stopping,
-            capacity: self.capacity,
-            ready: self.is_ready() && !stopping,
-            through: self.view.through(),
-            named: self.peers.some_alive(now),
-            reports: self.upstreams.reports(now),
-            pools: self.upstreams.pool_reports(),
-        }
-    }
-
-    /// The peer to ask for state that this host is missing.
-    pub fn source(&mut self, now: Instant) -> Option<SocketAddrV4> {
-        self.peers.source(now, self.view.through(), self.reads)
-    }
-
-    /// Whether this host is to read the store now.
-    pub fn should_read(&mut self, now: Instant) -> bool {
-        self.reads = self.role.decide(now, &self.peers);
-        self.reads
-    }
-
-    /// The hosts to which a reader passes on what it has read.
-    pub fn followers(&self, now: Instant) -> Vec<SocketAddrV4> {
-        if self.reads {
-            self.peers.near_addresses(now)
-        } else {
-            Vec::new()
-        }
-    }
-
     /// Ends what has lasted its time. To be called several times a second.
     pub fn tick(&mut self, now: Instant, output: &mut PacketOutput) {
         self.notice_hold_up(now);
@@ -241,18 +190,6 @@
         self.end_lost_flows(now, output);
     }
 
-    /// A host that does not read itself knows by its reader whether the store answers.
-    fn follow_reader(&mut self, now: Instant) {
-        if self.reads || !self.view.is_complete() {
-            return;
-        }
-        if self.peers.has_reader(now) {
-            self.steady_since.get_or_insert(now);
-        } else {
-            self.steady_since = None;
-        }
-    }
-
     /// Ends the flows of upstreams that do not answer any more, also those that wait for nothing.
     ///
     /// Callers keep flows open between requests. A request that may not run twice and is sent on a
@@ -472,78 +409,6 @@
             }
         }
     }
-
-    fn note_outcome(&self, outcome: &JoinOutcome, output: &mut PacketOutput) {
-        if let Some(version) = outcome.regressed {
-            output.notes.push(DecisionNote::RoutesRegressed { version });
-        }
-        if outcome.unreadable > 0 {
-            output.notes.push(DecisionNote::Unreadable {
-                items: outcome.unreadable,
-            });
-        }
-    }
-
-    fn note_placed(
-        &self,
-        now: Instant,
-        head: &PacketHead,
-        index: UpstreamIndex,
-        raced: bool,
-        output: &mut PacketOutput,
-    ) {
-        let record = self.upstreams.get(index);
-        output.notes.push(DecisionNote::Placed {
-            caller: head.caller,
-            service: head.service,
-            copy: head.ack,
-            upstream: record.name.clone(),
-            flows: record.flows,
-            heard_ago: heard_ago(now, record.silence.last_sign()),
-            raced,
-            version: self.version,
-        });
-    }
-
-    fn note_repeated(
-        &self,
-        now: Instant,
-        head: &PacketHead,
-        index: UpstreamIndex,
-        waited: Duration,
-        output: &mut PacketOutput,
-    ) {
-        let record = self.upstreams.get(index);
-        output.notes.push(DecisionNote::Repeated {
-            caller: head.caller,
-            service: head.service,
-            upstream: record.name.clone(),
-            waited,
-            heard_ago: heard_ago(now, record.silence.last_sign()),
-            attempts: record.silence.attempts(),
-        });
-    }
-
-    fn note_belief(
-        &self,
-        now: Instant,
-        index: UpstreamIndex,
-        change: BeliefChange,
-        output: &mut PacketOutput,
-    ) {
-        let record = self.upstreams.get(index);
-        output.notes.push(DecisionNote::Upstream {
-            upstream: record.name.clone(),
-            change,
-            attempts: record.silence.attempts(),
-            heard_ago: heard_ago(now, record.silence.last_sign()),
-            through: self.view.through(),
-        });
-    }
-}
-
-fn heard_ago(now: Instant, sign: Option<Instant>) -> Option<Duration> {
-    sign.map(|sign| now.saturating_duration_since(sign))
 }
 
 fn flow_key(head: &PacketHead) -> FlowKey {
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -320,3 +320,12 @@
         _ => None,
     })
 }
+
+/// What becomes of a packet, in two words.
+pub fn describe(action: &PacketAction) -> String {
+    match action {
+        PacketAction::Forward { .. } => "forward".to_owned(),
+        PacketAction::Reset { code, .. } => format!("reset {}", code.number()),
+        PacketAction::Drop { code } => format!("drop {}", code.number()),
+    }
+}
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -3,6 +3,7 @@
 mod core_rig;
 mod test_allocations;
 mod test_flow_evidence;
+mod test_lost_upstreams;
 mod test_packet_core;
 mod test_peer_table;
 mod test_published_view;
