evidence: darkness needs unanswered attempts of two callers

A flow that is idle is reset at its first packet by a host that sees one flow an upstream. Test: one caller alone.

--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -93,7 +93,7 @@
         for attempt in &opening.attempts {
             seen.tried.push(attempt.upstream);
             let silence = &mut upstreams.get_mut(attempt.upstream).silence;
-            if !blind && silence.attempt_failed(now, attempt.sent) {
+            if !blind && silence.attempt_failed(now, attempt.sent, key.caller) {
                 seen.avoided.push(attempt.upstream);
             }
         }
@@ -164,7 +164,7 @@
         observe_data(now, record, head, upstreams, &mut seen);
         if let (Some(waited), false) = (seen.repeated, blind) {
             let silence = &mut upstreams.get_mut(index).silence;
-            seen.avoided = silence.attempt_failed(now, now - waited);
+            seen.avoided = silence.attempt_failed(now, now - waited, key.caller);
         }
         if head.last && !record.closing {
             record.closing = true;
@@ -255,13 +255,13 @@
     ) -> Vec<UpstreamIndex> {
         let mut avoided = Vec::new();
         let blind = self.is_blind(now);
-        self.table.openings.retain(|_key, opening| {
+        self.table.openings.retain(|key, opening| {
             let last = opening.attempts.last().map(|attempt| attempt.sent);
             let keep = last.is_some_and(|sent| now.saturating_duration_since(sent) < OPENING_LIFE);
             if !keep {
                 for attempt in &opening.attempts {
                     let silence = &mut upstreams.get_mut(attempt.upstream).silence;
-                    if !blind && silence.attempt_failed(now, attempt.sent) {
+                    if !blind && silence.attempt_failed(now, attempt.sent, key.caller) {
                         avoided.push(attempt.upstream);
                     }
                 }
--- a/packet/src/silence_record.rs
+++ b/packet/src/silence_record.rs
@@ -8,6 +8,7 @@
 //! again, with no proof of life from that upstream since its first copy, is an attempt without an
 //! answer. The bound on how many may be out at once stands in [`crate::upstream_choice`].
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,8 +19,9 @@
 /// between are 1 in 500,000.
 const SILENT_ATTEMPTS: u32 = 2;
 
-/// Attempts without an answer after which the upstream is taken to be dark, so that its flows may
-/// be ended; one more than for avoiding it, for an ended flow cannot be taken back.
+/// Attempts without an answer, of two flows or more, after which the upstream is taken to be dark,
+/// so that its flows may be ended; one more than for avoiding it, for an ended flow cannot be taken
+/// back. One flow alone may have lost its upstream, or its way, while all others go on.
 const DARK_ATTEMPTS: u32 = 3;
 
 /// How long nobody may have had an answer before an upstream is taken to be dark. Callers send
@@ -51,6 +53,10 @@
     /// When the first of the attempts without an answer was sent; later than `last_sign`.
     silent_since: Option<Instant>,
     attempts: u32,
+    /// The caller of the first of them.
+    first_caller: Option<SocketAddrV4>,
+    /// Whether another caller's attempt failed as well.
+    several_callers: bool,
     /// When the last of them was seen.
     last_failed: Option<Instant>,
     outlier: OutlierRecord,
@@ -90,7 +96,15 @@
         let long = self
             .silent_since
             .is_some_and(|since| now.saturating_duration_since(since) >= DARK_SILENCE);
-        self.is_avoided() && self.attempts >= DARK_ATTEMPTS && long && self.is_fresh(now)
+        let enough = self.attempts >= DARK_ATTEMPTS && self.several_callers;
+        self.is_avoided() && enough && long && self.is_fresh(now)
+    }
+
+    fn forget_attempts(&mut self) {
+        self.attempts = 0;
+        self.silent_since = None;
+        self.first_caller = None;
+        self.several_callers = false;
     }
 
     /// Whether the last attempt without an answer was seen of late.
@@ -115,8 +129,7 @@
         self.own_sign = Some(now);
         self.last_sign = Some(now);
         if self.attempts > 0 || was_avoided {
-            self.silent_since = None;
-            self.attempts = 0;
+            self.forget_attempts();
             self.outlier.answered();
             self.next_trial = None;
         }
@@ -131,23 +144,24 @@
         }
         self.last_sign = Some(at);
         if self.silent_since.is_some_and(|since| since <= at) {
-            self.silent_since = None;
-            self.attempts = 0;
+            self.forget_attempts();
             self.outlier.answered();
             self.next_trial = None;
         }
     }
 
-    /// Learns of an attempt, sent at `sent`, that has no answer yet; true if it is avoided from now.
-    pub fn attempt_failed(&mut self, now: Instant, sent: Instant) -> bool {
+    /// Learns of an attempt of a caller's flow, sent at `sent`, that has no answer yet; true if the
+    /// upstream is avoided from now.
+    pub fn attempt_failed(&mut self, now: Instant, sent: Instant, caller: SocketAddrV4) -> bool {
         let too_soon = now.saturating_duration_since(sent) < SOONEST_REPEAT;
         if too_soon || self.last_sign.is_some_and(|sign| sign >= sent) {
             return false;
         }
         if !self.is_fresh(now) {
-            self.attempts = 0;
-            self.silent_since = None;
+            self.forget_attempts();
         }
+        let first = *self.first_caller.get_or_insert(caller);
+        self.several_callers |= first != caller;
         self.attempts += 1;
         self.last_failed = Some(now);
         self.silent_since = Some(self.silent_since.map_or(sent, |since| since.min(sent)));
--- a/packet/tests/test_silence_record.rs
+++ b/packet/tests/test_silence_record.rs
@@ -5,6 +5,8 @@
 
 use lagoonproxy_packet::silence_record::SilenceRecord;
 
+use crate::core_rig::caller;
+
 /// Something that happens to an upstream, in milliseconds.
 #[derive(Clone, Copy)]
 enum Happening {
@@ -12,8 +14,10 @@
     Sign,
     /// It proved to be alive to another host, so long ago.
     Elsewhere(u64),
-    /// An attempt that was sent so long ago has had no answer.
+    /// An attempt of some caller that was sent so long ago has had no answer.
     Failed(u64),
+    /// The same, always of one caller.
+    Same(u64),
     /// Nothing, but the time passes on.
     Tick,
 }
@@ -130,6 +134,17 @@
             avoided: true,
             dark: false,
         },
+        Case {
+            name: "one caller alone",
+            happenings: &[
+                (0, Sign),
+                (300, Same(200)),
+                (700, Same(600)),
+                (1500, Same(1400)),
+            ],
+            avoided: true,
+            dark: false,
+        },
         Case {
             name: "it answers again",
             happenings: &[(300, Failed(200)), (310, Failed(200)), (900, Sign)],
@@ -152,9 +167,16 @@
             now = at(*millis);
             let before = |ago: u64| now - Duration::from_millis(ago);
             match happening {
-                Sign => drop(record.sign(now)),
+                Sign => {
+                    record.sign(now);
+                }
                 Elsewhere(ago) => record.sign_elsewhere(before(*ago)),
-                Failed(ago) => drop(record.attempt_failed(now, before(*ago))),
+                Failed(ago) => {
+                    record.attempt_failed(now, before(*ago), caller(*millis as u16));
+                }
+                Same(ago) => {
+                    record.attempt_failed(now, before(*ago), caller(1));
+                }
                 Tick => record.tick(now),
             }
         }
@@ -170,8 +192,8 @@
     let start = Instant::now();
     let at = |millis: u64| start + Duration::from_millis(millis);
     let mut record = SilenceRecord::default();
-    record.attempt_failed(at(200), at(0));
-    record.attempt_failed(at(200), at(0));
+    record.attempt_failed(at(200), at(0), caller(1));
+    record.attempt_failed(at(200), at(0), caller(1));
     assert!(
         !record.wants_trial(at(900)),
         "not while the first second runs"
