--- a/packetd/src/line_layout.rs
+++ b/packetd/src/line_layout.rs
@@ -1,8 +1,8 @@
 //! The form of a log line: one flat JSON object.
 //!
-//! logforth's own JSON layout asks for the machine's time zone at the start, which reads some six
-//! hundred files: on a host with a twentieth of a core that is 20 ms in which callers wait. Here
-//! time is milliseconds since 1970.
+//! logforth's own JSON layout asks for the machine's time zone at the start and walks its folder of
+//! time zones for that: about 1 ms of processor time, which is 20 ms in which callers wait on a host
+//! with a twentieth of a core, and 0.2 MB. Here time is milliseconds since 1970.
 
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
