settings: compare the file's content, and read a half-written one again

Found beside it: a file rewritten within one step of its clock has the same time of change and was never read again.

The content is compared, and at the start a faulty file is read again for a second. A signal before a program runs cannot be taken by it, so the test waits until the host listens before it sends one; the rewrite itself stays at once.

--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -2,12 +2,10 @@
 
 use std::net::SocketAddrV4;
 use std::path::Path;
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
 
 use lagoonproxy::result_code::ResultCode;
 use tokio::net::UdpSocket;
@@ -21,9 +19,8 @@
 use crate::packet_socket::send_reset;
 use crate::peer_socket;
 use crate::process_signals::ProcessSignals;
-use crate::settings_watch::exit_code;
-use crate::settings_watch::read_settings;
-use crate::settings_watch::reload;
+use crate::settings_file::SettingsFile;
+use crate::settings_file::exit_code;
 use crate::stop_wait::wait_for_silence;
 use crate::store_reader::read_store;
 use crate::web_server;
@@ -31,7 +28,7 @@
 /// How often time is told to the core and logs are written.
 const TICK: Duration = Duration::from_millis(100);
 
-/// How often it is looked whether the settings file has changed without a signal.
+/// How often the settings file is read in case that it has changed without a signal.
 const SETTINGS_PAUSE: Duration = Duration::from_secs(2);
 
 /// Port of the metrics, on the host's own address.
@@ -39,8 +36,7 @@
 
 /// Runs the host until it is asked to stop.
 pub async fn run(path: &Path, signals: ProcessSignals, logs: LogLines) -> ExitCode {
-    let read_at = modified(path);
-    let Some(settings) = read_settings(path) else {
+    let Some((file, settings)) = SettingsFile::open(path).await else {
         return exit_code(ResultCode::SettingsInvalid);
     };
     log::info!(host:% = settings.host, zone:% = settings.zone, store:% = settings.store_address; "start");
@@ -66,8 +62,7 @@
     }
     peer_socket::start(&state, peer_address).await;
     spawn_local(keep_time(state.clone(), socket.clone(), logs));
-    let following = follow_settings(state.clone(), path.to_owned(), read_at, signals.hangup);
-    spawn_local(following);
+    spawn_local(follow_settings(state.clone(), file, signals.hangup));
     signals.stop.received().await;
     state.stopping.set(true);
     log::info!("stop asked for; no longer ready");
@@ -92,34 +87,14 @@
 }
 
 /// Reloads the settings on SIGHUP, and when the file changes without it.
-///
-/// The file may change while the process starts, so `read_at` is when it was last changed before it
-/// was first read.
-async fn follow_settings(
-    state: Rc<HostState>,
-    path: PathBuf,
-    read_at: Option<SystemTime>,
-    mut hangup: Signal,
-) {
-    let mut changed = read_at;
+async fn follow_settings(state: Rc<HostState>, mut file: SettingsFile, mut hangup: Signal) {
     loop {
         tokio::select! {
             _ = hangup.recv() => log::info!("SIGHUP"),
-            () = tokio::time::sleep(SETTINGS_PAUSE) => {
-                let now = modified(&path);
-                if now == changed {
-                    continue;
-                }
-                changed = now;
-            }
+            () = tokio::time::sleep(SETTINGS_PAUSE) => {}
+        }
+        if let Some(settings) = file.changed() {
+            state.reload(settings);
         }
-        reload(&state, &path);
     }
 }
-
-/// When a file was last changed, if that can be told.
-fn modified(path: &Path) -> Option<SystemTime> {
-    std::fs::metadata(path)
-        .and_then(|file| file.modified())
-        .ok()
-}
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -90,6 +90,16 @@
         is_new
     }
 
+    /// Puts changed settings in force.
+    pub fn reload(&self, settings: HostSettings) {
+        if settings == **self.settings.borrow() {
+            return;
+        }
+        log::info!(store:% = settings.store_address, seeds = settings.seed_peers.len(); "settings reloaded");
+        self.core.borrow_mut().reload(&settings);
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Lets time pass; returns the flows to be ended.
     pub fn tick(&self) -> Vec<FlowReset> {
         let mut output = PacketOutput::default();
--- a/packetd/src/main.rs
+++ b/packetd/src/main.rs
@@ -10,7 +10,7 @@
 mod packet_socket;
 mod peer_socket;
 mod process_signals;
-mod settings_watch;
+mod settings_file;
 mod state_transfer;
 mod stop_wait;
 mod store_reader;
@@ -60,7 +60,7 @@
     let arguments: Arguments = argh::from_env();
     let path = arguments.settings.unwrap_or_else(settings_path);
     if arguments.check {
-        return settings_watch::check(&path);
+        return settings_file::check(&path);
     }
     let logs = log_lines::init();
     let code = host_process::run(&path, signals, logs.clone()).await;
--- a/packetd/tests/test_packet_changes.rs
+++ b/packetd/tests/test_packet_changes.rs
@@ -160,6 +160,7 @@
         let moved = cell.store.open_port(StoreMood::Serve).await.unwrap();
         cell.write_settings(1, &moved);
         if with_signal {
+            cell.hosts[0].listens().await;
             cell.hosts[0].signal("HUP").await;
         }
         cell.wait_for_rotation(1).await;
@@ -171,6 +172,40 @@
     }
 }
 
+#[tokio::test]
+async fn test_settings_written_twice_within_a_step_of_the_files_clock() {
+    // The store moves right after the host has read its settings. The new file has the time of change
+    // of the one before, for the file's clock goes by steps; a host that looks at the time alone
+    // stays with the former store for good, and is never ready.
+    let mut cell = PacketCell::with_upstreams(program(), 1).await;
+    cell.start_host(StoreMood::Refuse(503)).await;
+    let path = cell.hosts[0].settings_path().to_owned();
+    let written = std::fs::metadata(&path).unwrap().modified().unwrap();
+    cell.hosts[0].listens().await;
+    let moved = cell.store.open_port(StoreMood::Serve).await.unwrap();
+    cell.write_settings(1, &moved);
+    let file = std::fs::File::options().write(true).open(&path).unwrap();
+    file.set_modified(written).unwrap();
+    cell.wait_for_rotation(1).await;
+}
+
+#[tokio::test]
+async fn test_settings_half_written_at_the_start() {
+    // The settings are written anew while the host starts, so that it reads an empty file. A host
+    // that gives up at once is away until somebody starts it again, although the file is good a
+    // moment later.
+    let mut cell = PacketCell::ready(program(), 1, 1).await;
+    let path = cell.hosts[0].settings_path().to_owned();
+    let whole = std::fs::read(&path).unwrap();
+    cell.hosts[0].kill().await;
+    cell.wait_for_rotation(0).await;
+    std::fs::write(&path, "").unwrap();
+    cell.hosts[0].start_again();
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    std::fs::write(&path, whole).unwrap();
+    cell.wait_for_rotation(1).await;
+}
+
 #[tokio::test]
 async fn test_faulty_settings_are_refused() {
     let path = std::env::temp_dir().join(format!("packet-faulty-{}.json", std::process::id()));
--- a/standin/src/packet_cell.rs
+++ b/standin/src/packet_cell.rs
@@ -22,6 +22,7 @@
 use crate::packet_upstream::PacketUpstream;
 use serde_json::Value;
 use serde_json::json;
+use tokio::net::TcpStream;
 use tokio::process::Child;
 use tokio::process::Command;
 
@@ -177,9 +178,19 @@
     }
 
     /// Waits until so many hosts are in the rotation.
-    pub async fn wait_for_rotation(&self, hosts: usize) {
+    pub async fn wait_for_rotation(&mut self, hosts: usize) {
         let fabric = self.fabric.clone();
-        wait_until("the rotation", || fabric.hosts() == hosts).await;
+        let wait = async {
+            while fabric.hosts() != hosts {
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        };
+        let waited = tokio::time::timeout(HANG_LIMIT, wait).await;
+        let ends: Vec<_> = self.hosts.iter_mut().map(CellHost::has_ended).collect();
+        assert!(
+            waited.is_ok(),
+            "{hosts} hosts never in the rotation; how each has ended: {ends:?}"
+        );
     }
 
     /// The settings file of the host at this place, written anew.
@@ -210,6 +221,11 @@
 }
 
 impl CellHost {
+    /// The settings file of this host.
+    pub fn settings_path(&self) -> &Path {
+        &self.settings
+    }
+
     /// Sends a signal to this host's process.
     pub async fn signal(&self, name: &str) {
         let id = self.child.id().expect("the process runs");
@@ -220,6 +236,18 @@
         assert!(status.unwrap().success());
     }
 
+    /// Waits until the process serves its readiness, so that it takes signals: until a program has
+    /// begun to run, the system ends it at any of them.
+    pub async fn listens(&self) {
+        let wait = async {
+            while TcpStream::connect(self.ready).await.is_err() {
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        };
+        let waited = tokio::time::timeout(HANG_LIMIT, wait).await;
+        assert!(waited.is_ok(), "{} never listens", self.ready);
+    }
+
     /// Waits for the process to end.
     pub async fn ended(&mut self) -> ExitStatus {
         tokio::time::timeout(HANG_LIMIT, self.child.wait())
