answers: no new flows for upstreams that accept flows and fail their requests

Each request is judged once, served or failed: no first byte for 450 ms, or an answer under 0.3 of its route's usual size. Hosts of a zone add up their counts, in beats and in a word at once. A quarter failed, three at least: new flows go elsewhere, for 5 s beyond, unless more than half of a service are out. Flows there are left alone.

--- a/cli/src/commands/forwarders.rs
+++ b/cli/src/commands/forwarders.rs
@@ -98,11 +98,13 @@
 }
 
 fn upstream_row(status: &PacketStatus, upstream: &UpstreamStatus) -> Vec<String> {
-    let standing = if upstream.avoided {
-        format!("{}, avoided", upstream.standing)
-    } else {
-        upstream.standing.to_string()
-    };
+    let mut standing = upstream.standing.to_string();
+    if upstream.avoided {
+        standing += ", avoided";
+    }
+    if upstream.failing {
+        standing += ", failing";
+    }
     vec![
         status.host.to_string(),
         upstream.name.to_string(),
--- a/cli/tests/test_hosts.rs
+++ b/cli/tests/test_hosts.rs
@@ -39,6 +39,7 @@
             address: "10.0.0.1:80".parse().unwrap(),
             standing: "ready".into(),
             avoided: true,
+            failing: true,
             flows: 3,
             waiting: 2,
             heard_ago: Some(Duration::from_millis(1500)),
--- a/packet/src/core_notes.rs
+++ b/packet/src/core_notes.rs
@@ -75,6 +75,7 @@
             upstream: record.name.clone(),
             change,
             attempts: record.silence.attempts(),
+            answers: record.answers.counts(),
             heard_ago: heard_ago(now, record.silence.last_sign()),
             through: self.view.through(),
         });
--- a/packet/src/core_peers.rs
+++ b/packet/src/core_peers.rs
@@ -1,11 +1,17 @@
 //! What a core tells the other hosts and learns from them.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::packet_core::PacketCore;
+use crate::peer_beat::FailureReport;
 use crate::peer_beat::PeerBeat;
 
+/// Pause between two words of failures. A word of ten upstreams to 24 hosts is 2 KB with the heads
+/// of its datagrams, so that a host that meets failures all the time spends 10 KB/s.
+const WORD_PAUSE: Duration = Duration::from_millis(200);
+
 impl PacketCore {
     /// Takes in a peer's beat; true if the peer should get one in return at once.
     pub fn heard(&mut self, now: Instant, from: SocketAddrV4, beat: PeerBeat) -> bool {
@@ -35,6 +41,27 @@
         }
     }
 
+    /// The failures to tell the hosts of the zone now, and whom; `None` if there are no new ones.
+    pub fn failure_word(
+        &mut self,
+        now: Instant,
+    ) -> Option<(Vec<FailureReport>, Vec<SocketAddrV4>)> {
+        let failures = self.evidence.failures();
+        if failures == self.failures_told || self.next_word.is_some_and(|next| now < next) {
+            return None;
+        }
+        self.failures_told = failures;
+        self.next_word = Some(now + WORD_PAUSE);
+        let reports = self.upstreams.failure_reports();
+        let targets = self.peers.word_targets(now);
+        (!reports.is_empty() && !targets.is_empty()).then_some((reports, targets))
+    }
+
+    /// Takes in what a peer says of failures.
+    pub fn heard_failures(&mut self, from: SocketAddrV4, reports: &[FailureReport]) {
+        self.peers.heard_failures(from, reports);
+    }
+
     /// The peer to ask for state that this host is missing.
     pub fn source(&mut self, now: Instant) -> Option<SocketAddrV4> {
         self.peers.source(now, self.view.through(), self.reads)
--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -1,10 +1,14 @@
 //! What callers' packets tell of their flows' upstreams.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
 use arrayvec::ArrayVec;
+use foldhash::HashMap;
 
+use crate::answer_record::AnswerSize;
+use crate::answer_record::FAILED_WAIT;
 use crate::flow_table::FlowKey;
 use crate::flow_table::FlowRecord;
 use crate::flow_table::FlowTable;
@@ -32,8 +36,12 @@
 /// packets lie in its socket, and callers whose flows went to other hosts need some time to return.
 const BLIND_TIME: Duration = Duration::from_secs(1);
 
-/// How often the tables are searched for what has lasted its time.
-const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+/// How often the tables are searched for what has lasted its time. 20,000 flows take 0.1 ms.
+const SWEEP_PAUSE: Duration = Duration::from_millis(250);
+
+/// Most routes whose usual answers are known: three times the addresses of a zone at the size aimed
+/// at, 0.2 MB. Answers of others are not judged by their size.
+const MOST_SIZES: usize = 4096;
 
 /// What a copy of an opening packet tells.
 #[derive(Debug, Default)]
@@ -65,6 +73,10 @@
     /// Until when attempts without an answer prove nothing: the host was held up, and what waited
     /// in its socket meanwhile is read.
     blind_until: Option<Instant>,
+    /// The usual size of the answers of each route; at most [`MOST_SIZES`].
+    sizes: HashMap<SocketAddrV4, AnswerSize>,
+    /// Requests that failed.
+    failures: u64,
 }
 
 impl FlowEvidence {
@@ -73,6 +85,11 @@
         self.table.flows.get(key)
     }
 
+    /// How many requests have failed since the start.
+    pub fn failures(&self) -> u64 {
+        self.failures
+    }
+
     /// Flows watched that are open.
     pub fn open_flows(&self) -> usize {
         self.table.flows.len()
@@ -143,6 +160,9 @@
             seen.returned = upstreams.get_mut(index).silence.sign(now);
         }
         if head.kind == PacketKind::Abort {
+            if let Some(record) = self.table.flows.get_mut(&key) {
+                self.failures += judge_unanswered(now, record, upstreams);
+            }
             self.end(&key, upstreams);
             return seen;
         }
@@ -161,12 +181,17 @@
         };
         record.last_seen = now;
         observe_answer(now, record, head, upstreams, &mut seen);
+        let asks = head.data_len > 0 || head.last;
+        if asks && record.waiting_since.is_none() && record.unjudged {
+            self.failures += judge_answered(now, &key, record, &mut self.sizes, upstreams);
+        }
         observe_data(now, record, head, upstreams, &mut seen);
         if let (Some(waited), false) = (seen.repeated, blind) {
             let silence = &mut upstreams.get_mut(index).silence;
             seen.avoided = silence.attempt_failed(now, now - waited, key.caller);
         }
         if head.last && !record.closing {
+            self.failures += judge_unanswered(now, record, upstreams);
             record.closing = true;
             let upstream = upstreams.get_mut(index);
             upstream.flows -= 1;
@@ -238,7 +263,11 @@
     }
 
     fn sweep_flows(&mut self, now: Instant, idle: Duration, upstreams: &mut UpstreamTable) {
+        let blind = self.is_blind(now);
         self.table.flows.retain(|_key, record| {
+            if !blind {
+                self.failures += judge_unanswered(now, record, upstreams);
+            }
             let life = if record.closing { CLOSING_LIFE } else { idle };
             let keep = now.saturating_duration_since(record.last_seen) < life;
             if !keep {
@@ -290,10 +319,15 @@
             acked: head.ack,
             sent: head.seq,
             waiting_since: None,
+            answer_bytes: 0,
+            unjudged: false,
             last_seen: now,
             closing: false,
         };
         self.table.flows.insert(key, record);
+        if self.sizes.len() < MOST_SIZES {
+            self.sizes.entry(key.service).or_default();
+        }
         true
     }
 }
@@ -309,6 +343,9 @@
     if !is_after(head.ack, record.acked) {
         return;
     }
+    let received = head.ack.wrapping_sub(record.acked);
+    let received = u16::try_from(received).unwrap_or(u16::MAX);
+    record.answer_bytes = record.answer_bytes.saturating_add(received);
     record.acked = head.ack;
     seen.returned |= upstreams.get_mut(record.upstream).silence.sign(now);
     seen.answered = record
@@ -317,7 +354,7 @@
     stop_waiting(record, upstreams);
 }
 
-/// New data begins a wait; data that was sent before and has had no answer is a failed attempt.
+/// New data begins a wait, for nobody answers before the last of it; data that was sent before and has had no answer is a failed attempt.
 fn observe_data(
     now: Instant,
     record: &mut FlowRecord,
@@ -334,14 +371,53 @@
     }
     let Some(since) = record.waiting_since else {
         record.waiting_since = Some(now);
+        record.answer_bytes = 0;
+        record.unjudged = true;
         upstreams.get_mut(record.upstream).waiting += 1;
         return;
     };
-    if !fresh {
+    if fresh {
+        record.waiting_since = Some(now);
+    } else {
         seen.repeated = Some(now.saturating_duration_since(since));
     }
 }
 
+/// Judges a request whose answer is complete: its caller goes on to the next, or ends its stream.
+/// Returns 1 if it failed.
+fn judge_answered(
+    now: Instant,
+    key: &FlowKey,
+    record: &mut FlowRecord,
+    sizes: &mut HashMap<SocketAddrV4, AnswerSize>,
+    upstreams: &mut UpstreamTable,
+) -> u64 {
+    record.unjudged = false;
+    let size = sizes.get_mut(&key.service);
+    let short = size.is_some_and(|size| size.learn(record.answer_bytes));
+    let answers = &mut upstreams.get_mut(record.upstream).answers;
+    if short {
+        answers.erred(now);
+    } else {
+        answers.served(now);
+    }
+    u64::from(short)
+}
+
+/// Judges a request that has waited too long for its answer, each once; returns 1 if it failed.
+fn judge_unanswered(now: Instant, record: &mut FlowRecord, upstreams: &mut UpstreamTable) -> u64 {
+    let Some(sent) = record.waiting_since.filter(|_sent| record.unjudged) else {
+        return 0;
+    };
+    if now.saturating_duration_since(sent) < FAILED_WAIT {
+        return 0;
+    }
+    record.unjudged = false;
+    let upstream = upstreams.get_mut(record.upstream);
+    upstream.answers.unanswered(now, sent);
+    1
+}
+
 fn stop_waiting(record: &mut FlowRecord, upstreams: &mut UpstreamTable) {
     if record.waiting_since.take().is_some() {
         upstreams.get_mut(record.upstream).waiting -= 1;
--- a/packet/src/flow_table.rs
+++ b/packet/src/flow_table.rs
@@ -53,8 +53,12 @@
     pub acked: u32,
     /// How far the caller has sent; only grows.
     pub sent: u32,
-    /// When the first data went out that nothing has been received for since.
+    /// When the last data went out that nothing has been received for since.
     pub waiting_since: Option<Instant>,
+    /// Bytes of the answer to the last request that the caller has acknowledged, as far as they count.
+    pub answer_bytes: u16,
+    /// There is a request on this flow that has not been judged as served or failed.
+    pub unjudged: bool,
     /// When the last packet came.
     pub last_seen: Instant,
     /// The caller has ended its stream; the flow no longer counts at its upstream.
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -3,6 +3,7 @@
 //! A fabric hands any packet of a flow to any entry host, and upstreams answer callers directly.
 //! [`packet_core`] is the one door: packets, published state and ticks go in, actions come out.
 
+pub mod answer_record;
 mod core_notes;
 mod core_peers;
 pub mod flow_evidence;
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -6,6 +6,7 @@
 use lagoonproxy::ids::Version;
 use lagoonproxy::result_code::ResultCode;
 
+use crate::answer_record::AnswerCounts;
 use crate::ids::FlowTag;
 use crate::ids::Revision;
 use crate::ids::UpstreamName;
@@ -63,6 +64,10 @@
     Avoided,
     /// It has answered again.
     Answers,
+    /// New flows avoid it: it fails too many of its requests.
+    Failing,
+    /// It is no longer taken to fail.
+    Serving,
 }
 
 /// Something that the core decided or learned, for logs and metrics.
@@ -102,7 +107,7 @@
     },
     /// A caller had an answer.
     Answered {
-        /// From the first packet of the request to the first acknowledgement after it.
+        /// From the last packet of the request to the first acknowledgement after it.
         took: Duration,
     },
     /// A caller sent again what had no answer.
@@ -128,6 +133,8 @@
         change: BeliefChange,
         /// Attempts without an answer.
         attempts: u32,
+        /// How its requests ended of late, through the hosts of the zone.
+        answers: AnswerCounts,
         /// Time since it last proved to be alive, if it has.
         heard_ago: Option<Duration>,
         /// The store's revision up to which this host has read.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -31,6 +31,7 @@
 use crate::upstream_choice::ChoiceQuery;
 use crate::upstream_choice::choose_upstream;
 use crate::upstream_choice::is_panic;
+use crate::upstream_record::UpstreamRecord;
 use crate::upstream_record::UpstreamStanding;
 use crate::upstream_table::UpstreamTable;
 
@@ -69,6 +70,10 @@
     /// Since when the published state has been held without a break in the contact to the store.
     pub(crate) steady_since: Option<Instant>,
     pub(crate) version: Version,
+    /// How many failed requests this host had seen when it last told its zone.
+    pub(crate) failures_told: u64,
+    /// When it may tell its zone again.
+    pub(crate) next_word: Option<Instant>,
 }
 
 impl PacketCore {
@@ -92,6 +97,8 @@
             in_touch: false,
             steady_since: None,
             version: 0,
+            failures_told: 0,
+            next_word: None,
         }
     }
 
@@ -186,6 +193,13 @@
         for index in avoided {
             self.note_belief(now, index, BeliefChange::Avoided, output);
         }
+        for index in self.upstreams.judge_answers(now) {
+            let change = match self.upstreams.get(index).answers.is_failing() {
+                true => BeliefChange::Failing,
+                false => BeliefChange::Serving,
+            };
+            self.note_belief(now, index, change, output);
+        }
         self.follow_reader(now);
         self.end_lost_flows(now, output);
     }
@@ -343,7 +357,8 @@
                 last.is_some_and(|sign| now.saturating_duration_since(sign) < FORMER_SIGN);
             return !answers && self.steady_since.is_some();
         }
-        record.silence.is_dark(now) && !is_panic(&self.upstreams, record.service)
+        let is_silent = |record: &UpstreamRecord| record.silence.is_avoided();
+        record.silence.is_dark(now) && !is_panic(&self.upstreams, record.service, is_silent)
     }
 
     fn forward(&self, head: &PacketHead, index: UpstreamIndex, output: &mut PacketOutput) {
--- a/packet/src/packet_status.rs
+++ b/packet/src/packet_status.rs
@@ -58,6 +58,9 @@
     pub standing: SmolStr,
     /// Whether new flows avoid it because it was silent.
     pub avoided: bool,
+    /// Whether new flows avoid it because it fails its requests.
+    #[serde(default)]
+    pub failing: bool,
     /// Flows that it has through this host.
     pub flows: u32,
     /// Those of them that wait for an answer.
@@ -102,6 +105,7 @@
         address: record.address,
         standing: standing.into(),
         avoided: record.silence.is_avoided(),
+        failing: record.answers.is_failing(),
         flows: record.flows,
         waiting: record.waiting,
         heard_ago: sign.map(|sign| now.saturating_duration_since(sign)),
--- a/packet/src/peer_beat.rs
+++ b/packet/src/peer_beat.rs
@@ -12,6 +12,7 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
+use crate::answer_record::AnswerCounts;
 use crate::ids::FlowTag;
 use crate::ids::Revision;
 use crate::ids::ServiceTag;
@@ -19,8 +20,11 @@
 /// Most addresses of other peers in a beat.
 pub const MOST_NAMED: usize = 8;
 
-/// Most upstreams reported in a beat: 100 of them are about 1 KB, one datagram.
-pub const MOST_REPORTS: usize = 100;
+/// Most upstreams reported in a beat: 84 of them are about 1 KB, one datagram.
+pub const MOST_REPORTS: usize = 84;
+
+/// Most upstreams in one word of failures: 0.6 KB.
+pub const MOST_FAILURES: usize = 84;
 
 /// Most services reported in a beat.
 pub const MOST_POOLS: usize = 32;
@@ -66,4 +70,42 @@
     /// Time since it last proved to be alive to the sender.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub heard_ago: Option<Duration>,
+    /// How its requests through the sender ended.
+    pub answers: AnswerReport,
+}
+
+/// How an upstream's requests through the sender ended of late; at most 255 of either is said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerReport {
+    /// Requests that it served.
+    pub served: u8,
+    /// Requests that it failed.
+    pub failed: u8,
+}
+
+/// That an upstream fails requests, told at once and between beats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailureReport {
+    /// The tag of its flows.
+    pub tag: FlowTag,
+    /// How its requests through the sender ended.
+    pub answers: AnswerReport,
+}
+
+impl From<AnswerCounts> for AnswerReport {
+    fn from(counts: AnswerCounts) -> Self {
+        Self {
+            served: u8::try_from(counts.served).unwrap_or(u8::MAX),
+            failed: u8::try_from(counts.failed).unwrap_or(u8::MAX),
+        }
+    }
+}
+
+impl From<AnswerReport> for AnswerCounts {
+    fn from(report: AnswerReport) -> Self {
+        Self {
+            served: report.served.into(),
+            failed: report.failed.into(),
+        }
+    }
 }
--- a/packet/src/peer_datagram.rs
+++ b/packet/src/peer_datagram.rs
@@ -4,11 +4,12 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+use crate::peer_beat::FailureReport;
 use crate::peer_beat::PeerBeat;
 use crate::published_view::ViewUpdate;
 
 /// First byte of a datagram; changes with the format.
-const DATAGRAM_FORMAT: u8 = 1;
+const DATAGRAM_FORMAT: u8 = 2;
 
 /// Most bytes of a datagram: what fits into one frame of the usual networks.
 pub const MOST_DATAGRAM: usize = 1400;
@@ -20,6 +21,8 @@
     Beat(PeerBeat),
     /// What it has just read from the store.
     Change(ViewUpdate),
+    /// Who has just failed requests through it.
+    Failures(Vec<FailureReport>),
 }
 
 /// Why a datagram is not a peer's.
--- a/packet/src/peer_table.rs
+++ b/packet/src/peer_table.rs
@@ -13,7 +13,10 @@
 use lagoonproxy::ids::ZoneName;
 
 use crate::ids::Revision;
+use crate::peer_beat::FailureReport;
+use crate::peer_beat::MOST_FAILURES;
 use crate::peer_beat::MOST_NAMED;
+use crate::peer_beat::MOST_REPORTS;
 use crate::peer_beat::PeerBeat;
 use crate::peer_beat::PoolReport;
 use crate::peer_beat::UpstreamReport;
@@ -27,6 +30,10 @@
 /// The same for other zones, where each byte has its price.
 const FAR_A_ROUND: usize = 2;
 
+/// Hosts that are told of failures at once: a zone of the grown deployments, 22 hosts. In larger ones
+/// the rest hear of it by beats, and from the next words.
+const WORD_TARGETS: usize = 24;
+
 /// How long a peer that reads the store may not be heard until another takes over: two beats lost,
 /// for readers send one to each host of their zone in each round.
 const READER_SILENCE: Duration = Duration::from_millis(1600);
@@ -80,6 +87,7 @@
     near_turn: Option<SocketAddrV4>,
     far_turn: Option<SocketAddrV4>,
     named_turn: Option<SocketAddrV4>,
+    word_turn: Option<SocketAddrV4>,
     /// Since when some peer has been ahead of this host.
     behind_since: Option<Instant>,
     next_ask: Option<Instant>,
@@ -97,6 +105,7 @@
             near_turn: None,
             far_turn: None,
             named_turn: None,
+            word_turn: None,
             behind_since: None,
             next_ask: None,
         }
@@ -163,6 +172,35 @@
         targets
     }
 
+    /// The hosts of the zone that are told of failures at once, others each time if there are many.
+    pub fn word_targets(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+        let near = self.near_addresses(now);
+        take_turn(&near, &mut self.word_turn, WORD_TARGETS)
+    }
+
+    /// Takes in how requests ended through a peer, ahead of its next beat.
+    pub fn heard_failures(&mut self, from: SocketAddrV4, reports: &[FailureReport]) {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return;
+        };
+        for report in reports {
+            let room = peer.reports.len() < MOST_REPORTS + MOST_FAILURES;
+            let known = peer.reports.iter_mut().find(|held| held.tag == report.tag);
+            match known {
+                Some(held) => held.answers = report.answers,
+                None if room => {
+                    peer.reports.push(UpstreamReport {
+                        tag: report.tag,
+                        flows: 0,
+                        heard_ago: None,
+                        answers: report.answers,
+                    });
+                }
+                None => {}
+            }
+        }
+    }
+
     /// Some peers to name in the next beat.
     pub fn some_alive(&mut self, now: Instant) -> Vec<SocketAddrV4> {
         let alive: Vec<SocketAddrV4> = self.alive(now).map(|(address, _peer)| address).collect();
--- a/packet/src/upstream_choice.rs
+++ b/packet/src/upstream_choice.rs
@@ -77,7 +77,8 @@
 /// Order of preference; smaller is better. Equals are told apart by rendezvous weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct ChoiceRank {
-    avoided: bool,
+    /// It is silent, or fails its requests.
+    suspect: bool,
     /// It has so many requests in progress that another would wait long or be shed.
     full: bool,
     tried: bool,
@@ -106,7 +107,8 @@
 pub fn choose_upstream(table: &UpstreamTable, query: ChoiceQuery<'_>) -> Option<FlowChoice> {
     let pool = table.pool(query.service);
     let near = window(&pool.near, query.flow_hash);
-    let panic = is_panic_among(table, near.clone()) && is_panic(table, query.service);
+    let panic = is_panic_among(table, near.clone(), UpstreamRecord::is_suspect)
+        && is_panic(table, query.service, UpstreamRecord::is_suspect);
     let mut found = BestUpstreams::default();
     found.look_at(table, near, query, panic);
     if !found.is_enough(table) {
@@ -120,22 +122,30 @@
     Some(FlowChoice { first, second })
 }
 
-/// Whether so many upstreams of a service seem silent that the fault is likely on this side.
-pub fn is_panic(table: &UpstreamTable, service: ServiceIndex) -> bool {
+/// Whether so many upstreams of a service are `out` that the fault is likely on this side.
+pub fn is_panic(
+    table: &UpstreamTable,
+    service: ServiceIndex,
+    out: impl Fn(&UpstreamRecord) -> bool,
+) -> bool {
     let pool = table.pool(service);
     let members = pool.near.iter().chain(&pool.far);
-    is_panic_among(table, members.copied())
+    is_panic_among(table, members.copied(), out)
 }
 
-fn is_panic_among(table: &UpstreamTable, members: impl Iterator<Item = UpstreamIndex>) -> bool {
+fn is_panic_among(
+    table: &UpstreamTable,
+    members: impl Iterator<Item = UpstreamIndex>,
+    out: impl Fn(&UpstreamRecord) -> bool,
+) -> bool {
     let records = members.map(|index| table.get(index));
     let usable = records.filter(|record| record.takes_flows());
-    let (mut all, mut avoided) = (0, 0);
+    let (mut all, mut left_out) = (0, 0);
     for record in usable {
         all += 1;
-        avoided += usize::from(record.silence.is_avoided());
+        left_out += usize::from(out(record));
     }
-    avoided * MOST_AVOIDED > all
+    left_out * MOST_AVOIDED > all
 }
 
 /// The part of a list that a new flow looks at, beginning at a place drawn by its hash.
@@ -159,7 +169,7 @@
         };
         let alone = self.next.is_none() && table.get(best.index).silence.is_doubtful();
         let loaded = best.rank.load > SPILL_MARGIN;
-        !best.rank.avoided && !best.rank.full && !best.rank.tried && !alone && !loaded
+        !best.rank.suspect && !best.rank.full && !best.rank.tried && !alone && !loaded
     }
 
     fn look_at(
@@ -220,7 +230,7 @@
 ) -> ChoiceRank {
     let load = upstream_load(record, query.now);
     ChoiceRank {
-        avoided: record.silence.is_avoided() && !panic,
+        suspect: record.is_suspect() && !panic,
         full: is_full(record, query.near_hosts),
         tried: query.tried.contains(&index),
         unknown: !record.near && record.zone_load.is_none(),
--- a/packet/src/upstream_record.rs
+++ b/packet/src/upstream_record.rs
@@ -5,6 +5,7 @@
 
 use lagoonproxy::ids::ZoneName;
 
+use crate::answer_record::AnswerRecord;
 use crate::ids::BornMillis;
 use crate::ids::FlowTag;
 use crate::ids::ServiceIndex;
@@ -69,8 +70,10 @@
     pub zone_load: Option<u64>,
     /// Flows that it has through the other hosts of this zone, as they last said.
     pub flows_elsewhere: u32,
-    /// What its flows tell.
+    /// Whether it is alive, as its flows tell.
     pub silence: SilenceRecord,
+    /// Whether it serves its callers, as its flows tell.
+    pub answers: AnswerRecord,
 }
 
 impl UpstreamRecord {
@@ -82,4 +85,9 @@
         );
         listed && self.tag.is_some()
     }
+
+    /// Whether new flows should go to others: it is silent, or fails its requests.
+    pub fn is_suspect(&self) -> bool {
+        self.silence.is_avoided() || self.answers.is_failing()
+    }
 }
--- a/packet/src/upstream_table.rs
+++ b/packet/src/upstream_table.rs
@@ -13,6 +13,9 @@
 use crate::ids::ServiceTag;
 use crate::ids::UpstreamIndex;
 use crate::ids::UpstreamName;
+use crate::peer_beat::AnswerReport;
+use crate::peer_beat::FailureReport;
+use crate::peer_beat::MOST_FAILURES;
 use crate::peer_beat::MOST_POOLS;
 use crate::peer_beat::MOST_REPORTS;
 use crate::peer_beat::PoolReport;
@@ -151,6 +154,7 @@
         let restarted = record.born != entry.born || record.address != entry.address;
         if restarted {
             record.silence.forgive();
+            record.answers = Default::default();
         }
         record.number = entry.number;
         record.address = entry.address;
@@ -218,6 +222,17 @@
         retired
     }
 
+    /// Judges anew who serves its callers; returns whose judgement changed.
+    pub fn judge_answers(&mut self, now: Instant) -> Vec<UpstreamIndex> {
+        let mut changed = Vec::new();
+        for index in self.by_name.values().copied() {
+            if self.records[index as usize].answers.judge(now) {
+                changed.push(index);
+            }
+        }
+        changed
+    }
+
     /// Takes over what the other hosts of the zone say of upstreams, in place of what they said
     /// before. A proof of life counts from the time at which it was seen.
     pub fn learn_reports<'a>(
@@ -226,6 +241,7 @@
     ) {
         for record in &mut self.records {
             record.flows_elsewhere = 0;
+            record.answers.clear_elsewhere();
         }
         for (heard, reports) in reports {
             for report in reports {
@@ -234,6 +250,7 @@
                 };
                 let record = self.get_mut(index);
                 record.flows_elsewhere += report.flows;
+                record.answers.add_elsewhere(report.answers.into());
                 let sign = report.heard_ago.and_then(|ago| heard.checked_sub(ago));
                 if let Some(sign) = sign {
                     record.silence.sign_elsewhere(sign);
@@ -265,8 +282,7 @@
         let pools = self.pools.iter().filter(|pool| !pool.near.is_empty());
         let reports = pools.filter_map(|pool| {
             let records = pool.near.iter().map(|index| self.get(*index));
-            let usable =
-                records.filter(|record| record.takes_flows() && !record.silence.is_avoided());
+            let usable = records.filter(|record| record.takes_flows() && !record.is_suspect());
             let (mut flows, mut slots) = (0, 0);
             for record in usable {
                 flows += u64::from(record.flows) + u64::from(record.flows_elsewhere);
@@ -291,11 +307,23 @@
                 tag,
                 flows: record.flows,
                 heard_ago,
+                answers: record.answers.own_counts().into(),
             })
         });
         reports.take(MOST_REPORTS).collect()
     }
 
+    /// The upstreams of its zone that failed requests through this host of late.
+    pub fn failure_reports(&self) -> Vec<FailureReport> {
+        let near = self.records().filter(|record| record.near);
+        let reports = near.filter_map(|record| {
+            let answers = AnswerReport::from(record.answers.own_counts());
+            let tag = record.tag.filter(|_tag| answers.failed > 0)?;
+            Some(FailureReport { tag, answers })
+        });
+        reports.take(MOST_FAILURES).collect()
+    }
+
     /// Forgets what counts against any upstream; for a host that was frozen and so heard nobody.
     pub fn forgive_all(&mut self) {
         for record in &mut self.records {
@@ -332,6 +360,7 @@
             flows_elsewhere: 0,
             zone_load: None,
             silence: Default::default(),
+            answers: Default::default(),
         };
         let index = match self.free.pop() {
             Some(index) => {
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -2,6 +2,8 @@
 
 mod core_rig;
 mod test_allocations;
+mod test_answer_record;
+mod test_failing_upstreams;
 mod test_flow_evidence;
 mod test_lost_upstreams;
 mod test_packet_core;
--- a/packet/tests/test_peer_table.rs
+++ b/packet/tests/test_peer_table.rs
@@ -19,11 +19,11 @@
 
 use crate::core_rig::*;
 
-fn address(number: u8) -> SocketAddrV4 {
+pub fn address(number: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), 7720)
 }
 
-fn beat(zone: &str, through: u64) -> PeerBeat {
+pub fn beat(zone: &str, through: u64) -> PeerBeat {
     PeerBeat {
         zone: zone.into(),
         ready: true,
@@ -181,6 +181,7 @@
             tag: tag(1),
             flows: 30,
             heard_ago: Some(Duration::ZERO),
+            answers: Default::default(),
         }];
         rig.core.heard(rig.now, address(2), word);
     }
@@ -209,6 +210,7 @@
         tag: 5,
         flows: 3,
         heard_ago: None,
+        answers: Default::default(),
     }];
     let change = changes(
         7,
@@ -235,6 +237,7 @@
         tag: u32::MAX,
         flows: 300,
         heard_ago: Some(Duration::from_secs(9)),
+        answers: Default::default(),
     };
     word.reports = vec![report; MOST_REPORTS];
     word.pools = vec![
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -44,6 +44,8 @@
     pub answer_seconds: Histogram,
     /// Upstreams that were avoided for silence.
     pub avoided: Counter,
+    /// Upstreams that were avoided for failing their requests.
+    pub failing: Counter,
     /// Published items that could not be used.
     pub unreadable: Counter,
     results: Family<ResultLabels, Counter>,
@@ -65,6 +67,7 @@
             repeated: Counter::default(),
             answer_seconds: Histogram::new(LATENCY_CLASSES),
             avoided: Counter::default(),
+            failing: Counter::default(),
             unreadable: Counter::default(),
             results: Family::default(),
             store_calls: Family::default(),
@@ -88,6 +91,11 @@
             ("raced", "New flows sent to two upstreams", &self.raced),
             ("repeated", "Requests sent again by callers", &self.repeated),
             ("avoided", "Upstreams avoided for silence", &self.avoided),
+            (
+                "failing",
+                "Upstreams avoided for failing their requests",
+                &self.failing,
+            ),
             ("unreadable", "Published items unusable", &self.unreadable),
         ];
         for (name, help, counter) in counters {
--- a/packetd/src/note_log.rs
+++ b/packetd/src/note_log.rs
@@ -63,14 +63,18 @@
             upstream,
             change,
             attempts,
+            answers,
             heard_ago,
             through,
         } => {
-            if *change == BeliefChange::Avoided {
-                metrics.avoided.inc();
-            }
+            match change {
+                BeliefChange::Avoided => metrics.avoided.inc(),
+                BeliefChange::Failing => metrics.failing.inc(),
+                _ => 0,
+            };
             let heard_ms = millis(*heard_ago);
-            log::info!(upstream:% = upstream, change:? = change, attempts, heard_ms, through; "upstream");
+            let (served, failed) = (answers.served, answers.failed);
+            log::info!(upstream:% = upstream, change:? = change, attempts, served, failed, heard_ms, through; "upstream");
         }
         DecisionNote::Routes {
             version,
--- a/packetd/src/peer_socket.rs
+++ b/packetd/src/peer_socket.rs
@@ -71,6 +71,9 @@
         Ok(PeerDatagram::Change(update)) => {
             state.join(&update);
         }
+        Ok(PeerDatagram::Failures(reports)) => {
+            state.core.borrow_mut().heard_failures(source, &reports);
+        }
         Err(fault) => {
             let code = ResultCode::FrameMalformed;
             state.metrics.count_result(code);
@@ -98,6 +101,10 @@
         if let Some((beat, targets)) = round {
             send(&state, &socket, &PeerDatagram::Beat(beat), &targets);
         }
+        let word = state.core.borrow_mut().failure_word(now);
+        if let Some((reports, targets)) = word {
+            send(&state, &socket, &PeerDatagram::Failures(reports), &targets);
+        }
         let source = state.core.borrow_mut().source(now);
         if let Some(source) = source {
             state_transfer::ask(&state, source).await;
