peers: no reports across zones, signs of life to those who are led, patience before asking

Looked at, and changed: beats carried the upstreams of the sender's zone to zones that do not look at them; readers sent whole beats to every host of their zone; hosts asked a peer, often in another zone, for changes that their reader was about to tell them, and for the whole state while they were reading the list; all that missed the same asked the same peer; a list that was read again ended all differences.

Tests: whom to ask, differences after a list was read again (property), signs of life keep the last reports and their time.

--- a/packet/src/core_peers.rs
+++ b/packet/src/core_peers.rs
@@ -7,6 +7,7 @@
 use crate::packet_core::PacketCore;
 use crate::peer_beat::FailureReport;
 use crate::peer_beat::PeerBeat;
+use crate::peer_table::ReadState;
 
 /// Pause between two words of failures. A word of ten upstreams to 24 hosts is 2 KB with the heads
 /// of its datagrams, so that a host that meets failures all the time spends 10 KB/s.
@@ -18,13 +19,20 @@
         self.peers.heard(now, from, beat)
     }
 
-    /// The beat to send now, and to whom; nobody between rounds.
-    pub fn round(&mut self, now: Instant, stopping: bool) -> Option<(PeerBeat, Vec<SocketAddrV4>)> {
-        let targets = self.peers.round(now, self.reads);
-        if targets.is_empty() {
-            return None;
+    /// The beats to send now, each with whom it is for; none between rounds.
+    pub fn round(&mut self, now: Instant, stopping: bool) -> Vec<(PeerBeat, Vec<SocketAddrV4>)> {
+        let round = self.peers.round(now, self.reads);
+        if round.is_empty() {
+            return Vec::new();
         }
-        Some((self.beat(now, stopping), targets))
+        let beat = self.beat(now, stopping);
+        let mut beats = vec![
+            (beat.for_other_zones(), round.far),
+            (beat.sign_of_life(), round.led),
+            (beat, round.near),
+        ];
+        beats.retain(|(_beat, targets)| !targets.is_empty());
+        beats
     }
 
     /// What this host says of itself.
@@ -36,8 +44,8 @@
             ready: self.is_ready() && !stopping,
             through: self.view.through(),
             named: self.peers.some_alive(now),
-            reports: self.upstreams.reports(now),
-            pools: self.upstreams.pool_reports(),
+            reports: Some(self.upstreams.reports(now)),
+            pools: Some(self.upstreams.pool_reports()),
         }
     }
 
@@ -64,7 +72,17 @@
 
     /// The peer to ask for state that this host is missing.
     pub fn source(&mut self, now: Instant) -> Option<SocketAddrV4> {
-        self.peers.source(now, self.view.through(), self.reads)
+        self.peers
+            .source(now, self.view.through(), self.read_state())
+    }
+
+    fn read_state(&self) -> ReadState {
+        match (self.view.through(), self.in_touch, self.reads) {
+            (0, false, _) => ReadState::Empty,
+            (0, true, _) => ReadState::Listing,
+            (_, _, true) => ReadState::Reading,
+            (_, _, false) => ReadState::Following,
+        }
     }
 
     /// Whether this host is to read the store now.
--- a/packet/src/peer_beat.rs
+++ b/packet/src/peer_beat.rs
@@ -44,10 +44,30 @@
     pub through: Revision,
     /// Some other hosts that the sender has heard of late.
     pub named: Vec<SocketAddrV4>,
-    /// The upstreams of the sender's zone.
-    pub reports: Vec<UpstreamReport>,
-    /// The services of the sender's zone, as far as it knows all of its hosts.
-    pub pools: Vec<PoolReport>,
+    /// The upstreams of the sender's zone; `None` if what it said before holds.
+    pub reports: Option<Vec<UpstreamReport>>,
+    /// The services of the sender's zone, as far as it knows all of its hosts; `None` if what it said
+    /// before holds.
+    pub pools: Option<Vec<PoolReport>>,
+}
+
+impl PeerBeat {
+    /// The beat for hosts of other zones, which do not look at the upstreams of this one.
+    pub fn for_other_zones(&self) -> Self {
+        Self {
+            reports: None,
+            ..self.clone()
+        }
+    }
+
+    /// The beat that says no more than that the sender lives and how far it has read.
+    pub fn sign_of_life(&self) -> Self {
+        Self {
+            named: Vec::new(),
+            pools: None,
+            ..self.for_other_zones()
+        }
+    }
 }
 
 /// How loaded the upstreams of one service in the sender's zone are.
--- a/packet/src/peer_table.rs
+++ b/packet/src/peer_table.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lagoonproxy::flow_hash::rendezvous_weight;
 use lagoonproxy::ids::ZoneName;
 
 use crate::ids::Revision;
@@ -49,9 +50,19 @@
 /// back as a new process and speaks first.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
-/// How long a peer may be ahead before this host asks it for the difference. By then a host that
-/// reads for itself has read the same, also if it was just pausing between two reads.
-const BEHIND_PATIENCE: Duration = Duration::from_millis(700);
+/// How long a host that reads the whole list waits for its end before it asks a peer for the state. 3,000
+/// registrations take a fifth of a second; when a fleet starts, all would else read everything
+/// twice, the second time from whoever was ready first.
+const LIST_PATIENCE: Duration = Duration::from_millis(1000);
+
+/// How long a peer may be ahead before a host that reads the store asks it for the difference. By then
+/// it has read the same, also if it was just pausing between two reads.
+const READER_PATIENCE: Duration = Duration::from_millis(700);
+
+/// The same for a host that does not read: what its reader reads is with it some milliseconds later.
+/// Hosts that ask for each change that others heard of first, mostly in other zones, pay each with a
+/// connection across zones.
+const FOLLOWER_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Pause between two questions for state.
 const ASK_PAUSE: Duration = Duration::from_millis(400);
@@ -59,6 +70,49 @@
 /// Most peers that are remembered: the hosts of a zone at the size aimed at, and some of others.
 const MOST_PEERS: usize = 1024;
 
+/// Where a host has its knowledge from at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadState {
+    /// It knows nothing, and the store has not answered.
+    Empty,
+    /// It knows nothing yet, and the store is answering.
+    Listing,
+    /// It reads the store for its zone.
+    Reading,
+    /// Another host of its zone does.
+    Following,
+}
+
+impl ReadState {
+    /// How long a peer may be ahead before this host asks it for the difference.
+    fn patience(self) -> Duration {
+        match self {
+            Self::Empty => Duration::ZERO,
+            Self::Listing => LIST_PATIENCE,
+            Self::Reading => READER_PATIENCE,
+            Self::Following => FOLLOWER_PATIENCE,
+        }
+    }
+}
+
+/// Who gets which beat in a round.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BeatRound {
+    /// Hosts of the own zone whose turn it is.
+    pub near: Vec<SocketAddrV4>,
+    /// Hosts of other zones.
+    pub far: Vec<SocketAddrV4>,
+    /// The other hosts of the own zone, to which a host that reads the store shows that it does.
+    pub led: Vec<SocketAddrV4>,
+}
+
+impl BeatRound {
+    /// Whether it is between rounds, or there is nobody.
+    pub fn is_empty(&self) -> bool {
+        self.near.is_empty() && self.far.is_empty() && self.led.is_empty()
+    }
+}
+
 /// One other host.
 #[derive(Clone, Debug)]
 struct PeerRecord {
@@ -70,7 +124,11 @@
     /// When its last beat came; `None` if it was only named by others.
     heard: Option<Instant>,
     reports: Vec<UpstreamReport>,
+    /// When the reports came.
+    reported: Option<Instant>,
     pools: Vec<PoolReport>,
+    /// When the pools came.
+    pooled: Option<Instant>,
     /// When a peer that was only named is forgotten.
     forget_at: Instant,
 }
@@ -129,47 +187,56 @@
         if known.is_none() && self.peers.len() >= MOST_PEERS {
             return false;
         }
-        let record = PeerRecord {
-            zone: beat.zone,
-            ready: beat.ready,
-            reads: beat.reads,
-            capacity: beat.capacity,
-            through: beat.through,
-            heard: Some(now),
-            reports: beat.reports,
-            pools: beat.pools,
-            forget_at: now + FORGET_AFTER,
-        };
-        self.peers.insert(from, record);
+        let record = self.peers.entry(from).or_insert_with(|| named_peer(now));
+        record.zone = beat.zone;
+        record.ready = beat.ready;
+        record.reads = beat.reads;
+        record.capacity = beat.capacity;
+        record.through = beat.through;
+        record.heard = Some(now);
+        record.forget_at = now + FORGET_AFTER;
+        if let Some(reports) = beat.reports {
+            record.reports = reports;
+            record.reported = Some(now);
+        }
+        if let Some(pools) = beat.pools {
+            record.pools = pools;
+            record.pooled = Some(now);
+        }
         is_new
     }
 
     /// The peers that get a beat now; empty between rounds. A host that reads the store sends to all
     /// of its zone, and to the readers of others.
-    pub fn round(&mut self, now: Instant, reads: bool) -> Vec<SocketAddrV4> {
+    pub fn round(&mut self, now: Instant, reads: bool) -> BeatRound {
         if self.next_round.is_some_and(|next| now < next) {
-            return Vec::new();
+            return BeatRound::default();
         }
         self.next_round = Some(now + BEAT_PAUSE);
         self.peers.retain(|_address, peer| now < peer.forget_at);
         let near = self.addresses(|peer| peer.zone == self.zone);
         let far = self.addresses(|peer| peer.zone != self.zone);
-        let near_a_round = if reads { near.len() } else { NEAR_A_ROUND };
-        let mut targets = take_turn(&near, &mut self.near_turn, near_a_round);
-        targets.extend(take_turn(&far, &mut self.far_turn, FAR_A_ROUND));
+        let mut round = BeatRound {
+            near: take_turn(&near, &mut self.near_turn, NEAR_A_ROUND),
+            far: take_turn(&far, &mut self.far_turn, FAR_A_ROUND),
+            led: Vec::new(),
+        };
         if reads {
-            targets.extend(self.addresses(|peer| peer.zone != self.zone && peer.reads));
-            targets.sort_unstable();
-            targets.dedup();
+            let others = near.into_iter();
+            round.led = others.filter(|host| !round.near.contains(host)).collect();
+            round
+                .far
+                .extend(self.addresses(|peer| peer.zone != self.zone && peer.reads));
         }
         if self.alive(now).next().is_none() {
             let own = self.own;
             let seeds = self.seeds.iter().copied();
-            targets.extend(seeds.filter(|seed| *seed != own));
-            targets.sort_unstable();
-            targets.dedup();
+            round.far.extend(seeds.filter(|seed| *seed != own));
         }
-        targets
+        round.far.sort_unstable();
+        round.far.dedup();
+        round.far.retain(|host| !round.near.contains(host));
+        round
     }
 
     /// The hosts of the zone that are told of failures at once, others each time if there are many.
@@ -251,8 +318,8 @@
     /// The reports of the living hosts of the own zone, with the time at which each came.
     pub fn near_reports(&self, now: Instant) -> impl Iterator<Item = (Instant, &[UpstreamReport])> {
         self.alive(now).filter_map(|(_address, peer)| {
-            let heard = peer.heard?;
-            (peer.zone == self.zone).then_some((heard, peer.reports.as_slice()))
+            let reported = peer.reported?;
+            (peer.zone == self.zone).then_some((reported, peer.reports.as_slice()))
         })
     }
 
@@ -260,12 +327,12 @@
     pub fn far_pools(&self, now: Instant) -> Vec<(&ZoneName, &[PoolReport])> {
         let alive = self.alive(now).map(|(_address, peer)| peer);
         let is_fresh = |peer: &&PeerRecord| {
-            let heard = peer.heard.map(|heard| now.saturating_duration_since(heard));
-            heard.is_some_and(|ago| ago < FAR_WORD_LIFE)
+            let told = peer.pooled.map(|told| now.saturating_duration_since(told));
+            told.is_some_and(|ago| ago < FAR_WORD_LIFE)
         };
         let far = alive.filter(|peer| peer.zone != self.zone);
         let mut far: Vec<&PeerRecord> = far.filter(is_fresh).collect();
-        far.sort_by_key(|peer| peer.heard);
+        far.sort_by_key(|peer| peer.pooled);
         let pools = far
             .into_iter()
             .map(|peer| (&peer.zone, peer.pools.as_slice()));
@@ -273,20 +340,29 @@
     }
 
     /// The peer to ask for what this host is missing; the one that knows most, of the own zone if
-    /// there is a choice. A host that reads for itself first waits whether it reads the same.
-    pub fn source(&mut self, now: Instant, through: Revision, reads: bool) -> Option<SocketAddrV4> {
+    /// there is a choice, and of equals another for each host, so that those that miss the same do not
+    /// all ask one. How long it first waits to learn the same otherwise depends on `state`.
+    pub fn source(
+        &mut self,
+        now: Instant,
+        through: Revision,
+        state: ReadState,
+    ) -> Option<SocketAddrV4> {
+        let own_key = address_key(self.own);
         let best = self
             .alive(now)
             .filter(|(_address, peer)| peer.through > through)
-            .max_by_key(|(_address, peer)| (peer.through, peer.zone == self.zone))
+            .max_by_key(|(address, peer)| {
+                let weight = rendezvous_weight(own_key, address_key(*address));
+                (peer.through, peer.zone == self.zone, weight)
+            })
             .map(|(address, _peer)| address);
         let Some(best) = best else {
             self.behind_since = None;
             return None;
         };
         let since = *self.behind_since.get_or_insert(now);
-        let patient =
-            reads && through > 0 && now.saturating_duration_since(since) < BEHIND_PATIENCE;
+        let patient = now.saturating_duration_since(since) < state.patience();
         if patient || self.next_ask.is_some_and(|next| now < next) {
             return None;
         }
@@ -299,18 +375,7 @@
         if address == self.own || !room || self.peers.contains_key(&address) {
             return;
         }
-        let record = PeerRecord {
-            zone: ZoneName::default(),
-            ready: false,
-            reads: false,
-            capacity: 0,
-            through: 0,
-            heard: None,
-            reports: Vec::new(),
-            pools: Vec::new(),
-            forget_at: now + FORGET_AFTER,
-        };
-        self.peers.insert(address, record);
+        self.peers.insert(address, named_peer(now));
     }
 
     fn addresses(&self, wanted: impl Fn(&PeerRecord) -> bool) -> Vec<SocketAddrV4> {
@@ -346,6 +411,28 @@
     }
 }
 
+/// A peer of which only others spoke.
+fn named_peer(now: Instant) -> PeerRecord {
+    PeerRecord {
+        zone: ZoneName::default(),
+        ready: false,
+        reads: false,
+        capacity: 0,
+        through: 0,
+        heard: None,
+        reports: Vec::new(),
+        reported: None,
+        pools: Vec::new(),
+        pooled: None,
+        forget_at: now + FORGET_AFTER,
+    }
+}
+
+/// What rendezvous weights of hosts are made of.
+fn address_key(address: SocketAddrV4) -> u64 {
+    u64::from(u32::from(*address.ip()))
+}
+
 /// The time in which each of so many peers has had its turn, and the beats that may be missed.
 fn turn_time(peers: usize, a_round: usize) -> Duration {
     let rounds = u32::try_from(peers / a_round + 1).unwrap_or(u32::MAX);
--- a/packet/src/published_view.rs
+++ b/packet/src/published_view.rs
@@ -40,6 +40,8 @@
     Unreadable,
     /// Nothing any more.
     Removed,
+    /// What it said at the revision that the receiver holds; it is listed because it still exists.
+    Unchanged,
 }
 
 /// One change of the store.
@@ -111,6 +113,10 @@
     removals: VecDeque<(Revision, UpstreamName)>,
     /// Removals up to this revision may have been forgotten.
     removals_from: Revision,
+    /// Between these two revisions the state was replaced whole: what came and went there is not known,
+    /// and for a peer that stands there no difference can be made. Of several such gaps the last is
+    /// kept, and what lies before it counts as forgotten.
+    gap: Option<(Revision, Revision)>,
 }
 
 impl PublishedView {
@@ -149,13 +155,26 @@
     }
 
     /// The difference for a peer that holds everything up to `after`, or everything there is.
+    ///
+    /// Everything is named where removals may have been forgotten, but what the peer must hold already
+    /// is named only: 20 bytes in place of 250.
     pub fn update_since(&self, after: Revision) -> ViewUpdate {
-        let whole = after == 0 || after < self.removals_from || after > self.through;
-        let after = if whole { 0 } else { after };
-        let mut items: Vec<PublishedItem> = self.held_items(after).collect();
-        if !whole {
-            items.extend(self.removed_items(after));
+        let in_gap = self
+            .gap
+            .is_some_and(|(from, to)| from < after && after < to);
+        let forgotten = after == 0 || after < self.removals_from;
+        let ahead = after > self.through;
+        let whole = forgotten || in_gap || ahead;
+        let known = if ahead { 0 } else { after };
+        let mut items: Vec<PublishedItem> = self.held_items().collect();
+        if whole {
+            let held = items.iter_mut().filter(|item| item.revision <= known);
+            held.for_each(|item| item.content = ItemContent::Unchanged);
+        } else {
+            items.retain(|item| item.revision > known);
+            items.extend(self.removed_items(known));
         }
+        let after = if whole { 0 } else { after };
         ViewUpdate {
             items,
             through: self.through,
@@ -164,7 +183,7 @@
         }
     }
 
-    fn held_items(&self, after: Revision) -> impl Iterator<Item = PublishedItem> {
+    fn held_items(&self) -> impl Iterator<Item = PublishedItem> {
         let routes = self.routes.iter().map(|routes| PublishedItem {
             key: ItemKey::Routes,
             revision: self.routes_revision,
@@ -178,9 +197,7 @@
                 None => ItemContent::Unreadable,
             },
         });
-        routes
-            .chain(upstreams)
-            .filter(move |item| item.revision > after)
+        routes.chain(upstreams)
     }
 
     fn removed_items(&self, after: Revision) -> impl Iterator<Item = PublishedItem> {
@@ -205,16 +222,23 @@
             })
             .collect();
         let through = update.through;
+        let mut dropped = Vec::new();
         self.upstreams.retain(|name, held| {
             let keep = held.revision > through || listed.contains(name);
             if !keep {
-                outcome.changes.push(ViewChange::Removed(name.clone()));
+                dropped.push(name.clone());
             }
             keep
         });
-        // Which removals lie between the former state and this one is not known.
-        self.removals.clear();
-        self.removals_from = through;
+        if let Some((_from, to)) = self.gap {
+            self.removals_from = self.removals_from.max(to);
+        }
+        self.gap = Some((self.through, through));
+        for name in dropped {
+            // Removed somewhere up to here; a peer that learns it again loses nothing.
+            self.remember_removal(through, &name);
+            outcome.changes.push(ViewChange::Removed(name));
+        }
     }
 
     fn join_item(&mut self, item: &PublishedItem, outcome: &mut JoinOutcome) {
@@ -222,6 +246,7 @@
             (ItemKey::Routes, ItemContent::Routes(routes)) => {
                 self.join_routes(item.revision, routes, outcome);
             }
+            (ItemKey::Routes, ItemContent::Unchanged) if self.routes.is_some() => {}
             (ItemKey::Routes, _) => outcome.unreadable += 1,
             (ItemKey::Upstream(name), content) => {
                 self.join_upstream(item.revision, name, content, outcome);
@@ -266,6 +291,11 @@
                 outcome.unreadable += 1;
                 None
             }
+            // Held already, or the sender errs about what this host holds.
+            ItemContent::Unchanged => {
+                outcome.unreadable += usize::from(held.is_none());
+                return;
+            }
             ItemContent::Removed => {
                 if self.upstreams.remove(name).is_some() {
                     outcome.changes.push(ViewChange::Removed(name.clone()));
@@ -289,7 +319,7 @@
         if self.removals.len() > REMOVALS_KEPT
             && let Some((forgotten, _name)) = self.removals.pop_front()
         {
-            self.removals_from = forgotten;
+            self.removals_from = self.removals_from.max(forgotten);
         }
     }
 }
--- a/packet/tests/test_peer_table.rs
+++ b/packet/tests/test_peer_table.rs
@@ -15,6 +15,7 @@
 use lagoonproxy_packet::peer_datagram::MOST_DATAGRAM;
 use lagoonproxy_packet::peer_datagram::PeerDatagram;
 use lagoonproxy_packet::peer_table::PeerTable;
+use lagoonproxy_packet::peer_table::ReadState;
 use proptest::prelude::*;
 
 use crate::core_rig::*;
@@ -31,8 +32,8 @@
         capacity: 250,
         through,
         named: Vec::new(),
-        reports: Vec::new(),
-        pools: Vec::new(),
+        reports: Some(Vec::new()),
+        pools: Some(Vec::new()),
     }
 }
 
@@ -60,7 +61,8 @@
         now += Duration::from_millis(500);
         for sender in 0..hosts.len() {
             let from = address(sender as u8 + 1);
-            let targets = hosts[sender].round(now, false);
+            let round = hosts[sender].round(now, false);
+            let targets = [round.near, round.far, round.led].concat();
             most = most.max(targets.len());
             let mut word = beat(ZONE, 1);
             word.named = hosts[sender].some_alive(now);
@@ -100,6 +102,7 @@
         name: &'static str,
         peers: &'static [(u8, &'static str, u64)],
         own: u64,
+        state: ReadState,
         wait_ms: u64,
         expected: Option<u8>,
     }
@@ -108,13 +111,47 @@
             name: "a fresh host asks at once",
             peers: &[(2, ZONE, 5)],
             own: 0,
+            state: ReadState::Empty,
             wait_ms: 0,
             expected: Some(2),
         },
+        Case {
+            name: "a fresh host that is reading the list waits for its end",
+            peers: &[(2, ZONE, 5)],
+            own: 0,
+            state: ReadState::Listing,
+            wait_ms: 900,
+            expected: None,
+        },
+        Case {
+            name: "but not for good",
+            peers: &[(2, ZONE, 5)],
+            own: 0,
+            state: ReadState::Listing,
+            wait_ms: 1100,
+            expected: Some(2),
+        },
+        Case {
+            name: "who follows a reader waits for its word",
+            peers: &[(2, ZONE, 6)],
+            own: 5,
+            state: ReadState::Following,
+            wait_ms: 200,
+            expected: None,
+        },
+        Case {
+            name: "and asks when it does not come",
+            peers: &[(2, ZONE, 6)],
+            own: 5,
+            state: ReadState::Following,
+            wait_ms: 400,
+            expected: Some(2),
+        },
         Case {
             name: "nobody knows more",
             peers: &[(2, ZONE, 5)],
             own: 5,
+            state: ReadState::Reading,
             wait_ms: 2000,
             expected: None,
         },
@@ -122,6 +159,7 @@
             name: "one who reads for itself waits a little",
             peers: &[(2, ZONE, 6)],
             own: 5,
+            state: ReadState::Reading,
             wait_ms: 300,
             expected: None,
         },
@@ -129,6 +167,7 @@
             name: "and then asks",
             peers: &[(2, ZONE, 6)],
             own: 5,
+            state: ReadState::Reading,
             wait_ms: 800,
             expected: Some(2),
         },
@@ -136,6 +175,7 @@
             name: "the own zone first",
             peers: &[(2, "b", 6), (3, ZONE, 6), (4, "b", 6)],
             own: 5,
+            state: ReadState::Reading,
             wait_ms: 800,
             expected: Some(3),
         },
@@ -143,6 +183,7 @@
             name: "who knows most first",
             peers: &[(2, "b", 9), (3, ZONE, 6)],
             own: 5,
+            state: ReadState::Reading,
             wait_ms: 800,
             expected: Some(2),
         },
@@ -153,16 +194,16 @@
         for (number, zone, through) in case.peers {
             table.heard(start, address(*number), beat(zone, *through));
         }
-        let first = table.source(start, case.own, true);
+        let first = table.source(start, case.own, case.state);
         let now = start + Duration::from_millis(case.wait_ms);
         let asked = if case.wait_ms == 0 {
             first
         } else {
-            table.source(now, case.own, true)
+            table.source(now, case.own, case.state)
         };
         assert_eq!(asked, case.expected.map(address), "{}", case.name);
         assert_eq!(
-            table.source(now, case.own, true),
+            table.source(now, case.own, case.state),
             None,
             "{}: not twice at once",
             case.name
@@ -170,6 +211,56 @@
     }
 }
 
+#[test]
+fn test_hosts_that_miss_the_same_ask_different_peers() {
+    // Seventy hosts miss a change, and twenty know it. If all asked the same one, it would send a
+    // megabyte seventy times, and its callers' packets would wait.
+    let now = Instant::now();
+    let mut asked: Vec<SocketAddrV4> = Vec::new();
+    for own in 100..170 {
+        let mut table = PeerTable::new(address(own), ZONE.into(), Vec::new());
+        for number in 1..=20 {
+            table.heard(now, address(number), beat(ZONE, 9));
+        }
+        asked.extend(table.source(now, 0, ReadState::Empty));
+    }
+    let busiest = (1..=20)
+        .map(|number| {
+            asked
+                .iter()
+                .filter(|host| **host == address(number))
+                .count()
+        })
+        .max();
+    assert_eq!(asked.len(), 70);
+    assert!(busiest <= Some(10), "{busiest:?} of 70 at one");
+}
+
+#[test]
+fn test_sign_of_life_leaves_the_last_reports() {
+    // A host that reads for its zone says twice a second that it lives, and what it sees of the
+    // upstreams only when it is somebody's turn. A host must neither forget the loads that it said
+    // before, nor take them for new.
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    let mut word = beat(ZONE, 10);
+    word.reports = Some(vec![UpstreamReport {
+        tag: tag(1),
+        flows: 30,
+        heard_ago: Some(Duration::ZERO),
+        answers: Default::default(),
+    }]);
+    rig.core.heard(rig.now, address(2), word.clone());
+    let heard_at = rig.now;
+    rig.pass(500);
+    rig.core.heard(rig.now, address(2), word.sign_of_life());
+    rig.pass(100);
+    let upstreams = rig.core.upstreams();
+    let index = upstreams.by_tag(tag(1)).expect("known");
+    let record = upstreams.get(index);
+    assert_eq!(record.flows_elsewhere, 30);
+    assert_eq!(record.silence.last_sign(), Some(heard_at));
+}
+
 #[test]
 fn test_reports_count_once_and_end_with_their_host() {
     // A host that has just joined would send every new flow to the upstream that it has fewest
@@ -177,12 +268,12 @@
     let mut rig = CoreRig::with_ledger(&[1, 2]);
     for _beat in 0..3 {
         let mut word = beat(ZONE, 10);
-        word.reports = vec![UpstreamReport {
+        word.reports = Some(vec![UpstreamReport {
             tag: tag(1),
             flows: 30,
             heard_ago: Some(Duration::ZERO),
             answers: Default::default(),
-        }];
+        }]);
         rig.core.heard(rig.now, address(2), word);
     }
     rig.pass(100);
@@ -206,12 +297,12 @@
 fn test_datagrams_are_read_as_they_were_written() {
     let mut word = beat("b", 77);
     word.named = vec![address(7)];
-    word.reports = vec![UpstreamReport {
+    word.reports = Some(vec![UpstreamReport {
         tag: 5,
         flows: 3,
         heard_ago: None,
         answers: Default::default(),
-    }];
+    }]);
     let change = changes(
         7,
         9,
@@ -239,14 +330,14 @@
         heard_ago: Some(Duration::from_secs(9)),
         answers: Default::default(),
     };
-    word.reports = vec![report; MOST_REPORTS];
-    word.pools = vec![
+    word.reports = Some(vec![report; MOST_REPORTS]);
+    word.pools = Some(vec![
         PoolReport {
             service: u32::MAX,
             load: 40_000
         };
         MOST_POOLS
-    ];
+    ]);
     let bytes = PeerDatagram::Beat(word).encode().expect("encodes");
     assert!(bytes.len() <= MOST_DATAGRAM, "{} bytes", bytes.len());
 }
--- a/packet/tests/test_published_view.rs
+++ b/packet/tests/test_published_view.rs
@@ -187,4 +187,65 @@
         prop_assert_eq!(content(&peer), content(&reader));
         prop_assert_eq!(content(&late), content(&reader));
     }
+
+    /// A reader whose history was dropped reads the whole list again, and misses what came and went
+    /// in between. Peers that stand before, within and after that gap get the difference, or
+    /// everything, and end with the same state.
+    #[test]
+    fn test_differences_after_a_list_was_read_again(
+        items in history(),
+        missed in prop::collection::vec(any::<bool>(), 40),
+        cuts in prop::collection::vec(0..40_usize, 0..8),
+    ) {
+        let mut truth = PublishedView::default();
+        let mut reader = PublishedView::default();
+        let mut peer = PublishedView::default();
+        let mut far = PublishedView::default();
+        for view in [&mut truth, &mut reader, &mut peer, &mut far] {
+            view.join(&whole(1, Vec::new()));
+        }
+        for (index, item) in items.iter().enumerate() {
+            let after = truth.through();
+            let item = PublishedItem { revision: after + 1, ..item.clone() };
+            truth.join(&changes(after, after + 1, vec![item.clone()]));
+            let misses = missed[index];
+            if !misses && !reader.join(&changes(after, after + 1, vec![item])).passed_over {
+                continue;
+            }
+            if !misses {
+                reader.join(&truth.update_since(0));
+            }
+            if cuts.contains(&index) {
+                peer.join(&reader.update_since(peer.through()));
+                far.join(&truth.update_since(far.through()));
+            }
+        }
+        reader.join(&truth.update_since(0));
+        peer.join(&reader.update_since(peer.through()));
+        far.join(&reader.update_since(far.through()));
+        prop_assert_eq!(content(&reader), content(&truth));
+        prop_assert_eq!(content(&peer), content(&truth));
+        prop_assert_eq!(content(&far), content(&truth));
+    }
+}
+
+#[test]
+fn test_list_read_again_is_handed_on_as_a_difference() {
+    // The store forgets its history, and the reader of a zone reads the list anew. Seventy hosts that
+    // have all but the last changes would each take the whole list from it, a megabyte in all.
+    let mut reader = PublishedView::default();
+    reader.join(&first_state());
+    let mut peer = PublishedView::default();
+    peer.join(&reader.update_since(0));
+    let items = vec![
+        routes_item(3, usual_routes(7)),
+        upstream_item(5, entry(2, "ledger")),
+        upstream_item(14, entry(3, "ledger")),
+    ];
+    reader.join(&whole(20, items));
+    let update = reader.update_since(peer.through());
+    assert!(!update.whole);
+    assert_eq!(update.items.len(), 2, "one that is new, one that is gone");
+    peer.join(&update);
+    assert_eq!(content(&peer), content(&reader));
 }
--- a/packet/tests/test_read_role.rs
+++ b/packet/tests/test_read_role.rs
@@ -80,10 +80,11 @@
             host.core.store_lost();
         }
         let from = host.address;
-        let Some((beat, targets)) = host.core.round(now, false) else {
-            return;
-        };
-        for target in targets {
+        let beats = host.core.round(now, false);
+        let sent = beats
+            .iter()
+            .flat_map(|(beat, targets)| targets.iter().map(move |target| (beat, *target)));
+        for (beat, target) in sent {
             let to = self.hosts.iter().position(|host| host.address == target);
             let Some(to) = to.filter(|to| self.hosts[*to].alive) else {
                 continue;
--- a/packet/tests/test_upstream_choice.rs
+++ b/packet/tests/test_upstream_choice.rs
@@ -71,11 +71,11 @@
         capacity: 250,
         through: 10,
         named: Vec::new(),
-        reports: Vec::new(),
-        pools: vec![PoolReport {
+        reports: Some(Vec::new()),
+        pools: Some(vec![PoolReport {
             service: service_tag(&"ledger".into()),
             load,
-        }],
+        }]),
     }
 }
 
--- a/packetd/src/peer_socket.rs
+++ b/packetd/src/peer_socket.rs
@@ -97,8 +97,8 @@
 async fn keep_peers_told(state: Rc<HostState>, socket: Rc<UdpSocket>) {
     loop {
         let now = Instant::now();
-        let round = state.core.borrow_mut().round(now, state.stopping.get());
-        if let Some((beat, targets)) = round {
+        let beats = state.core.borrow_mut().round(now, state.stopping.get());
+        for (beat, targets) in beats {
             send(&state, &socket, &PeerDatagram::Beat(beat), &targets);
         }
         let word = state.core.borrow_mut().failure_word(now);
@@ -125,7 +125,10 @@
         let length = change.encode().map(|bytes| bytes.len());
         let datagram = match length {
             Ok(length) if length <= MOST_DATAGRAM => change,
-            _ => PeerDatagram::Beat(state.core.borrow_mut().beat(now, state.stopping.get())),
+            _ => {
+                let beat = state.core.borrow_mut().beat(now, state.stopping.get());
+                PeerDatagram::Beat(beat.sign_of_life())
+            }
         };
         send(state, socket, &datagram, &followers);
     }
