answers: errors of long ago do not count

Now an answer counts for two seconds after its flow's last packet. Test failed first (with the guard off).

--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -39,6 +39,10 @@
 /// How often the tables are searched for what has lasted its time. 20,000 flows take 0.1 ms.
 const SWEEP_PAUSE: Duration = Duration::from_millis(250);
 
+/// How long after a flow's last packet its answer still tells how its upstream is. Callers keep flows
+/// open: what was shed in a rush would else count when their flows are closed for idleness, 12 s on.
+const ANSWER_MEMORY: Duration = Duration::from_secs(2);
+
 /// Most routes whose usual answers are known: three times the addresses of a zone at the size aimed
 /// at, 0.2 MB. Answers of others are not judged by their size.
 const MOST_SIZES: usize = 4096;
@@ -179,10 +183,14 @@
         let Some(record) = self.table.flows.get_mut(&key) else {
             return seen;
         };
+        let pause = now.saturating_duration_since(record.last_seen);
         record.last_seen = now;
         observe_answer(now, record, head, upstreams, &mut seen);
-        let asks = head.data_len > 0 || head.last;
-        if asks && record.waiting_since.is_none() && record.unjudged {
+        let goes_on = head.data_len > 0 || head.last;
+        if pause > ANSWER_MEMORY {
+            record.unjudged = false;
+        }
+        if goes_on && record.waiting_since.is_none() && record.unjudged {
             self.failures += judge_answered(now, &key, record, &mut self.sizes, upstreams);
         }
         observe_data(now, record, head, upstreams, &mut seen);
--- a/packet/tests/test_failing_upstreams.rs
+++ b/packet/tests/test_failing_upstreams.rs
@@ -208,6 +208,26 @@
     assert!(!beliefs(&mut rig).contains(&BeliefChange::Failing));
 }
 
+#[test]
+fn test_errors_of_long_ago_do_not_count() {
+    // In a rush upstreams shed a part of the requests. Twelve seconds later, with all well again, the
+    // callers' idle flows are closed, and only then would their last answers be looked at.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3, 4]);
+    let mut flows = served_flows(&mut rig);
+    turn(&mut rig, &mut flows, |upstream, _place| {
+        Some(if upstream == 1 { ERROR } else { ANSWER })
+    });
+    rig.pass(12_000);
+    beliefs(&mut rig);
+    for flow in &mut flows {
+        let mut end = carry_head(flow.number, flow.upstream, flow.seq, flow.ack, 0);
+        end.last = true;
+        rig.packet(&end);
+    }
+    rig.pass(300);
+    assert!(!beliefs(&mut rig).contains(&BeliefChange::Failing));
+}
+
 #[test]
 fn test_long_upload_is_not_failing() {
     // A caller on a thin line uploads for two seconds; its upstream has nothing to answer before.
