--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -159,13 +159,14 @@
         upstreams: &mut UpstreamTable,
     ) -> PacketSeen {
         let mut seen = PacketSeen::default();
+        let blind = self.is_blind(now);
         if let Some(opening) = self.table.openings.remove(&key) {
             release(&opening, upstreams);
             seen.returned = upstreams.get_mut(index).silence.sign(now);
         }
         if head.kind == PacketKind::Abort {
             if let Some(record) = self.table.flows.get_mut(&key) {
-                self.failures += judge_unanswered(now, record, upstreams);
+                self.failures += judge_unanswered(now, record, blind, upstreams);
             }
             self.end(&key, upstreams);
             return seen;
@@ -179,7 +180,6 @@
         if self.flow(&key).is_none() && !self.begin(now, key, head, index, upstreams) {
             return seen;
         }
-        let blind = self.is_blind(now);
         let Some(record) = self.table.flows.get_mut(&key) else {
             return seen;
         };
@@ -199,7 +199,7 @@
             seen.avoided = silence.attempt_failed(now, now - waited, key.caller);
         }
         if head.last && !record.closing {
-            self.failures += judge_unanswered(now, record, upstreams);
+            self.failures += judge_unanswered(now, record, blind, upstreams);
             record.closing = true;
             let upstream = upstreams.get_mut(index);
             upstream.flows -= 1;
@@ -273,9 +273,7 @@
     fn sweep_flows(&mut self, now: Instant, idle: Duration, upstreams: &mut UpstreamTable) {
         let blind = self.is_blind(now);
         self.table.flows.retain(|_key, record| {
-            if !blind {
-                self.failures += judge_unanswered(now, record, upstreams);
-            }
+            self.failures += judge_unanswered(now, record, blind, upstreams);
             let life = if record.closing { CLOSING_LIFE } else { idle };
             let keep = now.saturating_duration_since(record.last_seen) < life;
             if !keep {
@@ -412,12 +410,18 @@
     u64::from(short)
 }
 
-/// Judges a request that has waited too long for its answer, each once; returns 1 if it failed.
-fn judge_unanswered(now: Instant, record: &mut FlowRecord, upstreams: &mut UpstreamTable) -> u64 {
+/// Judges a request that has waited too long for its answer, each once; returns 1 if it failed. On a
+/// host that is `blind`, which was held up, a wait means nothing.
+fn judge_unanswered(
+    now: Instant,
+    record: &mut FlowRecord,
+    blind: bool,
+    upstreams: &mut UpstreamTable,
+) -> u64 {
     let Some(sent) = record.waiting_since.filter(|_sent| record.unjudged) else {
         return 0;
     };
-    if now.saturating_duration_since(sent) < FAILED_WAIT {
+    if blind || now.saturating_duration_since(sent) < FAILED_WAIT {
         return 0;
     }
     record.unjudged = false;
