tidy: one wait for what must come true; a difference is not built whole first

packet_cell had four copies of the same wait, one of which nobody called any more. PublishedView::update_since copied every item before it left the known ones out.

--- a/packet/src/published_view.rs
+++ b/packet/src/published_view.rs
@@ -55,6 +55,16 @@
     pub content: ItemContent,
 }
 
+impl PublishedItem {
+    /// The item as it is, or without its content for who holds everything up to `known`.
+    fn named_if_known(mut self, known: Revision) -> Self {
+        if self.revision <= known {
+            self.content = ItemContent::Unchanged;
+        }
+        self
+    }
+}
+
 /// A number of changes, from the store or from a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewUpdate {
@@ -166,14 +176,13 @@
         let ahead = after > self.through;
         let whole = forgotten || in_gap || ahead;
         let known = if ahead { 0 } else { after };
-        let mut items: Vec<PublishedItem> = self.held_items().collect();
-        if whole {
-            let held = items.iter_mut().filter(|item| item.revision <= known);
-            held.for_each(|item| item.content = ItemContent::Unchanged);
+        let held = self.held_items();
+        let items: Vec<PublishedItem> = if whole {
+            held.map(|item| item.named_if_known(known)).collect()
         } else {
-            items.retain(|item| item.revision > known);
-            items.extend(self.removed_items(known));
-        }
+            let newer = held.filter(|item| item.revision > known);
+            newer.chain(self.removed_items(known)).collect()
+        };
         let after = if whole { 0 } else { after };
         ViewUpdate {
             items,
--- a/standin/src/packet_cell.rs
+++ b/standin/src/packet_cell.rs
@@ -180,15 +180,10 @@
     /// Waits until so many hosts are in the rotation.
     pub async fn wait_for_rotation(&mut self, hosts: usize) {
         let fabric = self.fabric.clone();
-        let wait = async {
-            while fabric.hosts() != hosts {
-                tokio::time::sleep(LOOK_PAUSE).await;
-            }
-        };
-        let waited = tokio::time::timeout(HANG_LIMIT, wait).await;
+        let came_true = comes_true(async || fabric.hosts() == hosts).await;
         let ends: Vec<_> = self.hosts.iter_mut().map(CellHost::has_ended).collect();
         assert!(
-            waited.is_ok(),
+            came_true,
             "{hosts} hosts never in the rotation; how each has ended: {ends:?}"
         );
     }
@@ -239,13 +234,8 @@
     /// Waits until the process serves its readiness, so that it takes signals: until a program has
     /// begun to run, the system ends it at any of them.
     pub async fn listens(&self) {
-        let wait = async {
-            while TcpStream::connect(self.ready).await.is_err() {
-                tokio::time::sleep(LOOK_PAUSE).await;
-            }
-        };
-        let waited = tokio::time::timeout(HANG_LIMIT, wait).await;
-        assert!(waited.is_ok(), "{} never listens", self.ready);
+        let listens = comes_true(async || TcpStream::connect(self.ready).await.is_ok()).await;
+        assert!(listens, "{} never listens", self.ready);
     }
 
     /// Waits for the process to end.
@@ -293,13 +283,8 @@
 
     /// Waits until a metric has a value that is wanted.
     pub async fn wait_for_metric(&self, name: &str, wanted: impl Fn(f64) -> bool) {
-        let wait = async {
-            while !wanted(self.metric(name).await) {
-                tokio::time::sleep(LOOK_PAUSE).await;
-            }
-        };
-        let waited = tokio::time::timeout(HANG_LIMIT, wait).await;
-        assert!(waited.is_ok(), "{name} never as wanted");
+        let came_true = comes_true(async || wanted(self.metric(name).await)).await;
+        assert!(came_true, "{name} never as wanted");
     }
 }
 
@@ -314,15 +299,14 @@
     format!("servers/i-{:x}", upstream.number)
 }
 
-/// Waits for something that must become so.
-pub async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+/// Waits for something that must become so; false if it never does.
+async fn comes_true(condition: impl AsyncFn() -> bool) -> bool {
     let wait = async {
-        while !condition() {
+        while !condition().await {
             tokio::time::sleep(LOOK_PAUSE).await;
         }
     };
-    let waited = tokio::time::timeout(HANG_LIMIT, wait).await;
-    assert!(waited.is_ok(), "{what}: never so");
+    tokio::time::timeout(HANG_LIMIT, wait).await.is_ok()
 }
 
 fn spawn(program: &Path, settings: &Path) -> Child {
