--- a/packet/src/core_notes.rs
+++ b/packet/src/core_notes.rs
@@ -37,6 +37,7 @@
             service: head.service,
             copy: head.ack,
             upstream: record.name.clone(),
+            zone: record.zone.clone(),
             flows: record.flows,
             heard_ago: heard_ago(now, record.silence.last_sign()),
             raced,
@@ -73,6 +74,7 @@
         let record = self.upstreams.get(index);
         output.notes.push(DecisionNote::Upstream {
             upstream: record.name.clone(),
+            zone: record.zone.clone(),
             change,
             attempts: record.silence.attempts(),
             answers: record.answers.counts(),
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lagoonproxy::ids::Version;
+use lagoonproxy::ids::ZoneName;
 use lagoonproxy::result_code::ResultCode;
 
 use crate::answer_record::AnswerCounts;
@@ -83,6 +84,8 @@
         copy: u32,
         /// Where it went.
         upstream: UpstreamName,
+        /// The availability zone of that upstream.
+        zone: ZoneName,
         /// Flows that this host had there before.
         flows: u32,
         /// Time since that upstream last proved to be alive, if it has.
@@ -129,6 +132,8 @@
     Upstream {
         /// Which.
         upstream: UpstreamName,
+        /// Its availability zone.
+        zone: ZoneName,
         /// How.
         change: BeliefChange,
         /// Attempts without an answer.
--- a/packetd/src/note_log.rs
+++ b/packetd/src/note_log.rs
@@ -22,6 +22,7 @@
             service,
             copy,
             upstream,
+            zone,
             flows,
             heard_ago,
             raced,
@@ -32,7 +33,7 @@
                 metrics.raced.inc();
             }
             let heard_ms = millis(*heard_ago);
-            log::info!(caller:% = caller, service:% = service, copy, upstream:% = upstream, flows, heard_ms, raced, version; "flow placed");
+            log::info!(caller:% = caller, service:% = service, copy, upstream:% = upstream, zone:% = zone, flows, heard_ms, raced, version; "flow placed");
         }
         DecisionNote::Refused {
             caller,
@@ -61,6 +62,7 @@
         }
         DecisionNote::Upstream {
             upstream,
+            zone,
             change,
             attempts,
             answers,
@@ -74,7 +76,7 @@
             };
             let heard_ms = millis(*heard_ago);
             let (served, failed) = (answers.served, answers.failed);
-            log::info!(upstream:% = upstream, change:? = change, attempts, served, failed, heard_ms, through; "upstream");
+            log::info!(upstream:% = upstream, zone:% = zone, change:? = change, attempts, served, failed, heard_ms, through; "upstream");
         }
         DecisionNote::Routes {
             version,
