admission: a late copy of an opening packet yields while no slot is free

Its caller sends the next copy or opens another flow. First packets, requests without a target, and copies that this host has placed before never yield.

--- a/bench/src/packet_cost.rs
+++ b/bench/src/packet_cost.rs
@@ -188,6 +188,7 @@
     let route = ServiceRoute {
         address: SERVICE,
         shares: vec![share],
+        target: None,
     };
     let config = RouteConfig {
         version: 1,
--- a/packet/src/core_notes.rs
+++ b/packet/src/core_notes.rs
@@ -45,6 +45,24 @@
         });
     }
 
+    pub(crate) fn note_deferred(
+        &self,
+        now: Instant,
+        head: &PacketHead,
+        index: UpstreamIndex,
+        output: &mut PacketOutput,
+    ) {
+        let record = self.upstreams.get(index);
+        output.notes.push(DecisionNote::Deferred {
+            caller: head.caller,
+            service: head.service,
+            copy: head.ack,
+            upstream: record.name.clone(),
+            requests: record.requests(self.peers.near_hosts(now) as u32),
+            version: self.version,
+        });
+    }
+
     pub(crate) fn note_repeated(
         &self,
         now: Instant,
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod flow_table;
 pub mod host_settings;
 pub mod ids;
+pub mod opening_admission;
 pub mod packet_action;
 pub mod packet_core;
 pub mod packet_head;
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -95,6 +95,21 @@
         /// The version of the routes in force.
         version: Version,
     },
+    /// A copy of an opening packet was left to its caller's next one.
+    Deferred {
+        /// The caller's end.
+        caller: SocketAddrV4,
+        /// The service's end.
+        service: SocketAddrV4,
+        /// Which copy of the packet, from 0.
+        copy: u32,
+        /// The best upstream that there was.
+        upstream: UpstreamName,
+        /// Requests that it had in progress, as far as could be told.
+        requests: u32,
+        /// The version of the routes in force.
+        version: Version,
+    },
     /// A flow was refused or ended.
     Refused {
         /// The caller's end.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -15,6 +15,8 @@
 use crate::flow_table::FlowKey;
 use crate::host_settings::HostSettings;
 use crate::ids::UpstreamIndex;
+use crate::opening_admission::OpeningQuery;
+use crate::opening_admission::is_deferred;
 use crate::packet_action::BeliefChange;
 use crate::packet_action::DecisionNote;
 use crate::packet_action::FlowReset;
@@ -284,19 +286,45 @@
             self.refuse(head, None, ResultCode::NoUpstream, output);
             return;
         };
+        if self.is_deferred(now, head, choice.first, &copy.tried) {
+            let code = ResultCode::QueueFull;
+            output.actions.push(PacketAction::Drop { code });
+            self.note_deferred(now, head, choice.first, output);
+            return;
+        }
         self.note_placed(now, head, choice.first, choice.second.is_some(), output);
         for index in std::iter::once(choice.first).chain(choice.second) {
             self.evidence
                 .opening_sent(now, key, index, &mut self.upstreams);
             self.forward(head, index, output);
         }
-        if let Some(second) = choice.second {
-            if self.upstreams.get(second).silence.is_avoided() {
-                self.upstreams.trial_sent(second, now);
-            }
+        let tried = choice
+            .second
+            .filter(|second| self.upstreams.get(*second).silence.is_avoided());
+        if let Some(second) = tried {
+            self.upstreams.trial_sent(second, now);
         }
     }
 
+    /// Whether an opening packet is left to its caller's next copy, for the best upstream is busy.
+    fn is_deferred(
+        &self,
+        now: Instant,
+        head: &PacketHead,
+        best: UpstreamIndex,
+        tried: &[UpstreamIndex],
+    ) -> bool {
+        let record = self.upstreams.get(best);
+        let query = OpeningQuery {
+            copy: head.ack,
+            target: self.routes.target(head.service),
+            placed_before: !tried.is_empty(),
+            requests: record.requests(self.peers.near_hosts(now) as u32),
+            slots: record.slots,
+        };
+        is_deferred(&self.upstreams.figures().admission, &query)
+    }
+
     fn carry(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
         let key = flow_key(head);
         if !self.routes.contains(head.service) {
--- a/packet/src/policy_figures.rs
+++ b/packet/src/policy_figures.rs
@@ -23,6 +23,8 @@
     pub missing: MissingFigures,
     /// How long a flow that says nothing counts as load.
     pub load: LoadFigures,
+    /// Which opening packets wait while a service is busy.
+    pub admission: AdmissionFigures,
 }
 
 /// The figures of [`crate::upstream_choice`].
@@ -131,6 +133,14 @@
     pub quiet_times: u32,
 }
 
+/// The figures of [`crate::opening_admission`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionFigures {
+    /// Requests in progress a slot from which late copies yield: none is free. Of 0.5, 1, 2 and 3, the
+    /// first two served most, and the others half as much more than none.
+    pub busy_requests: u32,
+}
+
 impl Default for ChoiceFigures {
     fn default() -> Self {
         Self {
@@ -182,6 +192,12 @@
     }
 }
 
+impl Default for AdmissionFigures {
+    fn default() -> Self {
+        Self { busy_requests: 1 }
+    }
+}
+
 impl Default for MissingFigures {
     fn default() -> Self {
         Self {
--- a/packet/src/route_config.rs
+++ b/packet/src/route_config.rs
@@ -25,12 +25,18 @@
 }
 
 /// Where new flows of one address go.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRoute {
     /// The address that callers use.
     pub address: SocketAddrV4,
     /// The services that share the new flows; never empty, and the weights' sum is above 0.
     pub shares: Vec<ServiceShare>,
+    /// How soon a request should be answered, counted from its caller's first packet; `None` if the
+    /// operators do not say.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[serde(default)]
+    pub target: Option<Duration>,
 }
 
 /// The share of one service in the new flows of a route.
--- a/packet/src/route_table.rs
+++ b/packet/src/route_table.rs
@@ -1,6 +1,7 @@
 //! Finds the services of an address, and shares new flows among them by weight.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use foldhash::HashMap;
 
@@ -11,10 +12,19 @@
 /// A route's services with the upper ends of their parts of the weight, ascending.
 type RouteShares = Vec<(u64, ServiceIndex)>;
 
+/// One route in force.
+#[derive(Debug)]
+struct RouteRecord {
+    /// Never empty.
+    shares: RouteShares,
+    /// How soon a request should be answered, if the operators say so.
+    target: Option<Duration>,
+}
+
 /// The routes in force.
 #[derive(Debug, Default)]
 pub struct RouteTable {
-    routes: HashMap<SocketAddrV4, RouteShares>,
+    routes: HashMap<SocketAddrV4, RouteRecord>,
 }
 
 impl RouteTable {
@@ -30,7 +40,8 @@
                     (sum, upstreams.service(&share.service))
                 })
                 .collect();
-            routes.insert(route.address, shares);
+            let target = route.target;
+            routes.insert(route.address, RouteRecord { shares, target });
         }
         Self { routes }
     }
@@ -40,10 +51,15 @@
         self.routes.contains_key(&address)
     }
 
+    /// How soon a request to this address should be answered, if the operators say so.
+    pub fn target(&self, address: SocketAddrV4) -> Option<Duration> {
+        self.routes.get(&address)?.target
+    }
+
     /// The service of a new flow, drawn by weight from a hash of the flow, so that every copy of
     /// its opening packet goes to the same service.
     pub fn service(&self, address: SocketAddrV4, flow_hash: u64) -> Option<ServiceIndex> {
-        let shares = self.routes.get(&address)?;
+        let shares = &self.routes.get(&address)?.shares;
         let sum = shares.last()?.0;
         let point = flow_hash % sum;
         let share = shares.iter().find(|(end, _service)| point < *end);
--- a/packet/src/upstream_choice.rs
+++ b/packet/src/upstream_choice.rs
@@ -205,7 +205,7 @@
     let load = upstream_load(figures, record, query.now);
     ChoiceRank {
         suspect: record.is_suspect() && !panic,
-        full: is_full(figures, record, query.near_hosts),
+        full: record.requests(query.near_hosts) >= record.slots * figures.full_requests,
         tried: query.tried.contains(&index),
         unknown: !record.near && record.zone_load.is_none(),
         load: if record.near {
@@ -216,13 +216,6 @@
     }
 }
 
-/// Whether an upstream has too many requests in progress. A host sees its own share of them only;
-/// the other hosts of the zone are taken to have as many each.
-fn is_full(figures: &ChoiceFigures, record: &UpstreamRecord, near_hosts: u32) -> bool {
-    let shares = if record.near { near_hosts } else { 1 };
-    (record.waiting + record.opening) * shares >= record.slots * figures.full_requests
-}
-
 /// Load a slot, in hundredths of a flow, as far as this host knows.
 fn upstream_load(figures: &ChoiceFigures, record: &UpstreamRecord, now: Instant) -> u64 {
     let flow_load = if record.warm_at > now {
--- a/packet/src/upstream_record.rs
+++ b/packet/src/upstream_record.rs
@@ -88,6 +88,13 @@
         listed && self.tag.is_some()
     }
 
+    /// Requests that it has in progress, as far as can be told: those through this host and, in its own
+    /// zone, as many through each other host. What those say is half a second old, which is ten requests.
+    pub fn requests(&self, near_hosts: u32) -> u32 {
+        let hosts = if self.near { near_hosts } else { 1 };
+        (self.waiting + self.opening) * hosts
+    }
+
     /// Whether this host has any flow there, in use or not.
     pub fn has_flows(&self) -> bool {
         self.flows > 0 || self.quiet > 0
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -86,6 +86,7 @@
             service: (*service).into(),
             weight: 1,
         }],
+        target: Some(Duration::from_millis(150)),
     });
     RouteConfig {
         version,
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -38,6 +38,8 @@
     pub placed: Counter,
     /// Of them, those sent to two upstreams at once.
     pub raced: Counter,
+    /// Copies of opening packets that were left to their callers' next ones.
+    pub deferred: Counter,
     /// Requests that callers sent again.
     pub repeated: Counter,
     /// From a request to the first acknowledgement after it, in seconds.
@@ -64,6 +66,7 @@
             unsent: Counter::default(),
             placed: Counter::default(),
             raced: Counter::default(),
+            deferred: Counter::default(),
             repeated: Counter::default(),
             answer_seconds: Histogram::new(LATENCY_CLASSES),
             avoided: Counter::default(),
@@ -89,6 +92,11 @@
             ("unsent", "Packets that the network refused", &self.unsent),
             ("placed", "New flows placed, with copies", &self.placed),
             ("raced", "New flows sent to two upstreams", &self.raced),
+            (
+                "deferred",
+                "Copies of opening packets left to the next",
+                &self.deferred,
+            ),
             ("repeated", "Requests sent again by callers", &self.repeated),
             ("avoided", "Upstreams avoided for silence", &self.avoided),
             (
--- a/packetd/src/note_log.rs
+++ b/packetd/src/note_log.rs
@@ -35,6 +35,17 @@
             let heard_ms = millis(*heard_ago);
             log::info!(caller:% = caller, service:% = service, copy, upstream:% = upstream, zone:% = zone, flows, heard_ms, raced, version; "flow placed");
         }
+        DecisionNote::Deferred {
+            caller,
+            service,
+            copy,
+            upstream,
+            requests,
+            version,
+        } => {
+            metrics.deferred.inc();
+            log::info!(caller:% = caller, service:% = service, copy, upstream:% = upstream, requests, version; "flow deferred");
+        }
         DecisionNote::Refused {
             caller,
             service,
