choice: an opening packet goes to the second best as well while that one is idle

Two of the nine are the opening packet to the upstream and the answer to it. Change: a second upstream gets the packet too, if it is neither silent nor failing and has a free slot; the caller takes whoever answers first. Where the first is doubtful, as before.

--- a/packet/src/policy_figures.rs
+++ b/packet/src/policy_figures.rs
@@ -56,6 +56,9 @@
     pub most_looked_at: usize,
     /// Whether an opening packet goes to a second upstream as well where the first is doubtful.
     pub races_doubtful: bool,
+    /// The same where it is not, if the second is neither silent nor failing and has a free slot. With
+    /// a busy second, requests that the best would have served at once wait there instead.
+    pub races_sure: bool,
 }
 
 /// The figures of [`crate::silence_record`].
@@ -152,6 +155,7 @@
             spill_margin: 3 * FLOW_LOAD,
             most_looked_at: 48,
             races_doubtful: true,
+            races_sure: true,
         }
     }
 }
--- a/packet/src/upstream_choice.rs
+++ b/packet/src/upstream_choice.rs
@@ -7,6 +7,11 @@
 //! as it has room (a flow that leaves the zone pays two crossings a packet and ends with the next
 //! cut), and of equals the one with the larger rendezvous weight, so that hosts that know nothing
 //! yet do not all begin with the same.
+//!
+//! An opening packet goes to the second best as well, and its caller takes whoever answers first: two of
+//! the packets that a short request needs may then be lost without a wait of 200 ms for the copy. It
+//! costs a datagram of 40 bytes a flow; upstreams do no work for flows that do not open. On a calm
+//! day of requests with a flow each, 57 of 9,378 were late with it and 72 without.
 
 use std::cmp::Ordering;
 use std::time::Instant;
@@ -40,8 +45,7 @@
 pub struct FlowChoice {
     /// The best one.
     pub first: UpstreamIndex,
-    /// Another that gets the packet at the same time, where the first is doubtful or this one is
-    /// to be tried. The caller takes whoever answers first.
+    /// Another that gets the packet at the same time. The caller takes whoever answers first.
     pub second: Option<UpstreamIndex>,
 }
 
@@ -89,7 +93,13 @@
     }
     let first = found.best?.index;
     let doubtful = figures.races_doubtful && table.get(first).silence.is_doubtful();
-    let beside = found.next.map(|next| next.index).filter(|_index| doubtful);
+    let sound = |next: &RankedUpstream| {
+        let record = table.get(next.index);
+        let idle = record.requests(query.near_hosts) < record.slots;
+        !next.rank.suspect && idle
+    };
+    let raced = |next: &RankedUpstream| doubtful || (figures.races_sure && sound(next));
+    let beside = found.next.filter(raced).map(|next| next.index);
     let second = found.trial.filter(|index| *index != first).or(beside);
     Some(FlowChoice { first, second })
 }
