--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_flow_evidence;
 mod test_flow_load;
 mod test_lost_upstreams;
+mod test_names;
 mod test_opening_admission;
 mod test_packet_core;
 mod test_peer_table;
