choice: flows leave their zone when it is full, and for nothing less; no word of load between zones

Half a second old, it sends flows away that would have had room, and a cut ends them. Kept: a zone whose upstreams have three requests a slot in progress sends flows elsewhere at once.

--- a/packet/src/core_peers.rs
+++ b/packet/src/core_peers.rs
@@ -45,7 +45,6 @@
             through: self.view.through(),
             named: self.peers.some_alive(now),
             reports: Some(self.upstreams.reports(now)),
-            pools: Some(self.upstreams.pool_reports()),
         }
     }
 
--- a/packet/src/ids.rs
+++ b/packet/src/ids.rs
@@ -14,10 +14,6 @@
 /// Short form of an upstream's name that callers send back with each packet; 0 is nobody's.
 pub type FlowTag = u32;
 
-/// Short form of a service's name; two services with the same are taken for one where loads are
-/// compared, and nowhere else.
-pub type ServiceTag = u32;
-
 /// Place of an upstream in the table of upstreams; never given to another upstream.
 pub type UpstreamIndex = u32;
 
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -187,7 +187,6 @@
     pub fn tick(&mut self, now: Instant, output: &mut PacketOutput) {
         self.notice_hold_up(now);
         self.upstreams.learn_reports(self.peers.near_reports(now));
-        self.upstreams.learn_pools(&self.peers.far_pools(now));
         for index in self.upstreams.tick(now) {
             self.note_belief(now, index, BeliefChange::Gone, output);
         }
--- a/packet/src/peer_beat.rs
+++ b/packet/src/peer_beat.rs
@@ -15,7 +15,6 @@
 use crate::answer_record::AnswerCounts;
 use crate::ids::FlowTag;
 use crate::ids::Revision;
-use crate::ids::ServiceTag;
 
 /// Most addresses of other peers in a beat.
 pub const MOST_NAMED: usize = 8;
@@ -26,9 +25,6 @@
 /// Most upstreams in one word of failures: 0.6 KB.
 pub const MOST_FAILURES: usize = 84;
 
-/// Most services reported in a beat.
-pub const MOST_POOLS: usize = 32;
-
 /// One host's word about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerBeat {
@@ -46,9 +42,6 @@
     pub named: Vec<SocketAddrV4>,
     /// The upstreams of the sender's zone; `None` if what it said before holds.
     pub reports: Option<Vec<UpstreamReport>>,
-    /// The services of the sender's zone, as far as it knows all of its hosts; `None` if what it said
-    /// before holds.
-    pub pools: Option<Vec<PoolReport>>,
 }
 
 impl PeerBeat {
@@ -64,21 +57,11 @@
     pub fn sign_of_life(&self) -> Self {
         Self {
             named: Vec::new(),
-            pools: None,
             ..self.for_other_zones()
         }
     }
 }
 
-/// How loaded the upstreams of one service in the sender's zone are.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PoolReport {
-    /// Short form of the service's name.
-    pub service: ServiceTag,
-    /// Load a slot, in hundredths of a flow.
-    pub load: u64,
-}
-
 /// What the sender's flows tell about one upstream.
 #[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/packet/src/peer_table.rs
+++ b/packet/src/peer_table.rs
@@ -19,7 +19,6 @@
 use crate::peer_beat::MOST_NAMED;
 use crate::peer_beat::MOST_REPORTS;
 use crate::peer_beat::PeerBeat;
-use crate::peer_beat::PoolReport;
 use crate::peer_beat::UpstreamReport;
 
 /// Pause between rounds of beats.
@@ -39,9 +38,6 @@
 /// for readers send one to each host of their zone in each round.
 const READER_SILENCE: Duration = Duration::from_millis(1600);
 
-/// How long what a host of another zone says of its load is believed.
-const FAR_WORD_LIFE: Duration = Duration::from_secs(3);
-
 /// Rounds without a beat after which a peer counts as gone, on top of those of a turn. Two may be
 /// lost.
 const MISSED_ROUNDS: u32 = 3;
@@ -126,9 +122,6 @@
     reports: Vec<UpstreamReport>,
     /// When the reports came.
     reported: Option<Instant>,
-    pools: Vec<PoolReport>,
-    /// When the pools came.
-    pooled: Option<Instant>,
     /// When a peer that was only named is forgotten.
     forget_at: Instant,
 }
@@ -199,10 +192,6 @@
             record.reports = reports;
             record.reported = Some(now);
         }
-        if let Some(pools) = beat.pools {
-            record.pools = pools;
-            record.pooled = Some(now);
-        }
         is_new
     }
 
@@ -323,22 +312,6 @@
         })
     }
 
-    /// The loads of services in other zones, as the hosts there last said, oldest word first.
-    pub fn far_pools(&self, now: Instant) -> Vec<(&ZoneName, &[PoolReport])> {
-        let alive = self.alive(now).map(|(_address, peer)| peer);
-        let is_fresh = |peer: &&PeerRecord| {
-            let told = peer.pooled.map(|told| now.saturating_duration_since(told));
-            told.is_some_and(|ago| ago < FAR_WORD_LIFE)
-        };
-        let far = alive.filter(|peer| peer.zone != self.zone);
-        let mut far: Vec<&PeerRecord> = far.filter(is_fresh).collect();
-        far.sort_by_key(|peer| peer.pooled);
-        let pools = far
-            .into_iter()
-            .map(|peer| (&peer.zone, peer.pools.as_slice()));
-        pools.collect()
-    }
-
     /// The peer to ask for what this host is missing; the one that knows most, of the own zone if
     /// there is a choice, and of equals another for each host, so that those that miss the same do not
     /// all ask one. How long it first waits to learn the same otherwise depends on `state`.
@@ -422,8 +395,6 @@
         heard: None,
         reports: Vec::new(),
         reported: None,
-        pools: Vec::new(),
-        pooled: None,
         forget_at: now + FORGET_AFTER,
     }
 }
--- a/packet/src/policy_figures.rs
+++ b/packet/src/policy_figures.rs
@@ -43,14 +43,6 @@
     /// Of a service's upstreams, one in this many may be avoided at a time (panic threshold). When
     /// more seem silent, the fault is likely this host's own path, and crowding the rest makes it worse.
     pub most_avoided: usize,
-    /// A flow leaves its zone when the least loaded upstream there has more than this share of the load
-    /// of the least loaded one elsewhere, and some flows more. Zones with 4 and 5 upstreams for the same
-    /// callers differ by 1.25, which costs nobody anything; a zone that has lost three of five by 2.5.
-    /// Of 1.6 and 2, the latter served more on days with cuts, which end the flows that left.
-    pub spill_ratio: (u64, u64),
-    /// The hundredths of a flow a slot by which it has to be loaded more; at a request a second and flow,
-    /// and 25 ms a request, three flows are 8 % of a slot.
-    pub spill_margin: u64,
     /// Upstreams of a zone that a new flow looks at. The least loaded of 48 drawn ones is among the
     /// least loaded fiftieth of any number; looking at all 5,000 of a large zone takes 90 us a flow.
     pub most_looked_at: usize,
@@ -151,8 +143,6 @@
             full_requests: 3,
             waiting_flows: 3,
             most_avoided: 2,
-            spill_ratio: (2, 1),
-            spill_margin: 3 * FLOW_LOAD,
             most_looked_at: 48,
             races_doubtful: true,
             races_sure: true,
--- a/packet/src/upstream_choice.rs
+++ b/packet/src/upstream_choice.rs
@@ -3,9 +3,9 @@
 //! Load pattern: long flows that each send a request now and then, many hosts that each see a part
 //! of them, upstreams with two slots. Placing by hash alone gives some upstreams twice the flows
 //! of others and their requests wait; placing by load alone fills whoever is dark, since nothing
-//! is in progress there. So: least loaded a slot among those that answer, in the own zone as long
-//! as it has room (a flow that leaves the zone pays two crossings a packet and ends with the next
-//! cut), and of equals the one with the larger rendezvous weight, so that hosts that know nothing
+//! is in progress there. So: least loaded a slot among those that answer, in the own zone until
+//! its upstreams are full (a flow that leaves the zone pays two crossings a packet and ends with the
+//! next cut; leaving for less than that served nobody better), and of equals the one with the larger rendezvous weight, so that hosts that know nothing
 //! yet do not all begin with the same.
 //!
 //! An opening packet goes to the second best as well, and its caller takes whoever answers first: two of
@@ -57,8 +57,8 @@
     /// It has so many requests in progress that another would wait long or be shed.
     full: bool,
     tried: bool,
-    /// It is in another zone, and nobody said how loaded that is.
-    unknown: bool,
+    /// It is in another zone.
+    far: bool,
     /// What counts against it, in hundredths of a flow a slot.
     load: u64,
 }
@@ -151,8 +151,7 @@
             return false;
         };
         let alone = self.next.is_none() && table.get(best.index).silence.is_doubtful();
-        let loaded = best.rank.load > table.figures().choice.spill_margin;
-        !best.rank.suspect && !best.rank.full && !best.rank.tried && !alone && !loaded
+        !best.rank.suspect && !best.rank.full && !best.rank.tried && !alone
     }
 
     fn look_at(
@@ -212,17 +211,12 @@
     query: ChoiceQuery<'_>,
     panic: bool,
 ) -> ChoiceRank {
-    let load = upstream_load(figures, record, query.now);
     ChoiceRank {
         suspect: record.is_suspect() && !panic,
         full: record.requests(query.near_hosts) >= record.slots * figures.full_requests,
         tried: query.tried.contains(&index),
-        unknown: !record.near && record.zone_load.is_none(),
-        load: if record.near {
-            load
-        } else {
-            spilled_load(figures, load)
-        },
+        far: !record.near,
+        load: upstream_load(figures, record, query.now),
     }
 }
 
@@ -236,11 +230,5 @@
     let flows = u64::from(record.flows)
         + u64::from(record.flows_elsewhere)
         + figures.waiting_flows * u64::from(record.waiting);
-    flows * flow_load / u64::from(record.slots) + record.zone_load.unwrap_or_default()
-}
-
-/// The load that an upstream of another zone is taken to have, against those of this zone.
-fn spilled_load(figures: &ChoiceFigures, load: u64) -> u64 {
-    let (ratio, of) = figures.spill_ratio;
-    load * ratio / of + figures.spill_margin
+    flows * flow_load / u64::from(record.slots)
 }
--- a/packet/src/upstream_record.rs
+++ b/packet/src/upstream_record.rs
@@ -67,9 +67,6 @@
     pub waiting: u32,
     /// Flows that are being opened there through this host.
     pub opening: u32,
-    /// Load a slot that its zone has through its own hosts, in hundredths of a flow, if they said so
-    /// of late; for upstreams of other zones only.
-    pub zone_load: Option<u64>,
     /// Flows that it has through the other hosts of this zone, as they last said.
     pub flows_elsewhere: u32,
     /// Whether it is alive, as its flows tell.
--- a/packet/src/upstream_table.rs
+++ b/packet/src/upstream_table.rs
@@ -11,17 +11,13 @@
 use crate::ids::FlowTag;
 use crate::ids::ServiceIndex;
 use crate::ids::ServiceName;
-use crate::ids::ServiceTag;
 use crate::ids::UpstreamIndex;
 use crate::ids::UpstreamName;
 use crate::peer_beat::AnswerReport;
 use crate::peer_beat::FailureReport;
 use crate::peer_beat::MOST_FAILURES;
-use crate::peer_beat::MOST_POOLS;
 use crate::peer_beat::MOST_REPORTS;
-use crate::peer_beat::PoolReport;
 use crate::peer_beat::UpstreamReport;
-use crate::policy_figures::FLOW_LOAD;
 use crate::policy_figures::MissingFigures;
 use crate::policy_figures::PolicyFigures;
 use crate::upstream_entry::EntryState;
@@ -55,11 +51,6 @@
     pool_by_name: HashMap<ServiceName, ServiceIndex>,
 }
 
-/// Short form of a service's name, alike on every host.
-pub fn service_tag(name: &ServiceName) -> ServiceTag {
-    xxh3_64(name.as_bytes()) as ServiceTag
-}
-
 /// The tag of an upstream's flows: alike on every host, whatever its view.
 pub fn flow_tag(name: &UpstreamName) -> FlowTag {
     let hash = xxh3_64(name.as_bytes());
@@ -262,42 +253,6 @@
         }
     }
 
-    /// Takes over what hosts of other zones say of their services, in place of what was said before;
-    /// the last word about a zone counts.
-    pub fn learn_pools(&mut self, pools: &[(&ZoneName, &[PoolReport])]) {
-        for pool in &self.pools {
-            let tag = service_tag(&pool.name);
-            for index in &pool.far {
-                let record = &mut self.records[*index as usize];
-                let of_zone = pools
-                    .iter()
-                    .rev()
-                    .find(|(zone, _pools)| **zone == record.zone);
-                let report = of_zone
-                    .and_then(|(_zone, pools)| pools.iter().find(|report| report.service == tag));
-                record.zone_load = report.map(|report| report.load);
-            }
-        }
-    }
-
-    /// How loaded each service is in this zone, through all of its hosts that report.
-    pub fn pool_reports(&self) -> Vec<PoolReport> {
-        let pools = self.pools.iter().filter(|pool| !pool.near.is_empty());
-        let reports = pools.filter_map(|pool| {
-            let records = pool.near.iter().map(|index| self.get(*index));
-            let usable = records.filter(|record| record.takes_flows() && !record.is_suspect());
-            let (mut flows, mut slots) = (0, 0);
-            for record in usable {
-                flows += u64::from(record.flows) + u64::from(record.flows_elsewhere);
-                slots += u64::from(record.slots);
-            }
-            let load = (flows * FLOW_LOAD).checked_div(slots)?;
-            let service = service_tag(&pool.name);
-            Some(PoolReport { service, load })
-        });
-        reports.take(MOST_POOLS).collect()
-    }
-
     /// What this host's flows tell about the upstreams of its zone.
     pub fn reports(&self, now: Instant) -> Vec<UpstreamReport> {
         let near = self.records().filter(|record| record.near);
@@ -381,7 +336,6 @@
             waiting: 0,
             opening: 0,
             flows_elsewhere: 0,
-            zone_load: None,
             silence: Default::default(),
             answers: Default::default(),
         };
