--- a/packet/src/core_notes.rs
+++ b/packet/src/core_notes.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::ids::UpstreamIndex;
+use crate::opening_admission::OpeningQuery;
 use crate::packet_action::BeliefChange;
 use crate::packet_action::DecisionNote;
 use crate::packet_action::PacketOutput;
@@ -47,18 +48,17 @@
 
     pub(crate) fn note_deferred(
         &self,
-        now: Instant,
         head: &PacketHead,
-        index: UpstreamIndex,
+        best: UpstreamIndex,
+        opening: OpeningQuery,
         output: &mut PacketOutput,
     ) {
-        let record = self.upstreams.get(index);
         output.notes.push(DecisionNote::Deferred {
             caller: head.caller,
             service: head.service,
-            copy: head.ack,
-            upstream: record.name.clone(),
-            requests: record.requests(self.peers.near_hosts(now) as u32),
+            copy: opening.copy,
+            upstream: self.upstreams.get(best).name.clone(),
+            requests: opening.requests,
             version: self.version,
         });
     }
--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -44,7 +44,7 @@
 const ANSWER_MEMORY: Duration = Duration::from_secs(2);
 
 /// Most routes whose habits are known: three times the addresses of a zone at the size aimed at, 0.2 MB.
-/// Answers of others are not judged by their size, and their flows count for the shortest time.
+/// Answers of others are not judged by their size, and their flows count until their idle time.
 const MOST_HABITS: usize = 4096;
 
 /// What a copy of an opening packet tells.
@@ -187,11 +187,9 @@
         record.last_seen = now;
         flow_load::speak_again(record, upstreams);
         let mut habit = self.habits.get_mut(&key.service);
-        if let Some(habit) = &mut habit {
-            let next_turn = head.data_len > 0 && record.waiting_since.is_none() && record.unjudged;
-            if next_turn {
-                habit.silence.learn(pause);
-            }
+        let next_turn = head.data_len > 0 && record.waiting_since.is_none() && record.unjudged;
+        if let (Some(habit), true) = (&mut habit, next_turn) {
+            habit.silence.learn(pause);
         }
         observe_answer(now, record, head, upstreams, &mut seen);
         if let (Some(habit), Some(took)) = (&mut habit, seen.answered) {
--- a/packet/src/opening_admission.rs
+++ b/packet/src/opening_admission.rs
@@ -11,8 +11,10 @@
 //! an upstream left one without an answer, its caller has waited on our account. A first packet never
 //! yields, nor does a request without a target.
 //!
-//! In a rush of 1.5 s of requests at half load it brings 3 % more of the requests of the worst four seconds
-//! to their callers on time, and halves what upstreams shed.
+//! Measured on fifteen days on which all hosts are away for 0.6 to 1.6 s at half load: of what the requests
+//! of the worst four seconds are worth to their callers, to whom a late answer is a third of one on
+//! time, 0.719 is kept and 0.695 without; 0.29 % of a day's requests stay unserved, and 0.43 % without;
+//! upstreams shed a third less.
 
 use std::time::Duration;
 
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -274,21 +274,30 @@
         for index in copy.avoided {
             self.note_belief(now, index, BeliefChange::Avoided, output);
         }
+        let near_hosts = self.peers.near_hosts(now) as u32;
         let query = ChoiceQuery {
             now,
             service,
             flow_hash,
             tried: &copy.tried,
-            near_hosts: self.peers.near_hosts(now) as u32,
+            near_hosts,
         };
         let Some(choice) = choose_upstream(&self.upstreams, query) else {
             self.refuse(head, None, ResultCode::NoUpstream, output);
             return;
         };
-        if self.is_deferred(now, head, choice.first, &copy.tried) {
+        let best = self.upstreams.get(choice.first);
+        let opening = OpeningQuery {
+            copy: head.ack,
+            target: self.routes.target(head.service),
+            placed_before: !copy.tried.is_empty(),
+            requests: best.requests(near_hosts),
+            slots: best.slots,
+        };
+        if is_deferred(&self.upstreams.figures().admission, &opening) {
             let code = ResultCode::QueueFull;
             output.actions.push(PacketAction::Drop { code });
-            self.note_deferred(now, head, choice.first, output);
+            self.note_deferred(head, choice.first, opening, output);
             return;
         }
         self.note_placed(now, head, choice.first, choice.second.is_some(), output);
@@ -305,25 +314,6 @@
         }
     }
 
-    /// Whether an opening packet is left to its caller's next copy, for the best upstream is busy.
-    fn is_deferred(
-        &self,
-        now: Instant,
-        head: &PacketHead,
-        best: UpstreamIndex,
-        tried: &[UpstreamIndex],
-    ) -> bool {
-        let record = self.upstreams.get(best);
-        let query = OpeningQuery {
-            copy: head.ack,
-            target: self.routes.target(head.service),
-            placed_before: !tried.is_empty(),
-            requests: record.requests(self.peers.near_hosts(now) as u32),
-            slots: record.slots,
-        };
-        is_deferred(&self.upstreams.figures().admission, &query)
-    }
-
     fn carry(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
         let key = flow_key(head);
         if !self.routes.contains(head.service) {
