--- a/packet/src/upstream_choice.rs
+++ b/packet/src/upstream_choice.rs
@@ -3,10 +3,10 @@
 //! Load pattern: long flows that each send a request now and then, many hosts that each see a part
 //! of them, upstreams with two slots. Placing by hash alone gives some upstreams twice the flows
 //! of others and their requests wait; placing by load alone fills whoever is dark, since nothing
-//! is in progress there. So: least loaded a slot among those that answer, in the own zone until
-//! its upstreams are full (a flow that leaves the zone pays two crossings a packet and ends with the
-//! next cut; leaving for less than that served nobody better), and of equals the one with the larger rendezvous weight, so that hosts that know nothing
-//! yet do not all begin with the same.
+//! is in progress there. So: least loaded a slot among those that answer, in the own zone until its
+//! upstreams are full (a flow that leaves pays two crossings a packet and ends with the next cut, and
+//! leaving for less served nobody better), and of equals the one with the larger rendezvous weight, so
+//! that hosts that know nothing yet do not all begin with the same.
 //!
 //! An opening packet goes to the second best as well, and its caller takes whoever answers first: two of
 //! the packets that a short request needs may then be lost without a wait of 200 ms for the copy. It
