--- a/packet/src/opening_admission.rs
+++ b/packet/src/opening_admission.rs
@@ -1,15 +1,15 @@
 //! Which opening packets wait for their caller's next copy while a service is busy.
 //!
-//! Load pattern: every host of a zone comes back at once. Within half a second come the requests of that
-//! moment, the copies of opening packets that nobody took, and the further tries of callers that had given up:
-//! three to four times the usual load, of which half is late already. Served in the order of arrival,
-//! all of it is late, for the requests of the moment wait behind the others.
+//! Load pattern: every host of a zone comes back at once. Within half a second come the requests of
+//! that moment, the copies of opening packets that nobody took, and the further tries of callers that
+//! had given up: three to four times the usual load, of which half is late already. Served in the order
+//! of arrival, all of it is late, for the requests of the moment wait behind the others.
 //!
 //! So a copy that comes when its request's target has passed yields as long as no upstream has a free
-//! slot: it is not sent on, its caller sends the next one 400 ms later or opens another flow, and what can
-//! still be answered on time goes first. Only copies of flows that this host has not placed yet: where
-//! an upstream left one without an answer, its caller has waited on our account. A first packet never
-//! yields, nor does a request without a target.
+//! slot: it is not sent on, its caller sends the next one 400 ms later or opens another flow, and what
+//! can still be answered on time goes first. Only copies of flows that this host has not placed yet:
+//! where an upstream left one without an answer, its caller has waited on our account. A first packet
+//! never yields, nor does a request without a target.
 //!
 //! Measured on fifteen days on which all hosts are away for 0.6 to 1.6 s at half load: of what the requests
 //! of the worst four seconds are worth to their callers, to whom a late answer is a third of one on
