--- a/packet/src/flow_evidence.rs
+++ b/packet/src/flow_evidence.rs
@@ -281,10 +281,12 @@
         self.table.flows.retain(|key, record| {
             self.failures += judge_unanswered(now, record, blind, upstreams);
             let silent = now.saturating_duration_since(record.last_seen);
-            let habit = self.habits.get(&key.service).copied().unwrap_or_default();
-            let limit = habit.silence.limit(&figures);
-            if limit.is_some_and(|limit| silent >= limit) {
-                flow_load::fall_quiet(record, upstreams);
+            if record.usage == FlowUsage::Active {
+                let habit = self.habits.get(&key.service);
+                let limit = habit.and_then(|habit| habit.silence.limit(&figures));
+                if limit.is_some_and(|limit| silent >= limit) {
+                    flow_load::fall_quiet(record, upstreams);
+                }
             }
             let life = if record.usage == FlowUsage::Closing {
                 CLOSING_LIFE
--- a/packet/src/flow_load.rs
+++ b/packet/src/flow_load.rs
@@ -30,11 +30,8 @@
     }
 }
 
-/// Nothing has been heard of the flow for longer than is usual.
+/// Nothing has been heard of an active flow for longer than is usual.
 pub fn fall_quiet(record: &mut FlowRecord, upstreams: &mut UpstreamTable) {
-    if record.usage != FlowUsage::Active {
-        return;
-    }
     record.usage = FlowUsage::Quiet;
     let upstream = upstreams.get_mut(record.upstream);
     upstream.flows -= 1;
--- a/packet/tests/test_peer_table.rs
+++ b/packet/tests/test_peer_table.rs
@@ -233,12 +233,8 @@
     assert!(busiest <= Some(10), "{busiest:?} of 70 at one");
 }
 
-#[test]
-fn test_sign_of_life_leaves_the_last_reports() {
-    // A host that reads for its zone says twice a second that it lives, and what it sees of the
-    // upstreams only when it is somebody's turn. A host must neither forget the loads that it said
-    // before, nor take them for new.
-    let mut rig = CoreRig::with_ledger(&[1, 2]);
+/// A beat that says of the first upstream that it has 30 flows and answers.
+fn loaded_word() -> PeerBeat {
     let mut word = beat(ZONE, 10);
     word.reports = Some(vec![UpstreamReport {
         tag: tag(1),
@@ -246,6 +242,16 @@
         heard_ago: Some(Duration::ZERO),
         answers: Default::default(),
     }]);
+    word
+}
+
+#[test]
+fn test_sign_of_life_leaves_the_last_reports() {
+    // A host that reads for its zone says twice a second that it lives, and what it sees of the
+    // upstreams only when it is somebody's turn. A host must neither forget the loads that it said
+    // before, nor take them for new.
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    let word = loaded_word();
     rig.core.heard(rig.now, address(2), word.clone());
     let heard_at = rig.now;
     rig.pass(500);
@@ -264,14 +270,7 @@
     // flows on, which may be the one that all others have filled.
     let mut rig = CoreRig::with_ledger(&[1, 2]);
     for _beat in 0..3 {
-        let mut word = beat(ZONE, 10);
-        word.reports = Some(vec![UpstreamReport {
-            tag: tag(1),
-            flows: 30,
-            heard_ago: Some(Duration::ZERO),
-            answers: Default::default(),
-        }]);
-        rig.core.heard(rig.now, address(2), word);
+        rig.core.heard(rig.now, address(2), loaded_word());
     }
     rig.pass(100);
     assert!(
