--- a/cli/src/commands/forwarders.rs
+++ b/cli/src/commands/forwarders.rs
@@ -15,8 +15,8 @@
 use crate::command_report::CommandReport;
 use crate::command_report::layout_table;
 
-const HOST_HEAD: [&str; 8] = [
-    "host", "address", "zone", "version", "through", "peers", "flows", "state",
+const HOST_HEAD: [&str; 9] = [
+    "host", "address", "zone", "version", "through", "peers", "reader", "flows", "state",
 ];
 
 const UPSTREAM_HEAD: [&str; 8] = [
@@ -92,11 +92,21 @@
             .map_or("-".to_owned(), |version| version.to_string()),
         status.through.to_string(),
         status.peers.to_string(),
+        reader_text(status),
         status.flows.to_string(),
         state.to_owned(),
     ]
 }
 
+/// Who reads the store for the host's zone, as the host sees it.
+fn reader_text(status: &PacketStatus) -> String {
+    match (status.reads, status.reader) {
+        (true, _) => "itself".to_owned(),
+        (false, Some(reader)) => reader.ip().to_string(),
+        (false, None) => "-".to_owned(),
+    }
+}
+
 fn upstream_row(status: &PacketStatus, upstream: &UpstreamStatus) -> Vec<String> {
     let mut standing = upstream.standing.to_string();
     if upstream.avoided {
--- a/cli/tests/test_hosts.rs
+++ b/cli/tests/test_hosts.rs
@@ -50,6 +50,7 @@
             ready: true,
             version: Some(7),
             through: 41,
+            reader: Some("10.0.0.7:7720".parse().unwrap()),
             upstreams: vec![upstream],
             ..PacketStatus::default()
         };
@@ -141,6 +142,7 @@
     assert_eq!(report.code, ResultCode::SourceUnreachable);
     assert!(report.lines[1].starts_with("entry-1"), "{:?}", report.lines);
     assert!(report.lines[1].ends_with("ready"), "{:?}", report.lines);
+    assert!(report.lines[1].contains(" 10.0.0.7 "), "its reader");
     assert!(
         report.lines[2].contains("does not answer"),
         "{:?}",
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -85,6 +85,14 @@
     HopsExceeded = 400,
     /// The peer is not in the published host list.
     PeerUnknown = 401,
+    /// The peer hands its state to as many hosts as it can at present.
+    PeerBusy = 402,
+    /// A peer's state was cut short or cannot be decoded.
+    StateMalformed = 403,
+    /// A peer's state is not newer than the one held.
+    StateStale = 404,
+    /// A peer's state is longer than allowed.
+    StateOversized = 405,
     /// The platform did not answer in time.
     PlatformUnreachable = 500,
     /// The platform answered with a version older than the one in force.
@@ -135,6 +143,10 @@
         Self::FrameStale,
         Self::HopsExceeded,
         Self::PeerUnknown,
+        Self::PeerBusy,
+        Self::StateMalformed,
+        Self::StateStale,
+        Self::StateOversized,
         Self::PlatformUnreachable,
         Self::PlatformStale,
         Self::PlatformRefused,
--- /dev/null
+++ b/packet/src/core_reading.rs
@@ -0,0 +1,151 @@
+//! How a core comes by the published state: from the store or from peers, and when it asks whom.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::packet_action::DecisionNote;
+use crate::packet_action::PacketOutput;
+use crate::packet_core::PacketCore;
+use crate::published_view::ViewUpdate;
+use crate::state_source::ReadState;
+use crate::store_feed::FeedStep;
+use crate::store_feed::ListPage;
+use crate::store_feed::StoreFault;
+use crate::store_feed::WatchBatch;
+
+/// How often a host that leaves the reading to another looks whether that still reads.
+const ROLE_PAUSE: Duration = Duration::from_millis(100);
+
+impl PacketCore {
+    /// What to do at the store now.
+    pub fn store_step(&mut self, now: Instant) -> FeedStep {
+        if self.view.through() == 0 {
+            let greets = self.peers.greets_seeds();
+            return match self.start.waits_until(now, greets) {
+                Some(until) => FeedStep::Wait { until },
+                None => self.feed.next_step(now),
+            };
+        }
+        if !self.role.reads() {
+            let until = now + ROLE_PAUSE;
+            return FeedStep::Wait { until };
+        }
+        self.feed.skip_to(self.view.through());
+        self.feed.next_step(now)
+    }
+
+    /// Decides anew whether this host reads the store for its zone; only one with a state does.
+    pub(crate) fn decide_role(&mut self, now: Instant, output: &mut PacketOutput) {
+        self.role.begin(now);
+        if self.view.through() == 0 {
+            return;
+        }
+        let change = self.role.decide(now, &self.peers, self.in_touch);
+        if let Some(change) = change {
+            // What the store answered before says nothing of the next call.
+            self.feed.pause();
+            self.in_touch = false;
+            output.notes.push(DecisionNote::Role {
+                change,
+                reader: self.zone_reader(now),
+                peers: self.peers.near_addresses(now).len(),
+                through: self.view.through(),
+            });
+        }
+    }
+
+    /// Whether this host reads the store for its zone, as it last decided.
+    pub fn reads(&self) -> bool {
+        self.role.reads()
+    }
+
+    /// Another host of the zone that is heard to read the store.
+    pub fn zone_reader(&self, now: Instant) -> Option<SocketAddrV4> {
+        let mut readers = self.peers.readers(now, &self.zone);
+        readers.next().map(|(address, _capacity)| address)
+    }
+
+    /// Takes in a page of the store's list; the update once the list is whole.
+    pub fn store_listed(&mut self, now: Instant, page: ListPage) -> Option<ViewUpdate> {
+        self.store_answered(now);
+        self.feed.listed(page)
+    }
+
+    /// Takes in what a watch of the store brought.
+    pub fn store_changed(&mut self, now: Instant, batch: WatchBatch) -> ViewUpdate {
+        self.store_answered(now);
+        self.feed.changed(now, batch)
+    }
+
+    /// Learns that a call of the store failed; how many failed in a row before. What is missing from the
+    /// store's list may be alive.
+    pub fn store_failed(&mut self, now: Instant, fault: &StoreFault) -> u32 {
+        let failures = self.feed.failures();
+        self.in_touch = false;
+        self.steady_since = None;
+        self.role.store_lost(now);
+        self.feed.failed(now, fault);
+        failures
+    }
+
+    /// Failures of calls of the store in a row.
+    pub fn store_failures(&self) -> u32 {
+        self.feed.failures()
+    }
+
+    /// Learns that the store answers, also when nothing has changed.
+    pub fn store_answered(&mut self, now: Instant) {
+        self.in_touch = true;
+        if self.view.is_complete() {
+            self.steady_since.get_or_insert(now);
+        }
+    }
+
+    /// The peer to ask now for state that this host is missing.
+    pub fn source(&mut self, now: Instant) -> Option<SocketAddrV4> {
+        let source = self
+            .peers
+            .source(now, self.view.through(), self.read_state());
+        if source.is_some() {
+            self.start.asked(now);
+        }
+        source
+    }
+
+    /// Learns that a peer that was asked gave no state.
+    pub fn source_failed(&mut self, now: Instant, peer: SocketAddrV4) {
+        self.start.refused(now);
+        self.peers.source_failed(now, peer);
+    }
+
+    /// The hosts to which a reader passes on what it has read.
+    pub fn followers(&self, now: Instant) -> Vec<SocketAddrV4> {
+        if self.role.reads() {
+            self.peers.near_addresses(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// A host that does not read itself knows by its reader whether the store answers.
+    pub(crate) fn follow_reader(&mut self, now: Instant) {
+        if self.role.reads() || !self.view.is_complete() {
+            return;
+        }
+        if self.peers.has_reader(now) {
+            self.steady_since.get_or_insert(now);
+        } else {
+            self.steady_since = None;
+        }
+    }
+
+    fn read_state(&self) -> ReadState {
+        match (self.view.through(), self.in_touch, self.role.reads()) {
+            (0, false, _) => ReadState::Empty,
+            (0, true, _) => ReadState::Listing,
+            (_, _, true) => ReadState::Reading,
+            (_, _, false) => ReadState::Following,
+        }
+    }
+}
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -5,7 +5,8 @@
 
 pub mod answer_record;
 mod core_notes;
-mod core_peers;
+pub mod core_peers;
+mod core_reading;
 pub mod flow_evidence;
 pub mod flow_load;
 pub mod flow_table;
@@ -18,6 +19,8 @@
 pub mod packet_status;
 pub mod peer_beat;
 pub mod peer_datagram;
+mod peer_record;
+pub mod peer_rounds;
 pub mod peer_table;
 pub mod policy_figures;
 pub mod published_view;
@@ -26,6 +29,8 @@
 pub mod route_habit;
 pub mod route_table;
 pub mod silence_record;
+pub mod start_plan;
+pub mod state_source;
 pub mod store_feed;
 pub mod upstream_choice;
 pub mod upstream_entry;
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -12,6 +12,7 @@
 use crate::ids::Revision;
 use crate::ids::UpstreamName;
 use crate::ids::UpstreamNumber;
+use crate::read_role::RoleChange;
 
 /// What becomes of one packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,6 +161,17 @@
         /// The store's revision up to which this host has read.
         through: Revision,
     },
+    /// This host begins or ends to read the store for its zone.
+    Role {
+        /// Which, and why.
+        change: RoleChange,
+        /// Another host of the zone that was heard to read, if any.
+        reader: Option<SocketAddrV4>,
+        /// Hosts of the zone that it knew to be alive.
+        peers: usize,
+        /// The store's revision up to which it knows every change.
+        through: Revision,
+    },
     /// Another configuration is in force.
     Routes {
         /// Its version.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -31,6 +31,8 @@
 use crate::published_view::ViewUpdate;
 use crate::read_role::ReadRole;
 use crate::route_table::RouteTable;
+use crate::start_plan::StartPlan;
+use crate::store_feed::StoreFeed;
 use crate::upstream_choice::ChoiceQuery;
 use crate::upstream_choice::choose_upstream;
 use crate::upstream_choice::is_panic;
@@ -66,8 +68,8 @@
     pub(crate) role: ReadRole,
     /// When the last tick or packet came.
     pub(crate) last_event: Option<Instant>,
-    /// Whether this host reads the store for its zone.
-    pub(crate) reads: bool,
+    pub(crate) feed: StoreFeed,
+    pub(crate) start: StartPlan,
     /// Whether the last call of the store was answered.
     pub(crate) in_touch: bool,
     /// Since when the published state has been held without a break in the contact to the store.
@@ -96,7 +98,8 @@
             capacity: settings.capacity,
             role: ReadRole::new(settings.peer_address, &settings.zone, settings.capacity),
             last_event: None,
-            reads: false,
+            feed: StoreFeed::default(),
+            start: StartPlan::default(),
             in_touch: false,
             steady_since: None,
             version: 0,
@@ -152,20 +155,6 @@
         self.view.through() > before
     }
 
-    /// Learns that the store cannot be reached: what is missing from its list may be alive.
-    pub fn store_lost(&mut self) {
-        self.in_touch = false;
-        self.steady_since = None;
-    }
-
-    /// Learns that the store answers, also when nothing has changed.
-    pub fn store_answered(&mut self, now: Instant) {
-        self.in_touch = true;
-        if self.view.is_complete() {
-            self.steady_since.get_or_insert(now);
-        }
-    }
-
     /// Notices by the clock that the host was held up: frozen, or without processor time.
     ///
     /// Asked at each packet, because packets that piled up are read before the next tick: copies of
@@ -202,6 +191,7 @@
             };
             self.note_belief(now, index, change, output);
         }
+        self.decide_role(now, output);
         self.follow_reader(now);
         self.end_lost_flows(now, output);
     }
--- a/packet/src/packet_status.rs
+++ b/packet/src/packet_status.rs
@@ -36,6 +36,12 @@
     pub through: Revision,
     /// Other hosts that it has heard of late.
     pub peers: usize,
+    /// Whether it reads the store for its zone.
+    #[serde(default)]
+    pub reads: bool,
+    /// Another host of its zone that it hears to read the store, if any.
+    #[serde(default)]
+    pub reader: Option<SocketAddrV4>,
     /// Flows that it watches.
     pub flows: usize,
     /// Every upstream that it knows, by name.
@@ -83,6 +89,8 @@
             version: core.view().routes().map(|routes| routes.version),
             through: core.view().through(),
             peers: core.peers().alive_hosts(now),
+            reads: core.reads(),
+            reader: core.zone_reader(now),
             flows: core.evidence().open_flows(),
             upstreams,
             ..Self::default()
--- a/packet/src/peer_beat.rs
+++ b/packet/src/peer_beat.rs
@@ -16,9 +16,12 @@
 use crate::ids::FlowTag;
 use crate::ids::Revision;
 
-/// Most addresses of other peers in a beat.
+/// Most hosts of the receiver's zone that a beat names.
 pub const MOST_NAMED: usize = 8;
 
+/// Most hosts of other zones that a beat names.
+pub const MOST_OTHERS: usize = 3;
+
 /// Most upstreams reported in a beat: 84 of them are about 1 KB, one datagram.
 pub const MOST_REPORTS: usize = 84;
 
@@ -36,28 +39,31 @@
     pub capacity: u32,
     /// Whether it takes packets: a host that is stopping no longer counts.
     pub ready: bool,
+    /// Whether it has heard nobody of its zone and wants to be told of some.
+    pub seeks: bool,
     /// Everything that the store changed up to this revision is known to the sender.
     pub through: Revision,
-    /// Some other hosts that the sender has heard of late.
+    /// The host that reads the store for the receiver's zone, if the sender heard it say so itself.
+    /// What others say is not passed on, so that a reader that died is soon named by nobody.
+    pub reader: Option<SocketAddrV4>,
+    /// Some hosts of the receiver's zone that the sender has heard of late.
     pub named: Vec<SocketAddrV4>,
+    /// Some hosts of other zones, those that read first.
+    pub others: Vec<SocketAddrV4>,
     /// The upstreams of the sender's zone; `None` if what it said before holds.
     pub reports: Option<Vec<UpstreamReport>>,
 }
 
 impl PeerBeat {
-    /// The beat for hosts of other zones, which do not look at the upstreams of this one.
-    pub fn for_other_zones(&self) -> Self {
-        Self {
-            reports: None,
-            ..self.clone()
-        }
-    }
-
     /// The beat that says no more than that the sender lives and how far it has read.
     pub fn sign_of_life(&self) -> Self {
         Self {
+            reader: None,
             named: Vec::new(),
-            ..self.for_other_zones()
+            others: Vec::new(),
+            reports: None,
+            zone: self.zone.clone(),
+            ..*self
         }
     }
 }
--- /dev/null
+++ b/packet/src/peer_record.rs
@@ -0,0 +1,106 @@
+//! What a host remembers of one other host.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::ids::ZoneName;
+
+use crate::ids::Revision;
+use crate::peer_beat::FailureReport;
+use crate::peer_beat::MOST_FAILURES;
+use crate::peer_beat::MOST_REPORTS;
+use crate::peer_beat::PeerBeat;
+use crate::peer_beat::UpstreamReport;
+
+/// How long a peer that reads the store may not be heard until another takes over: two beats lost,
+/// for readers send one to each host of their zone in each round.
+const READER_SILENCE: Duration = Duration::from_millis(1600);
+
+/// How long a peer that was heard once is still sent beats: a host that is down for longer comes
+/// back as a new process and speaks first.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// One other host.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerRecord {
+    /// Its zone: as it says, as the namer implies before, and empty if neither is known.
+    pub(crate) zone: ZoneName,
+    pub(crate) ready: bool,
+    pub(crate) capacity: u32,
+    pub(crate) through: Revision,
+    /// When its last beat came; `None` if it was only named by others.
+    pub(crate) heard: Option<Instant>,
+    /// When it may be greeted again out of turn; `None` if it never was.
+    pub(crate) greet_after: Option<Instant>,
+    pub(crate) reports: Vec<UpstreamReport>,
+    /// When the reports came.
+    pub(crate) reported: Option<Instant>,
+    /// When it is forgotten, unless it is heard before.
+    pub(crate) forget_at: Instant,
+    /// Until when it is not asked for state, after it gave none.
+    pub(crate) no_source_until: Option<Instant>,
+    reads: bool,
+}
+
+impl PeerRecord {
+    /// A peer of which only others spoke.
+    pub(crate) fn named(now: Instant, zone: ZoneName) -> Self {
+        Self {
+            zone,
+            ready: false,
+            capacity: 0,
+            through: 0,
+            heard: None,
+            greet_after: None,
+            reports: Vec::new(),
+            reported: None,
+            forget_at: now + FORGET_AFTER,
+            no_source_until: None,
+            reads: false,
+        }
+    }
+
+    /// Takes in what it says of itself.
+    pub(crate) fn hear(&mut self, now: Instant, beat: PeerBeat) {
+        self.zone = beat.zone;
+        self.ready = beat.ready;
+        self.reads = beat.reads;
+        self.capacity = beat.capacity;
+        self.through = beat.through;
+        self.heard = Some(now);
+        self.forget_at = now + FORGET_AFTER;
+        if let Some(reports) = beat.reports {
+            self.reports = reports;
+            self.reported = Some(now);
+        }
+    }
+
+    /// Takes in how requests ended through it, ahead of its next beat.
+    pub(crate) fn hear_failures(&mut self, reports: &[FailureReport]) {
+        for report in reports {
+            let room = self.reports.len() < MOST_REPORTS + MOST_FAILURES;
+            let known = self.reports.iter_mut().find(|held| held.tag == report.tag);
+            match known {
+                Some(held) => held.answers = report.answers,
+                None if room => self.reports.push(UpstreamReport {
+                    tag: report.tag,
+                    flows: 0,
+                    heard_ago: None,
+                    answers: report.answers,
+                }),
+                None => {}
+            }
+        }
+    }
+
+    /// Whether it said within the last beats that it reads the store and is answered.
+    pub(crate) fn reads_now(&self, now: Instant) -> bool {
+        let ago = self.heard.map(|heard| now.saturating_duration_since(heard));
+        self.reads && ago.is_some_and(|ago| ago < READER_SILENCE)
+    }
+
+    /// Whether nobody has spoken to it yet.
+    pub(crate) fn is_stranger(&self) -> bool {
+        self.heard.is_none() && self.greet_after.is_none()
+    }
+}
--- /dev/null
+++ b/packet/src/peer_rounds.rs
@@ -0,0 +1,232 @@
+//! To whom a host sends its beats, and whom it names in them.
+//!
+//! It sends to a bounded number of peers in turn, so that its cost does not grow with their number.
+//! A host that reads the store shows itself to all of its zone in each round. Hosts of which others
+//! only spoke are greeted before they wait for a turn: until then neither knows the other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::ids::ZoneName;
+
+use crate::peer_beat::MOST_NAMED;
+use crate::peer_beat::MOST_OTHERS;
+use crate::peer_record::PeerRecord;
+use crate::peer_table::PeerTable;
+
+/// Pause between rounds of beats.
+pub const BEAT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Peers of the own zone that get a beat in a round; the others have their turn in the next.
+const NEAR_A_ROUND: usize = 6;
+
+/// The same for other zones, where each byte has its price.
+const FAR_A_ROUND: usize = 2;
+
+/// Hosts of the own zone that were only named and are greeted in a round, beside those whose turn it is.
+const STRANGERS_A_ROUND: usize = 4;
+
+/// Rounds without a beat after which a peer counts as gone, on top of those of a turn. Two may be
+/// lost.
+const MISSED_ROUNDS: u32 = 3;
+
+/// Hosts that are told of failures at once; in larger zones the rest hear of it by beats, and from the
+/// next words.
+const WORD_TARGETS: usize = 24;
+
+/// Who gets which beat in a round.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BeatRound {
+    /// Hosts of the own zone whose turn it is.
+    pub near: Vec<SocketAddrV4>,
+    /// Hosts of other zones, by zone; those whose zone is not known are under an empty name.
+    pub far: BTreeMap<ZoneName, Vec<SocketAddrV4>>,
+    /// The other hosts of the own zone, to which a host that reads the store shows that it does.
+    pub led: Vec<SocketAddrV4>,
+}
+
+impl BeatRound {
+    /// Everybody who gets a beat.
+    pub fn targets(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let far = self.far.values().flatten();
+        self.near.iter().chain(far).chain(&self.led).copied()
+    }
+}
+
+/// Whose turn it was last.
+#[derive(Debug, Default)]
+pub(crate) struct RoundTurns {
+    next_round: Option<Instant>,
+    near: Option<SocketAddrV4>,
+    far: Option<SocketAddrV4>,
+    seed: Option<SocketAddrV4>,
+    named: Option<SocketAddrV4>,
+    others: Option<SocketAddrV4>,
+    word: Option<SocketAddrV4>,
+}
+
+/// How long a peer of the own zone counts as alive after a beat, if the zone has so many.
+pub(crate) fn near_life(peers: usize) -> Duration {
+    turn_time(peers, NEAR_A_ROUND)
+}
+
+/// The same for peers of other zones.
+pub(crate) fn far_life(peers: usize) -> Duration {
+    turn_time(peers, FAR_A_ROUND)
+}
+
+impl PeerTable {
+    /// The peers that get a beat now; `None` between rounds. A host that reads the store sends to all
+    /// of its zone, and to the readers of others.
+    pub fn round(&mut self, now: Instant, reads: bool) -> Option<BeatRound> {
+        if self.turns.next_round.is_some_and(|next| now < next) {
+            return None;
+        }
+        self.turns.next_round = Some(now + BEAT_PAUSE);
+        self.peers.retain(|_address, peer| now < peer.forget_at);
+        let all_near = self.addresses(|peer| peer.zone == self.zone);
+        let mut near = self.strangers(now, &all_near, STRANGERS_A_ROUND);
+        near.extend(take_turn(&all_near, &mut self.turns.near, NEAR_A_ROUND));
+        sort_unique(&mut near);
+        let led = if reads {
+            let others = all_near.into_iter();
+            others.filter(|host| !near.contains(host)).collect()
+        } else {
+            Vec::new()
+        };
+        let far = self.far_round(now, reads);
+        Some(BeatRound { near, far, led })
+    }
+
+    /// The hosts of the zone that are told of failures at once, others each time if there are many.
+    pub fn word_targets(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+        let near = self.near_addresses(now);
+        take_turn(&near, &mut self.turns.word, WORD_TARGETS)
+    }
+
+    /// Some living hosts of a zone to name in a beat for another host there.
+    pub fn some_of(&mut self, now: Instant, zone: &ZoneName) -> Vec<SocketAddrV4> {
+        let members = self.living(now, |peer| peer.zone == *zone);
+        take_turn(&members, &mut self.turns.named, MOST_NAMED)
+    }
+
+    /// Some living hosts of any zone but that, those that read first.
+    pub fn some_others(&mut self, now: Instant, zone: &ZoneName) -> Vec<SocketAddrV4> {
+        let reading = self.living(now, |peer| peer.zone != *zone && peer.reads_now(now));
+        let mut others = take_turn(&reading, &mut self.turns.others, MOST_OTHERS);
+        if others.is_empty() {
+            let any = self.living(now, |peer| peer.zone != *zone);
+            others = take_turn(&any, &mut self.turns.others, MOST_OTHERS);
+        }
+        others
+    }
+
+    /// Whether there is any address to greet at the start.
+    pub fn greets_seeds(&self) -> bool {
+        self.seeds.iter().any(|seed| *seed != self.own)
+    }
+
+    fn far_round(&mut self, now: Instant, reads: bool) -> BTreeMap<ZoneName, Vec<SocketAddrV4>> {
+        let all_far = self.addresses(|peer| peer.zone != self.zone);
+        let mut far = self.strangers(now, &all_far, FAR_A_ROUND);
+        let rest = FAR_A_ROUND - far.len();
+        far.extend(take_turn(&all_far, &mut self.turns.far, rest));
+        if reads {
+            far.extend(self.addresses(|peer| peer.zone != self.zone && peer.reads_now(now)));
+        }
+        far.extend(self.seeds_to_greet(now));
+        sort_unique(&mut far);
+        let mut by_zone: BTreeMap<ZoneName, Vec<SocketAddrV4>> = BTreeMap::new();
+        for address in far {
+            by_zone
+                .entry(self.zone_of(address))
+                .or_default()
+                .push(address);
+        }
+        by_zone
+    }
+
+    /// Whether this host has heard nobody of its own zone of late.
+    pub fn seeks(&self, now: Instant) -> bool {
+        self.living(now, |peer| peer.zone == self.zone).is_empty()
+    }
+
+    /// The addresses of the settings, while nobody is heard: all of them; while nobody of the own zone is,
+    /// or of others, one in each round. Hosts that were parted for longer than peers are remembered find
+    /// each other by them again.
+    fn seeds_to_greet(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+        let own = self.own;
+        let mut seeds = self.seeds.clone();
+        seeds.retain(|seed| *seed != own);
+        seeds.sort_unstable();
+        let near = self.living(now, |peer| peer.zone == self.zone).len();
+        let far = self.living(now, |peer| peer.zone != self.zone).len();
+        let count = match (near, far) {
+            (0, 0) => seeds.len(),
+            (0, _) | (_, 0) => 1,
+            _ => 0,
+        };
+        take_turn(&seeds, &mut self.turns.seed, count)
+    }
+
+    /// Some hosts to which nobody has spoken yet, from now on no strangers.
+    fn strangers(
+        &mut self,
+        now: Instant,
+        among: &[SocketAddrV4],
+        count: usize,
+    ) -> Vec<SocketAddrV4> {
+        let is_stranger = |address: &&SocketAddrV4| {
+            let peer = self.peers.get(address);
+            peer.is_some_and(PeerRecord::is_stranger)
+        };
+        let strangers: Vec<SocketAddrV4> = among
+            .iter()
+            .filter(is_stranger)
+            .take(count)
+            .copied()
+            .collect();
+        for stranger in &strangers {
+            if let Some(peer) = self.peers.get_mut(stranger) {
+                peer.greet_after = Some(now + BEAT_PAUSE);
+            }
+        }
+        strangers
+    }
+
+    fn living(&self, now: Instant, wanted: impl Fn(&PeerRecord) -> bool) -> Vec<SocketAddrV4> {
+        self.alive(now)
+            .filter(|(_address, peer)| wanted(peer))
+            .map(|(address, _peer)| address)
+            .collect()
+    }
+}
+
+/// The time in which each of so many peers has had its turn, and the beats that may be missed.
+fn turn_time(peers: usize, a_round: usize) -> Duration {
+    let rounds = u32::try_from(peers / a_round + 1).unwrap_or(u32::MAX);
+    BEAT_PAUSE.saturating_mul(rounds.saturating_add(MISSED_ROUNDS))
+}
+
+/// The next `count` addresses after the one that had the last turn, around the end.
+fn take_turn(
+    addresses: &[SocketAddrV4],
+    turn: &mut Option<SocketAddrV4>,
+    count: usize,
+) -> Vec<SocketAddrV4> {
+    let start = turn.map_or(0, |last| {
+        addresses.partition_point(|address| *address <= last)
+    });
+    let taken: Vec<SocketAddrV4> = (0..addresses.len().min(count))
+        .map(|step| addresses[(start + step) % addresses.len()])
+        .collect();
+    *turn = taken.last().copied().or(*turn);
+    taken
+}
+
+fn sort_unique(addresses: &mut Vec<SocketAddrV4>) {
+    addresses.sort_unstable();
+    addresses.dedup();
+}
--- a/packet/src/store_feed.rs
+++ b/packet/src/store_feed.rs
@@ -19,6 +19,10 @@
 /// make any; a longer one leaves a store that is silent to its reader unnoticed.
 pub const WATCH_WAIT: Duration = Duration::from_secs(5);
 
+/// How long the first watch of a host that begins to read waits: its answer says that the store serves this
+/// host, and others leave the reading to it only then.
+pub const FIRST_WAIT: Duration = Duration::from_millis(1);
+
 /// How much longer than its wait a watch's answer may take, and how long any other answer. The
 /// store answers in 4 ms, and in 360 ms when it is slow.
 pub const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
@@ -96,6 +100,8 @@
     Watch {
         /// The revision.
         after: Revision,
+        /// How long the store may wait for a change.
+        wait: Duration,
     },
     /// Do nothing until then.
     Wait {
@@ -109,6 +115,10 @@
 pub struct StoreFeed {
     /// Where the watch goes on; `None` while the list has to be read.
     watched: Option<Revision>,
+    /// The store has dropped the history up to here, so that a state as old as that needs the list.
+    dropped: Revision,
+    /// Whether the store has answered the last call of this host.
+    answered: bool,
     /// Revision of the first page of a list that is being read.
     listed_from: Option<Revision>,
     next_after: Option<SmolStr>,
@@ -124,30 +134,40 @@
             return FeedStep::Wait { until };
         }
         match self.watched {
-            Some(after) => FeedStep::Watch { after },
+            Some(after) => FeedStep::Watch {
+                after,
+                wait: if self.answered {
+                    WATCH_WAIT
+                } else {
+                    FIRST_WAIT
+                },
+            },
             None => FeedStep::List {
                 after: self.next_after.clone(),
             },
         }
     }
 
-    /// Whether the list was read, so that only changes are missing.
-    pub fn is_listed(&self) -> bool {
-        self.watched.is_some()
-    }
-
     /// Failures in a row.
     pub fn failures(&self) -> u32 {
         self.failures
     }
 
-    /// Goes on from a revision that a peer has handed on, if that is further.
+    /// Goes on from a revision that a peer has handed on, if that is further; nothing is listed then.
     pub fn skip_to(&mut self, revision: Revision) {
-        if self.watched.is_some_and(|watched| watched < revision) {
+        if revision > self.watched.unwrap_or(self.dropped) {
             self.watched = Some(revision);
+            self.leave_list();
         }
     }
 
+    /// Learns that another host reads in place of this one: what the store answered before says nothing
+    /// about the next call.
+    pub fn pause(&mut self) {
+        self.answered = false;
+        self.not_before = None;
+    }
+
     /// Takes in a page; the update once the list is whole.
     pub fn listed(&mut self, page: ListPage) -> Option<ViewUpdate> {
         self.succeeded();
@@ -187,12 +207,11 @@
 
     /// Learns that a call failed.
     pub fn failed(&mut self, now: Instant, fault: &StoreFault) {
+        self.answered = false;
         if *fault == StoreFault::HistoryDropped {
-            self.watched = None;
+            self.dropped = self.watched.take().unwrap_or(self.dropped);
         }
-        self.listed_from = None;
-        self.next_after = None;
-        self.gathered.clear();
+        self.leave_list();
         if *fault == StoreFault::HistoryDropped && self.failures == 0 {
             self.failures = 1;
             return;
@@ -203,8 +222,16 @@
         self.not_before = Some(now + pause);
     }
 
+    /// Leaves a list of which some pages were read.
+    fn leave_list(&mut self) {
+        self.listed_from = None;
+        self.next_after = None;
+        self.gathered = Vec::new();
+    }
+
     fn succeeded(&mut self) {
         self.failures = 0;
+        self.answered = true;
         self.not_before = None;
     }
 }
--- /dev/null
+++ b/packet/tests/fleet_rig.rs
@@ -0,0 +1,506 @@
+//! Drives the cores of a whole fleet in virtual time, with a store and a network between them.
+//!
+//! Each host does what the program does around its core: it looks every 100 ms whom to beat, whom to
+//! ask for state, and what to read. Datagrams are late and lost at random, from a seed.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::ids::ZoneName;
+use lagoonproxy_packet::core_peers::AddressedBeat;
+use lagoonproxy_packet::ids::Revision;
+use lagoonproxy_packet::packet_action::PacketOutput;
+use lagoonproxy_packet::packet_core::PacketCore;
+use lagoonproxy_packet::peer_datagram::PeerDatagram;
+use lagoonproxy_packet::policy_figures::PolicyFigures;
+use lagoonproxy_packet::published_view::PublishedItem;
+use lagoonproxy_packet::published_view::ViewUpdate;
+use lagoonproxy_packet::store_feed::FeedStep;
+use lagoonproxy_packet::store_feed::ListPage;
+use lagoonproxy_packet::store_feed::StoreFault;
+use lagoonproxy_packet::store_feed::WatchBatch;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::core_rig::*;
+
+/// How often a host looks what is to be done.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// One way between hosts of a zone, and between zones.
+const NEAR_DELAY: Duration = Duration::from_micros(200);
+const FAR_DELAY: Duration = Duration::from_micros(3900);
+
+/// How long the store takes for an answer.
+const STORE_DELAY: Duration = Duration::from_millis(8);
+
+/// How long a state is under way from peer to peer.
+const STATE_DELAY: Duration = Duration::from_millis(40);
+
+/// Datagrams lost, in ten thousand.
+const LOST: u32 = 15;
+
+/// A host by its place in the fleet.
+pub type HostPlace = usize;
+
+/// A kind of call of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// A page of the list.
+    List,
+    /// A watch.
+    Watch,
+}
+
+/// One host.
+pub struct FleetHost {
+    /// Where peers reach it.
+    pub address: SocketAddrV4,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its decisions.
+    pub core: PacketCore,
+    /// It runs.
+    pub alive: bool,
+    /// The store answers it.
+    pub served: bool,
+    /// It reads, as far as it decided at its last look.
+    pub reads: bool,
+    capacity: u32,
+    /// Counts its starts, so that what was meant for an earlier one is lost.
+    life: u32,
+    asking: bool,
+}
+
+enum FleetEvent {
+    Look,
+    /// The host's wait between two calls of the store is over.
+    Read,
+    /// A watch may have waited its time.
+    WatchEnds,
+    Datagram {
+        from: SocketAddrV4,
+        datagram: PeerDatagram,
+    },
+    Listed(Result<ListPage, StoreFault>),
+    Watched(Result<WatchBatch, StoreFault>),
+    State {
+        source: SocketAddrV4,
+        update: Option<ViewUpdate>,
+    },
+}
+
+struct HostEvent {
+    host: HostPlace,
+    life: u32,
+    event: FleetEvent,
+}
+
+/// A watch that waits at the store.
+struct WaitingWatch {
+    host: HostPlace,
+    life: u32,
+    after: Revision,
+    until: Instant,
+}
+
+/// The fleet.
+pub struct FleetRig {
+    /// Its hosts, zone by zone.
+    pub hosts: Vec<FleetHost>,
+    /// The present time.
+    pub now: Instant,
+    /// Every call of the store so far.
+    pub calls: Vec<(Instant, HostPlace, StoreCall)>,
+    seeds: Vec<SocketAddrV4>,
+    queue: BTreeMap<(Instant, u64), HostEvent>,
+    queued: u64,
+    random: StdRng,
+    /// Hosts of which these are parted from the others.
+    parted: BTreeSet<HostPlace>,
+    items: Vec<PublishedItem>,
+    /// The store's revision.
+    pub revision: Revision,
+    watches: Vec<WaitingWatch>,
+}
+
+/// A fleet to be.
+pub struct FleetPlan {
+    /// Availability zones.
+    pub zones: u8,
+    /// Hosts of each.
+    pub hosts_a_zone: u8,
+    /// The first of each zone that have half a core; the others have 0.12 of one.
+    pub large_a_zone: u8,
+    /// Where chance begins.
+    pub seed: u64,
+}
+
+impl FleetRig {
+    /// A fleet none of whose hosts runs yet. Its settings name three hosts of the first zones.
+    pub fn new(plan: &FleetPlan) -> Self {
+        let now = Instant::now();
+        let addresses = (0..plan.zones).flat_map(|zone| {
+            (0..plan.hosts_a_zone)
+                .map(move |host| SocketAddrV4::new(Ipv4Addr::new(10, zone + 1, 0, host + 1), 7720))
+        });
+        let hosts: Vec<FleetHost> = addresses
+            .map(|address| {
+                let [_ten, zone, _zero, number] = address.ip().octets();
+                let large = number <= plan.large_a_zone;
+                let zone = ZoneName::from(format!("zone-{zone}"));
+                let capacity = if large { 500 } else { 120 };
+                let core = new_core(address, &zone, capacity, &[]);
+                FleetHost {
+                    address,
+                    zone,
+                    core,
+                    alive: false,
+                    served: true,
+                    reads: false,
+                    capacity,
+                    life: 0,
+                    asking: false,
+                }
+            })
+            .collect();
+        let step = usize::from(plan.hosts_a_zone);
+        let seeds = hosts.iter().step_by(step).take(3);
+        let seeds = seeds.map(|host| host.address).collect();
+        let items = vec![
+            routes_item(1, usual_routes(1)),
+            upstream_item(2, entry(1, "ledger")),
+        ];
+        Self {
+            hosts,
+            now,
+            calls: Vec::new(),
+            seeds,
+            queue: BTreeMap::new(),
+            queued: 0,
+            random: StdRng::seed_from_u64(plan.seed),
+            parted: BTreeSet::new(),
+            items,
+            revision: 10,
+            watches: Vec::new(),
+        }
+    }
+
+    /// Starts every host within 0.1 s, those that the settings name 0.3 s after the others.
+    pub fn start_all(&mut self) {
+        for host in 0..self.hosts.len() {
+            let late = self.seeds.contains(&self.hosts[host].address);
+            let first = if late { 300 } else { 0 };
+            let delay = first + self.random.random_range(0..100);
+            self.start(host, Duration::from_millis(delay));
+        }
+    }
+
+    /// Starts a host as a new process after a delay.
+    pub fn start(&mut self, host: HostPlace, delay: Duration) {
+        let seeds = self.seeds.clone();
+        let started = &mut self.hosts[host];
+        started.core = new_core(started.address, &started.zone, started.capacity, &seeds);
+        started.life += 1;
+        started.alive = true;
+        started.reads = false;
+        started.asking = false;
+        self.push(host, delay, FleetEvent::Look);
+        self.push(host, delay, FleetEvent::Read);
+    }
+
+    /// Ends a host as when its machine loses power.
+    pub fn kill(&mut self, host: HostPlace) {
+        let killed = &mut self.hosts[host];
+        killed.alive = false;
+        killed.reads = false;
+        killed.life += 1;
+    }
+
+    /// Parts these hosts from all others; nobody is parted after an empty list.
+    pub fn part(&mut self, hosts: impl IntoIterator<Item = HostPlace>) {
+        self.parted = hosts.into_iter().collect();
+    }
+
+    /// Publishes a change of the one upstream each so many milliseconds for a time.
+    pub fn pass_with_changes(&mut self, millis: u64, pause: u64) {
+        for _change in 0..millis / pause {
+            self.publish(|revision| upstream_item(revision, entry(1, "ledger")));
+            self.pass(pause);
+        }
+    }
+
+    /// Publishes one change.
+    pub fn publish(&mut self, item: impl FnOnce(Revision) -> PublishedItem) {
+        self.revision += 1;
+        let item = item(self.revision);
+        self.items.retain(|held| held.key != item.key);
+        self.items.push(item);
+        let (ready, waiting) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|watch| watch.after < self.revision);
+        self.watches = waiting;
+        for watch in ready {
+            self.end_watch(&watch);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while let Some(entry) = self.queue.first_entry()
+            && entry.key().0 <= end
+        {
+            let ((at, _number), event) = entry.remove_entry();
+            self.now = self.now.max(at);
+            if self.hosts[event.host].life == event.life {
+                self.happen(event.host, event.event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// The living hosts of a zone that read.
+    pub fn readers(&self, zone: &str) -> Vec<HostPlace> {
+        let hosts = self.hosts.iter().enumerate();
+        let reading = hosts.filter(|(_place, host)| host.alive && host.reads && host.zone == zone);
+        reading.map(|(place, _host)| place).collect()
+    }
+
+    /// The names of the zones.
+    pub fn zones(&self) -> Vec<ZoneName> {
+        let mut zones: Vec<ZoneName> = self.hosts.iter().map(|host| host.zone.clone()).collect();
+        zones.dedup();
+        zones
+    }
+
+    /// Calls of one kind since a moment.
+    pub fn calls_since(&self, since: Instant, kind: StoreCall) -> usize {
+        let calls = self.calls.iter();
+        calls
+            .filter(|(at, _host, call)| *at >= since && *call == kind)
+            .count()
+    }
+
+    fn push(&mut self, host: HostPlace, delay: Duration, event: FleetEvent) {
+        self.queued += 1;
+        let life = self.hosts[host].life;
+        let event = HostEvent { host, life, event };
+        self.queue.insert((self.now + delay, self.queued), event);
+    }
+
+    fn happen(&mut self, place: HostPlace, event: FleetEvent) {
+        let now = self.now;
+        match event {
+            FleetEvent::Look => self.look(place),
+            FleetEvent::Read => self.call_store(place),
+            FleetEvent::WatchEnds => self.end_old_watches(),
+            FleetEvent::Datagram { from, datagram } => self.take(place, from, datagram),
+            FleetEvent::State { source, update } => {
+                self.hosts[place].asking = false;
+                match update {
+                    Some(update) => self.join_and_pass_on(place, &update),
+                    None => self.hosts[place].core.source_failed(now, source),
+                }
+            }
+            FleetEvent::Listed(Ok(page)) => {
+                let update = self.hosts[place].core.store_listed(now, page);
+                if let Some(update) = update {
+                    self.join_and_pass_on(place, &update);
+                }
+                self.push(place, Duration::ZERO, FleetEvent::Read);
+            }
+            FleetEvent::Watched(Ok(batch)) => {
+                let update = self.hosts[place].core.store_changed(now, batch);
+                self.join_and_pass_on(place, &update);
+                self.push(place, Duration::ZERO, FleetEvent::Read);
+            }
+            FleetEvent::Listed(Err(fault)) | FleetEvent::Watched(Err(fault)) => {
+                let host = &mut self.hosts[place];
+                host.core.store_failed(now, &fault);
+                self.push(place, Duration::ZERO, FleetEvent::Read);
+            }
+        }
+    }
+
+    fn look(&mut self, place: HostPlace) {
+        let now = self.now;
+        self.push(place, LOOK, FleetEvent::Look);
+        let host = &mut self.hosts[place];
+        host.core.tick(now, &mut PacketOutput::default());
+        host.reads = host.core.reads();
+        let beats = host.core.round(now, false);
+        self.send_beats(place, beats);
+        self.ask_if_behind(place);
+    }
+
+    fn ask_if_behind(&mut self, place: HostPlace) {
+        let now = self.now;
+        if !self.hosts[place].asking
+            && let Some(source) = self.hosts[place].core.source(now)
+        {
+            self.ask(place, source);
+        }
+    }
+
+    fn call_store(&mut self, place: HostPlace) {
+        let now = self.now;
+        let host = &mut self.hosts[place];
+        let step = host.core.store_step(now);
+        let served = host.served;
+        let refusal = StoreFault::Refused { status: 503 };
+        match step {
+            FeedStep::Wait { until } => {
+                self.wake(place, until);
+            }
+            FeedStep::List { .. } => {
+                self.calls.push((now, place, StoreCall::List));
+                let page = ListPage {
+                    items: self.items.clone(),
+                    next_after: None,
+                    revision: self.revision,
+                };
+                let answer = if served { Ok(page) } else { Err(refusal) };
+                self.push(place, STORE_DELAY, FleetEvent::Listed(answer));
+            }
+            FeedStep::Watch { after, wait } => {
+                self.calls.push((now, place, StoreCall::Watch));
+                let life = self.hosts[place].life;
+                let until = now + wait;
+                let watch = WaitingWatch {
+                    host: place,
+                    life,
+                    after,
+                    until,
+                };
+                if !served {
+                    self.push(place, STORE_DELAY, FleetEvent::Watched(Err(refusal)));
+                } else if after < self.revision {
+                    self.end_watch(&watch);
+                } else {
+                    self.watches.push(watch);
+                    self.push(place, wait, FleetEvent::WatchEnds);
+                }
+            }
+        }
+    }
+
+    fn wake(&mut self, place: HostPlace, until: Instant) {
+        let delay = until.saturating_duration_since(self.now);
+        self.push(place, delay, FleetEvent::Read);
+    }
+
+    /// Ends the watches that have waited their time.
+    fn end_old_watches(&mut self) {
+        let now = self.now;
+        let (old, waiting) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|watch| watch.until <= now);
+        self.watches = waiting;
+        for watch in old {
+            self.end_watch(&watch);
+        }
+    }
+
+    fn end_watch(&mut self, watch: &WaitingWatch) {
+        if self.hosts[watch.host].life != watch.life {
+            return;
+        }
+        let newer = self.items.iter().filter(|item| item.revision > watch.after);
+        let batch = WatchBatch {
+            items: newer.cloned().collect(),
+            changed: watch.after < self.revision,
+            revision: self.revision,
+        };
+        self.push(watch.host, STORE_DELAY, FleetEvent::Watched(Ok(batch)));
+    }
+
+    fn ask(&mut self, place: HostPlace, source: SocketAddrV4) {
+        let after = self.hosts[place].core.view().through();
+        let asked = self.place_of(source);
+        let asked = asked.filter(|asked| self.hosts[*asked].alive && self.reach(place, *asked));
+        let update = asked.map(|asked| self.hosts[asked].core.view().update_since(after));
+        self.hosts[place].asking = true;
+        self.push(place, STATE_DELAY, FleetEvent::State { source, update });
+    }
+
+    fn join_and_pass_on(&mut self, place: HostPlace, update: &ViewUpdate) {
+        let now = self.now;
+        let core = &mut self.hosts[place].core;
+        if !core.join(now, update, &mut PacketOutput::default()) {
+            return;
+        }
+        for follower in self.hosts[place].core.followers(now) {
+            self.send(place, follower, PeerDatagram::Change(update.clone()));
+        }
+    }
+
+    fn take(&mut self, place: HostPlace, from: SocketAddrV4, datagram: PeerDatagram) {
+        let now = self.now;
+        let core = &mut self.hosts[place].core;
+        match datagram {
+            PeerDatagram::Beat(beat) => {
+                let (_is_new, replies) = core.heard(now, from, beat, false);
+                let lacks_state = core.view().through() == 0;
+                self.send_beats(place, replies);
+                if lacks_state {
+                    self.ask_if_behind(place);
+                }
+            }
+            PeerDatagram::Change(update) => {
+                core.join(now, &update, &mut PacketOutput::default());
+            }
+            PeerDatagram::Failures(reports) => core.heard_failures(from, &reports),
+        }
+    }
+
+    fn send_beats(&mut self, place: HostPlace, beats: Vec<AddressedBeat>) {
+        for (beat, targets) in beats {
+            for target in targets {
+                self.send(place, target, PeerDatagram::Beat(beat.clone()));
+            }
+        }
+    }
+
+    fn send(&mut self, place: HostPlace, target: SocketAddrV4, datagram: PeerDatagram) {
+        let from = self.hosts[place].address;
+        let lost = self.random.random_range(0..10_000) < LOST;
+        let Some(to) = self.place_of(target).filter(|_to| !lost) else {
+            return;
+        };
+        if !self.reach(place, to) {
+            return;
+        }
+        let near = self.hosts[to].zone == self.hosts[place].zone;
+        let delay = if near { NEAR_DELAY } else { FAR_DELAY };
+        self.push(to, delay, FleetEvent::Datagram { from, datagram });
+    }
+
+    /// Whether datagrams go from one host to the other.
+    fn reach(&self, from: HostPlace, to: HostPlace) -> bool {
+        self.parted.contains(&from) == self.parted.contains(&to)
+    }
+
+    fn place_of(&self, address: SocketAddrV4) -> Option<HostPlace> {
+        self.hosts.iter().position(|host| host.address == address)
+    }
+}
+
+fn new_core(
+    address: SocketAddrV4,
+    zone: &ZoneName,
+    capacity: u32,
+    seeds: &[SocketAddrV4],
+) -> PacketCore {
+    let mut settings = settings();
+    settings.peer_address = address;
+    settings.zone = zone.clone();
+    settings.capacity = capacity;
+    settings.seed_peers = seeds.to_vec();
+    PacketCore::new(&settings, PolicyFigures::default())
+}
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -1,9 +1,11 @@
 //! The tests of the packet path's decisions, in one program so that linking is fast.
 
 mod core_rig;
+mod fleet_rig;
 mod test_allocations;
 mod test_answer_record;
 mod test_failing_upstreams;
+mod test_fleet_reading;
 mod test_flow_evidence;
 mod test_flow_load;
 mod test_lost_upstreams;
--- /dev/null
+++ b/packet/tests/test_fleet_reading.rs
@@ -0,0 +1,186 @@
+//! Tests of who reads the store in a fleet of hundreds, in virtual time.
+
+use std::time::Duration;
+
+use lagoonproxy::ids::ZoneName;
+
+use crate::core_rig::*;
+use crate::fleet_rig::*;
+
+/// The time in which a change has to be in force, with the second that a store may take to answer.
+const IN_FORCE_MILLIS: u64 = 3000;
+
+/// Two zones as large as those of the largest deployment, with three large hosts each.
+fn two_zones(seed: u64) -> FleetRig {
+    FleetRig::new(&FleetPlan {
+        zones: 2,
+        hosts_a_zone: 70,
+        large_a_zone: 3,
+        seed,
+    })
+}
+
+/// The same, that has been running for some seconds.
+fn settled_zones(seed: u64) -> FleetRig {
+    let mut rig = two_zones(seed);
+    rig.start_all();
+    rig.pass(8000);
+    rig
+}
+
+fn reader_counts(rig: &FleetRig) -> Vec<usize> {
+    let zones = rig.zones();
+    zones.iter().map(|zone| rig.readers(zone).len()).collect()
+}
+
+#[test]
+fn test_few_hosts_read_in_a_fleet_that_starts() {
+    // Hosts start within 0.1 s and know three addresses, whose hosts come up last. Each host that takes
+    // itself for the reader of its zone watches the store and pays for every change of it, for as long as
+    // it does not hear of a better one: half a minute and more, in zones that know little of themselves.
+    for seed in 1..=2 {
+        let mut rig = FleetRig::new(&FleetPlan {
+            zones: 4,
+            hosts_a_zone: 70,
+            large_a_zone: 3,
+            seed,
+        });
+        rig.start_all();
+        for second in 1..=12 {
+            rig.pass_with_changes(1000, 200);
+            let counts = reader_counts(&rig);
+            let most = if second <= 3 { 14 } else { 1 };
+            assert!(
+                counts.iter().all(|count| *count <= most),
+                "seed {seed}, second {second}: {counts:?} read"
+            );
+        }
+        assert_eq!(reader_counts(&rig), [1; 4], "seed {seed}");
+        let before = rig.now;
+        rig.pass_with_changes(4000, 200);
+        let watches = rig.calls_since(before, StoreCall::Watch);
+        assert!(
+            watches <= 4 * 4 * 4,
+            "{watches} watches of four readers in 4 s"
+        );
+    }
+}
+
+#[test]
+fn test_lost_reader_is_replaced_by_few() {
+    // The host that reads for a zone of seventy fails in one way or another. Until another reads, the
+    // zone learns of no drain and no dropped route; if all others tried, a store in trouble would meet
+    // seventy hosts.
+    struct Case {
+        name: &'static str,
+        fail: fn(&mut FleetRig, HostPlace),
+    }
+    let cases = [
+        Case {
+            name: "killed",
+            fail: |rig, reader| rig.kill(reader),
+        },
+        Case {
+            name: "turned away by the store",
+            fail: |rig, reader| rig.hosts[reader].served = false,
+        },
+        Case {
+            name: "cut off from its zone",
+            fail: |rig, reader| rig.part([reader]),
+        },
+        Case {
+            name: "turned away with every third host",
+            fail: |rig, reader| {
+                let members = 0..rig.hosts.len();
+                let refused = members.filter(|place| *place == reader || place % 3 == 0);
+                for place in refused.collect::<Vec<_>>() {
+                    rig.hosts[place].served = false;
+                }
+            },
+        },
+    ];
+    for case in cases {
+        let mut rig = settled_zones(3);
+        let zone: ZoneName = "zone-1".into();
+        let first = rig.readers(&zone)[0];
+        rig.publish(|revision| upstream_item(revision, entry(1, "ledger")));
+        rig.pass(200);
+        (case.fail)(&mut rig, first);
+        let before = rig.now;
+        rig.publish(|revision| upstream_item(revision, entry(1, "ledger")));
+        let changed = rig.revision;
+        rig.pass(IN_FORCE_MILLIS);
+        let behind = rig.hosts.iter().enumerate().filter(|(place, host)| {
+            *place != first && host.zone == zone && host.core.view().through() < changed
+        });
+        assert_eq!(
+            behind.count(),
+            0,
+            "{}: hosts that miss the change",
+            case.name
+        );
+        let others = rig
+            .readers(&zone)
+            .into_iter()
+            .filter(|place| *place != first);
+        assert!((1..=3).contains(&others.count()), "{}", case.name);
+        let calls = rig.calls_since(before, StoreCall::Watch);
+        assert!(calls <= 30, "{}: {calls} watches", case.name);
+        let listed = rig.calls_since(before, StoreCall::List);
+        assert_eq!(listed, 0, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_both_halves_of_a_parted_zone_are_read_for() {
+    // A zone falls into two halves that both reach the store. Each needs a reader, and when they hear each
+    // other again one of the two has to leave off.
+    let mut rig = settled_zones(4);
+    let zone: ZoneName = "zone-1".into();
+    let half = 0..35;
+    rig.part(half.clone());
+    rig.pass(IN_FORCE_MILLIS);
+    let readers = rig.readers(&zone);
+    let within = readers.iter().filter(|place| half.contains(*place)).count();
+    assert!(within >= 1 && readers.len() > within, "{readers:?}");
+    rig.part([]);
+    rig.pass(3000);
+    assert_eq!(rig.readers(&zone).len(), 1);
+}
+
+#[test]
+fn test_hosts_that_are_replaced_read_no_list() {
+    // Operators replace a third of the hosts one after the other. Each reads the whole list of a store that
+    // answers, while a host beside it knows all of that.
+    let mut rig = settled_zones(5);
+    let before = rig.now;
+    for place in (0..rig.hosts.len()).step_by(3) {
+        rig.kill(place);
+        rig.pass(100);
+        rig.start(place, Duration::ZERO);
+        rig.pass(100);
+    }
+    rig.pass(1000);
+    assert!(rig.hosts.iter().all(|host| host.core.is_ready()));
+    let lists = rig.calls_since(before, StoreCall::List);
+    assert!(lists <= 3, "{lists} lists of 47 hosts");
+}
+
+#[test]
+fn test_host_with_an_old_state_catches_up() {
+    // The one host that a new host can greet was parted from all others for long, and hands over an old
+    // state. The new host must not go by it for longer than a host may be without a reader.
+    let mut rig = settled_zones(6);
+    let (stale, fresh) = (0, 69);
+    rig.kill(fresh);
+    rig.part([stale, fresh]);
+    rig.hosts[stale].served = false;
+    rig.pass_with_changes(4000, 500);
+    let changed = rig.revision;
+    rig.start(fresh, Duration::ZERO);
+    rig.pass(200);
+    assert!(rig.hosts[fresh].core.is_ready(), "by its peer's state");
+    assert!(rig.hosts[fresh].core.view().through() < changed);
+    rig.pass(IN_FORCE_MILLIS);
+    assert_eq!(rig.hosts[fresh].core.view().through(), changed);
+}
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and latencies of the packet path, in the text format of Prometheus.
 
 use std::sync::atomic::AtomicU64;
+use std::time::Instant;
 
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::packet_core::PacketCore;
@@ -55,6 +56,8 @@
     version: Gauge<u64, AtomicU64>,
     through: Gauge<u64, AtomicU64>,
     flows: Gauge<u64, AtomicU64>,
+    reads: Gauge<u64, AtomicU64>,
+    peers: Gauge<u64, AtomicU64>,
 }
 
 impl Default for HostMetrics {
@@ -77,6 +80,8 @@
             version: Gauge::default(),
             through: Gauge::default(),
             flows: Gauge::default(),
+            reads: Gauge::default(),
+            peers: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -120,6 +125,12 @@
             ("routes_version", "Routes in force", &self.version),
             ("through", "Revision read up to", &self.through),
             ("flows", "Flows watched", &self.flows),
+            (
+                "reads",
+                "1 if this host reads the store for its zone",
+                &self.reads,
+            ),
+            ("peers", "Other hosts heard of late", &self.peers),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -142,10 +153,12 @@
     }
 
     /// Every metric as text.
-    pub fn text(&self, core: &PacketCore) -> String {
+    pub fn text(&self, core: &PacketCore, now: Instant) -> String {
         let routes = core.view().routes();
         self.version.set(routes.map_or(0, |routes| routes.version));
         self.through.set(core.view().through());
+        self.reads.set(u64::from(core.reads()));
+        self.peers.set(core.peers().alive_hosts(now) as u64);
         self.flows.set(core.evidence().open_flows() as u64);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -51,6 +51,7 @@
     let peer_address = settings.peer_address;
     let metrics_address = SocketAddrV4::new(*settings.peer_address.ip(), METRICS_PORT);
     let state = Rc::new(HostState::new(settings));
+    peer_socket::start(&state, peer_address).await;
     spawn_local(read_store(state.clone()));
     spawn_local(forward_packets(state.clone(), socket.clone()));
     let Some(listener) = web_server::listen(ready_address).await else {
@@ -60,7 +61,6 @@
     if let Some(listener) = web_server::listen(metrics_address).await {
         spawn_local(web_server::serve(state.clone(), listener));
     }
-    peer_socket::start(&state, peer_address).await;
     spawn_local(keep_time(state.clone(), socket.clone(), logs));
     spawn_local(follow_settings(state.clone(), file, signals.hangup));
     signals.stop.received().await;
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -27,6 +27,10 @@
     pub settings: RefCell<Rc<HostSettings>>,
     /// The process was asked to stop.
     pub stopping: Cell<bool>,
+    /// The last call of the store failed.
+    pub store_lost: Cell<bool>,
+    /// A peer is being asked for state.
+    pub asking: Cell<bool>,
     /// When the last packet came.
     pub last_packet: Cell<Instant>,
     /// Wakes who waits for the first whole state.
@@ -35,6 +39,8 @@
     pub to_pass_on: RefCell<Vec<ViewUpdate>>,
     /// Wakes who passes it on.
     pub read_something: Notify,
+    /// Wakes who asks peers for state: a host without one has heard of a peer.
+    pub heard_peer: Notify,
 }
 
 impl HostState {
@@ -45,10 +51,13 @@
             metrics: HostMetrics::default(),
             settings: RefCell::new(Rc::new(settings)),
             stopping: Cell::new(false),
+            store_lost: Cell::new(false),
+            asking: Cell::new(false),
             last_packet: Cell::new(Instant::now()),
             became_ready: Notify::new(),
             to_pass_on: RefCell::new(Vec::new()),
             read_something: Notify::new(),
+            heard_peer: Notify::new(),
         }
     }
 
--- a/packetd/src/note_log.rs
+++ b/packetd/src/note_log.rs
@@ -89,6 +89,15 @@
             let (served, failed) = (answers.served, answers.failed);
             log::info!(upstream:% = upstream, zone:% = zone, change:? = change, attempts, served, failed, heard_ms, through; "upstream");
         }
+        DecisionNote::Role {
+            change,
+            reader,
+            peers,
+            through,
+        } => {
+            let reader = reader.map(|reader| reader.to_string()).unwrap_or_default();
+            log::info!(change:? = change, reader, peers, through; "reading of the store");
+        }
         DecisionNote::Routes {
             version,
             routes,
--- a/packetd/src/peer_socket.rs
+++ b/packetd/src/peer_socket.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_packet::core_peers::AddressedBeat;
 use lagoonproxy_packet::peer_beat::PeerBeat;
 use lagoonproxy_packet::peer_datagram::MOST_DATAGRAM;
 use lagoonproxy_packet::peer_datagram::PeerDatagram;
@@ -83,13 +84,18 @@
 }
 
 fn take_beat(state: &HostState, socket: &UdpSocket, source: SocketAddrV4, beat: PeerBeat) {
-    let now = Instant::now();
-    let mut core = state.core.borrow_mut();
     let (zone, through) = (beat.zone.clone(), beat.through);
-    if core.heard(now, source, beat) {
+    let stopping = state.stopping.get();
+    let mut core = state.core.borrow_mut();
+    let (is_new, replies) = core.heard(Instant::now(), source, beat, stopping);
+    let lacks_state = core.view().through() == 0;
+    drop(core);
+    if is_new {
         log::info!(peer:% = source, zone:%, through; "peer heard");
-        let beat = core.beat(now, state.stopping.get());
-        send(state, socket, &PeerDatagram::Beat(beat), &[source]);
+    }
+    send_beats(state, socket, replies);
+    if lacks_state && through > 0 {
+        state.heard_peer.notify_one();
     }
 }
 
@@ -98,24 +104,37 @@
     loop {
         let now = Instant::now();
         let beats = state.core.borrow_mut().round(now, state.stopping.get());
-        for (beat, targets) in beats {
-            send(&state, &socket, &PeerDatagram::Beat(beat), &targets);
-        }
+        send_beats(&state, &socket, beats);
         let word = state.core.borrow_mut().failure_word(now);
         if let Some((reports, targets)) = word {
             send(&state, &socket, &PeerDatagram::Failures(reports), &targets);
         }
-        let source = state.core.borrow_mut().source(now);
-        if let Some(source) = source {
-            state_transfer::ask(&state, source).await;
-        }
+        ask_for_state(&state, now);
         tokio::select! {
             () = tokio::time::sleep(LOOK_PAUSE) => {}
             () = state.read_something.notified() => pass_on(&state, &socket),
+            () = state.heard_peer.notified() => {}
         }
     }
 }
 
+/// Asks a peer for what is missing, one at a time.
+fn ask_for_state(state: &Rc<HostState>, now: Instant) {
+    if state.asking.get() {
+        return;
+    }
+    let Some(source) = state.core.borrow_mut().source(now) else {
+        return;
+    };
+    let state = state.clone();
+    state.asking.set(true);
+    tokio::task::spawn_local(async move {
+        state_transfer::ask(state.clone(), source).await;
+        state.asking.set(false);
+        state.heard_peer.notify_one();
+    });
+}
+
 /// Passes on what was read. What is too long for a datagram is announced by a beat, and asked for.
 fn pass_on(state: &HostState, socket: &UdpSocket) {
     let now = Instant::now();
@@ -126,14 +145,20 @@
         let datagram = match length {
             Ok(length) if length <= MOST_DATAGRAM => change,
             _ => {
-                let beat = state.core.borrow_mut().beat(now, state.stopping.get());
-                PeerDatagram::Beat(beat.sign_of_life())
+                let mut core = state.core.borrow_mut();
+                PeerDatagram::Beat(core.sign_of_life(now, state.stopping.get()))
             }
         };
         send(state, socket, &datagram, &followers);
     }
 }
 
+fn send_beats(state: &HostState, socket: &UdpSocket, beats: Vec<AddressedBeat>) {
+    for (beat, targets) in beats {
+        send(state, socket, &PeerDatagram::Beat(beat), &targets);
+    }
+}
+
 fn send(state: &HostState, socket: &UdpSocket, datagram: &PeerDatagram, targets: &[SocketAddrV4]) {
     let bytes = match datagram.encode() {
         Ok(bytes) => bytes,
--- a/packetd/src/state_transfer.rs
+++ b/packetd/src/state_transfer.rs
@@ -1,23 +1,31 @@
-//! Hands published state from host to host, for one that the store turns away or does not reach.
+//! Hands published state from host to host: to one that has just started, that the store turns away or
+//! that missed a change.
 //!
 //! One question and one answer over a websocket, in CBOR; used so seldom that no connection is
 //! kept.
 
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::ids::Revision;
 use lagoonproxy_packet::published_view::ViewUpdate;
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::ResultExt;
+use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::client_async_with_config;
+use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
@@ -26,6 +34,10 @@
 /// How long one exchange may take; peers are milliseconds away, and another may be asked next.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(1);
 
+/// Hosts that are handed the state at the same time. When half of a fleet starts at once, those that ask
+/// the same host would else share its link, and all of them be late.
+const SERVED_AT_ONCE: u32 = 4;
+
 /// Most bytes of a state: 5,000 upstreams of 200 bytes and 5,000 routes of 100 fit four times.
 const MOST_STATE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -35,15 +47,65 @@
 /// Pause after a connection that could not be taken, for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
+/// What a peer answers to the revision that a host holds.
+#[derive(Debug, Serialize, Deserialize)]
+enum StateAnswer {
+    /// What the host is missing.
+    State(ViewUpdate),
+    /// Others are being served.
+    Busy,
+}
+
 /// Why a transfer failed.
-type TransferFault = Box<dyn std::error::Error>;
+#[derive(Debug, Snafu)]
+enum TransferFault {
+    #[snafu(display("no answer in time"))]
+    TimedOut,
+    #[snafu(display("no connection: {source}"))]
+    Unreachable { source: std::io::Error },
+    #[snafu(display("the connection failed: {source}"))]
+    Exchange { source: tungstenite::Error },
+    #[snafu(display("the peer closed before its answer"))]
+    Closed,
+    #[snafu(display("the answer cannot be read: {source}"))]
+    Malformed {
+        source: ciborium::de::Error<std::io::Error>,
+    },
+    #[snafu(display("the message cannot be written: {source}"))]
+    Unwritable {
+        source: ciborium::ser::Error<std::io::Error>,
+    },
+    #[snafu(display("the peer serves as many as it can"))]
+    Busy,
+    #[snafu(display("the peer's state ends at {through}"))]
+    Stale { through: Revision },
+}
+
+impl TransferFault {
+    fn code(&self) -> ResultCode {
+        match self {
+            Self::Exchange {
+                source: tungstenite::Error::Capacity(_),
+            } => ResultCode::StateOversized,
+            Self::TimedOut | Self::Unreachable { .. } | Self::Exchange { .. } => {
+                ResultCode::SourceUnreachable
+            }
+            Self::Closed | Self::Malformed { .. } | Self::Unwritable { .. } => {
+                ResultCode::StateMalformed
+            }
+            Self::Busy => ResultCode::PeerBusy,
+            Self::Stale { .. } => ResultCode::StateStale,
+        }
+    }
+}
 
 /// Answers peers that ask, for as long as the process lives.
 pub async fn serve(state: Rc<HostState>, listener: TcpListener) {
+    let serving = Rc::new(Cell::new(0));
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => {
-                tokio::task::spawn_local(serve_one(state.clone(), stream));
+                tokio::task::spawn_local(serve_one(state.clone(), stream, serving.clone()));
             }
             Err(error) => {
                 log::warn!("cannot accept a peer: {error}");
@@ -54,62 +116,87 @@
 }
 
 /// Asks a peer for what this host is missing, and takes it in.
-pub async fn ask(state: &HostState, peer: SocketAddrV4) {
+pub async fn ask(state: Rc<HostState>, peer: SocketAddrV4) {
     let after = state.core.borrow().view().through();
-    let answer = timeout(EXCHANGE_LIMIT, question(peer, after)).await;
-    let fault = match answer {
-        Ok(Ok(update)) => {
-            log::info!(peer:% = peer, after, through = update.through, items = update.items.len(); "state from a peer");
+    let started = Instant::now();
+    let answer = match timeout(EXCHANGE_LIMIT, question(peer, after)).await {
+        Ok(answer) => answer,
+        Err(_elapsed) => Err(TransferFault::TimedOut),
+    };
+    let took_ms = started.elapsed().as_millis() as u64;
+    match answer {
+        Ok(update) => {
+            log::info!(peer:% = peer, after, through = update.through, items = update.items.len(), took_ms; "state from a peer");
             state.join_and_pass_on(update);
-            return;
         }
-        Ok(Err(fault)) => fault.to_string(),
-        Err(_elapsed) => "no answer in time".to_owned(),
-    };
-    let code = ResultCode::SourceUnreachable;
-    state.metrics.count_result(code);
-    log::warn!(code = code.number(), peer:% = peer, after; "no state from a peer: {fault}");
+        Err(fault) => {
+            let code = fault.code();
+            state.metrics.count_result(code);
+            log::warn!(code = code.number(), peer:% = peer, after, took_ms; "no state from a peer: {fault}");
+            state.core.borrow_mut().source_failed(Instant::now(), peer);
+        }
+    }
 }
 
 async fn question(peer: SocketAddrV4, after: Revision) -> Result<ViewUpdate, TransferFault> {
-    let stream = TcpStream::connect(peer).await?;
+    let stream = TcpStream::connect(peer).await.context(UnreachableSnafu)?;
     let url = format!("ws://{peer}/state");
-    let (mut socket, _response) = client_async_with_config(url, stream, Some(config())).await?;
+    let (mut socket, _response) = client_async_with_config(url, stream, Some(config()))
+        .await
+        .context(ExchangeSnafu)?;
     send(&mut socket, &after).await?;
-    receive(&mut socket).await
+    match receive(&mut socket).await? {
+        StateAnswer::State(update) if update.through > after => Ok(update),
+        StateAnswer::State(update) => StaleSnafu {
+            through: update.through,
+        }
+        .fail(),
+        StateAnswer::Busy => BusySnafu.fail(),
+    }
 }
 
-async fn serve_one(state: Rc<HostState>, stream: TcpStream) {
-    let answer = timeout(EXCHANGE_LIMIT, answer(&state, stream)).await;
+async fn serve_one(state: Rc<HostState>, stream: TcpStream, serving: Rc<Cell<u32>>) {
+    let busy = serving.get() >= SERVED_AT_ONCE;
+    serving.set(serving.get() + 1);
+    let answer = timeout(EXCHANGE_LIMIT, answer(&state, stream, busy)).await;
+    serving.set(serving.get() - 1);
     if let Ok(Err(fault)) = answer {
-        log::info!("a peer's question failed: {fault}");
+        log::info!(code = fault.code().number(); "a peer's question failed: {fault}");
     }
 }
 
-async fn answer(state: &HostState, stream: TcpStream) -> Result<(), TransferFault> {
-    let mut socket = accept_async_with_config(stream, Some(config())).await?;
+async fn answer(state: &HostState, stream: TcpStream, busy: bool) -> Result<(), TransferFault> {
+    let mut socket = accept_async_with_config(stream, Some(config()))
+        .await
+        .context(ExchangeSnafu)?;
     let after: Revision = receive(&mut socket).await?;
-    let update = state.core.borrow().view().update_since(after);
-    send(&mut socket, &update).await?;
-    socket.close(None).await?;
-    Ok(())
+    let answer = if busy {
+        StateAnswer::Busy
+    } else {
+        StateAnswer::State(state.core.borrow().view().update_since(after))
+    };
+    send(&mut socket, &answer).await?;
+    socket.close(None).await.context(ExchangeSnafu)
 }
 
 async fn send(
     socket: &mut WebSocketStream<TcpStream>,
-    value: &impl serde::Serialize,
+    value: &impl Serialize,
 ) -> Result<(), TransferFault> {
     let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes)?;
-    socket.send(Message::binary(bytes)).await?;
-    Ok(())
+    ciborium::into_writer(value, &mut bytes).context(UnwritableSnafu)?;
+    socket
+        .send(Message::binary(bytes))
+        .await
+        .context(ExchangeSnafu)
 }
 
 async fn receive<T: serde::de::DeserializeOwned>(
     socket: &mut WebSocketStream<TcpStream>,
 ) -> Result<T, TransferFault> {
-    let message = socket.next().await.ok_or("the peer closed")??;
-    Ok(ciborium::from_reader(message.into_data().as_ref())?)
+    let message = socket.next().await.ok_or(TransferFault::Closed)?;
+    let bytes = message.context(ExchangeSnafu)?.into_data();
+    ciborium::from_reader(bytes.as_ref()).context(MalformedSnafu)
 }
 
 fn config() -> WebSocketConfig {
--- a/packetd/src/web_server.rs
+++ b/packetd/src/web_server.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -80,7 +81,7 @@
         READY_PATH if state.is_ready() => with_status(StatusCode::OK),
         READY_PATH => with_status(StatusCode::SERVICE_UNAVAILABLE),
         METRICS_PATH => {
-            let text = state.metrics.text(&state.core.borrow());
+            let text = state.metrics.text(&state.core.borrow(), Instant::now());
             Response::new(Full::from(text))
         }
         STATUS_PATH => match serde_json::to_vec(&state.status()) {
--- a/packetd/tests/runner.rs
+++ b/packetd/tests/runner.rs
@@ -1,8 +1,10 @@
 //! Tests of `lagoon-packet` as separate processes, in one program so that linking is fast.
 
+mod faulty_peer;
 mod test_packet_changes;
 mod test_packet_failures;
 mod test_packet_soak;
+mod test_state_faults;
 
 use std::path::Path;
 
--- /dev/null
+++ b/packetd/tests/test_state_faults.rs
@@ -0,0 +1,91 @@
+//! Tests of states that a peer hands over and that cannot be used, with the real program.
+
+use std::collections::BTreeMap;
+
+use lagoonproxy_packet::published_view::ViewUpdate;
+use lagoonproxy_standin::packet_cell::*;
+
+use crate::faulty_peer::FaultyAnswer;
+use crate::faulty_peer::FaultyPeer;
+use crate::program;
+
+/// More than a state may have.
+const OVERSIZED_BYTES: usize = 9 * 1024 * 1024;
+
+fn encoded(value: &impl serde::Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).unwrap();
+    bytes
+}
+
+fn state_answer(through: u64) -> Vec<u8> {
+    let update = ViewUpdate {
+        items: Vec::new(),
+        through,
+        whole: false,
+        after: 0,
+    };
+    encoded(&BTreeMap::from([("State", update)]))
+}
+
+#[tokio::test]
+async fn test_unusable_states_harm_nobody() {
+    // A peer says that it knows more than this host, and what it hands over is cut short, of another
+    // format, old or endless. The host has to say so with a number, keep what it knows, and go on serving.
+    struct Case {
+        name: &'static str,
+        answer: FaultyAnswer,
+        code: u16,
+    }
+    let cut_short = state_answer(9_000).split_at(12).0.to_vec();
+    let cases = [
+        Case {
+            name: "cut short",
+            answer: FaultyAnswer::Bytes(cut_short),
+            code: 403,
+        },
+        Case {
+            name: "another format",
+            answer: FaultyAnswer::Bytes(encoded(&"hello")),
+            code: 403,
+        },
+        Case {
+            name: "no answer",
+            answer: FaultyAnswer::Closes,
+            code: 403,
+        },
+        Case {
+            name: "an old state",
+            answer: FaultyAnswer::Bytes(state_answer(1)),
+            code: 404,
+        },
+        Case {
+            name: "too large",
+            answer: FaultyAnswer::Bytes(vec![0; OVERSIZED_BYTES]),
+            code: 405,
+        },
+        Case {
+            name: "busy",
+            answer: FaultyAnswer::Bytes(encoded(&"Busy")),
+            code: 402,
+        },
+    ];
+    for case in cases {
+        let mut cell = PacketCell::ready(program(), 1, 1).await;
+        let before = cell.hosts[0].metric("lagoon_packet_through").await;
+        let target = cell.peer_address(1);
+        let _peer = FaultyPeer::start(cell.peer_address(9), target, 9_000, case.answer).await;
+        let counted = format!("lagoon_packet_results_total{{code=\"{}\"", case.code);
+        cell.hosts[0]
+            .wait_for_metric(&counted, |count| count >= 1.0)
+            .await;
+        let after = cell.hosts[0].metric("lagoon_packet_through").await;
+        assert!((before - after).abs() < 0.5, "{}", case.name);
+        let mut caller = cell.caller().await;
+        let mut flow = caller.open(ledger()).await.expect("a flow");
+        caller
+            .request(&mut flow, b"one", REQUEST_LIMIT)
+            .await
+            .expect("an answer");
+    }
+}
--- a/standin/src/packet_cell.rs
+++ b/standin/src/packet_cell.rs
@@ -208,6 +208,11 @@
         path
     }
 
+    /// Where peers reach the host at this place.
+    pub fn peer_address(&self, place: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(place), PEER_PORT)
+    }
+
     /// An address of this cell; cells of other processes that run at the same time have others.
     fn ip(&self, last: u8) -> Ipv4Addr {
         let process = 1 + (std::process::id() % 250) as u8;
