start: a crowded list is left to few, and hosts without a state find those that have one

Ruled out: processor time at the start (0.1 s), the store's rate (16,000 calls a second). Hosts also met late: the addresses of the settings were greeted each 0.5 s, and come back last. Change: a list whose body takes longer than 80 ms is left (505), but for one host in eight; hosts without a state greet each 0.2 s, are named hosts with a state, and one that comes by a state shows itself at once; a host serves two others at a time; one line for a first state.

--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -103,6 +103,8 @@
     PlatformHistoryDropped = 503,
     /// An answer or an item of the platform cannot be read.
     PlatformMalformed = 504,
+    /// The platform's list came in slowly and was left to other hosts.
+    PlatformCrowded = 505,
 }
 
 impl ResultCode {
@@ -152,6 +154,7 @@
         Self::PlatformRefused,
         Self::PlatformHistoryDropped,
         Self::PlatformMalformed,
+        Self::PlatformCrowded,
     ];
 
     /// The number that stands on the wire and in logs.
--- a/packet/src/core_peers.rs
+++ b/packet/src/core_peers.rs
@@ -29,14 +29,18 @@
         let heard = self.peers.heard(now, from, beat);
         let replies = heard.greet.into_iter().map(|target| {
             let zone = self.peers.zone_of(target);
-            (self.beat_for(now, &zone, stopping), vec![target])
+            let mut reply = self.beat_for(now, &zone, stopping);
+            // An answer calls for none: two hosts that both seek would answer each other without end.
+            reply.seeks = false;
+            (reply, vec![target])
         });
         (heard.is_new, replies.collect())
     }
 
     /// The beats to send now, each with whom it is for; none between rounds.
     pub fn round(&mut self, now: Instant, stopping: bool) -> Vec<AddressedBeat> {
-        let Some(round) = self.peers.round(now, self.role.reads()) else {
+        let lacks_state = self.view.through() == 0;
+        let Some(round) = self.peers.round(now, self.role.reads(), lacks_state) else {
             return Vec::new();
         };
         let zone = self.zone.clone();
@@ -59,7 +63,7 @@
             reads: self.role.reads() && self.in_touch && !stopping,
             capacity: self.capacity,
             ready: self.is_ready() && !stopping,
-            seeks: self.peers.seeks(now),
+            seeks: self.view.through() == 0 || self.peers.seeks(now),
             through: self.view.through(),
             reader: reader.map(|(address, _capacity)| address),
             named: self.peers.some_of(now, zone),
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -22,10 +22,7 @@
     pub fn store_step(&mut self, now: Instant) -> FeedStep {
         if self.view.through() == 0 {
             let greets = self.peers.greets_seeds();
-            return match self.start.waits_until(now, greets) {
-                Some(until) => FeedStep::Wait { until },
-                None => self.feed.next_step(now),
-            };
+            return self.first_step(now, greets);
         }
         if !self.role.reads() {
             let until = now + ROLE_PAUSE;
@@ -35,6 +32,21 @@
         self.feed.next_step(now)
     }
 
+    /// What to do at the store while no state is held.
+    fn first_step(&mut self, now: Instant, greets: bool) -> FeedStep {
+        if let Some(until) = self.start.waits_until(now, greets) {
+            return FeedStep::Wait { until };
+        }
+        let limit = self.start.body_limit(greets);
+        match self.feed.next_step(now) {
+            FeedStep::List { after, .. } => FeedStep::List {
+                after,
+                body_limit: limit,
+            },
+            step => step,
+        }
+    }
+
     /// Decides anew whether this host reads the store for its zone; only one with a state does.
     pub(crate) fn decide_role(&mut self, now: Instant, output: &mut PacketOutput) {
         self.role.begin(now);
@@ -78,20 +90,16 @@
         self.feed.changed(now, batch)
     }
 
-    /// Learns that a call of the store failed; how many failed in a row before. What is missing from the
-    /// store's list may be alive.
-    pub fn store_failed(&mut self, now: Instant, fault: &StoreFault) -> u32 {
-        let failures = self.feed.failures();
+    /// Learns that a call of the store failed. What is missing from the store's list may be alive.
+    pub fn store_failed(&mut self, now: Instant, fault: &StoreFault) {
         self.in_touch = false;
         self.steady_since = None;
-        self.role.store_lost(now);
         self.feed.failed(now, fault);
-        failures
-    }
-
-    /// Failures of calls of the store in a row.
-    pub fn store_failures(&self) -> u32 {
-        self.feed.failures()
+        if *fault == StoreFault::Crowded {
+            self.start.yielded(now);
+        } else {
+            self.role.store_lost(now);
+        }
     }
 
     /// Learns that the store answers, also when nothing has changed.
@@ -113,10 +121,10 @@
         source
     }
 
-    /// Learns that a peer that was asked gave no state.
-    pub fn source_failed(&mut self, now: Instant, peer: SocketAddrV4) {
+    /// Learns that a peer that was asked gave no state; `busy` if it serves others at present.
+    pub fn source_failed(&mut self, now: Instant, peer: SocketAddrV4, busy: bool) {
         self.start.refused(now);
-        self.peers.source_failed(now, peer);
+        self.peers.source_failed(now, peer, busy);
     }
 
     /// The hosts to which a reader passes on what it has read.
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -172,6 +172,13 @@
         /// The store's revision up to which it knows every change.
         through: Revision,
     },
+    /// The first state is held.
+    FirstState {
+        /// Upstreams that are registered.
+        upstreams: usize,
+        /// The store's revision up to which every change is contained.
+        through: Revision,
+    },
     /// Another configuration is in force.
     Routes {
         /// Its version.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -99,7 +99,7 @@
             role: ReadRole::new(settings.peer_address, &settings.zone, settings.capacity),
             last_event: None,
             feed: StoreFeed::default(),
-            start: StartPlan::default(),
+            start: StartPlan::new(*settings.peer_address.ip()),
             in_touch: false,
             steady_since: None,
             version: 0,
@@ -146,8 +146,16 @@
             return false;
         }
         self.note_outcome(&outcome, output);
+        let first = before == 0;
         for change in &outcome.changes {
-            self.apply(now, change, output);
+            self.apply(now, change, first, output);
+        }
+        if first {
+            let (upstreams, through) = (outcome.changes.len(), self.view.through());
+            output
+                .notes
+                .push(DecisionNote::FirstState { upstreams, through });
+            self.peers.hurry();
         }
         if self.steady_since.is_none() && self.view.is_complete() {
             self.steady_since = Some(now);
@@ -406,7 +414,9 @@
         });
     }
 
-    fn apply(&mut self, now: Instant, change: &ViewChange, output: &mut PacketOutput) {
+    /// Puts a change in force. What a first state lists is noted as a whole: hundreds of lines would take
+    /// the place of all others at the start, and time that callers wait.
+    fn apply(&mut self, now: Instant, change: &ViewChange, first: bool, output: &mut PacketOutput) {
         match change {
             ViewChange::Routes(config) => {
                 self.routes = RouteTable::new(config, &mut self.upstreams);
@@ -419,7 +429,9 @@
             }
             ViewChange::Upstream(entry) => {
                 let index = self.upstreams.register(now, entry);
-                self.note_belief(now, index, BeliefChange::Registered, output);
+                if !first {
+                    self.note_belief(now, index, BeliefChange::Registered, output);
+                }
             }
             ViewChange::Removed(name) => {
                 if let Some(index) = self.upstreams.unregister(now, name) {
--- a/packet/src/peer_beat.rs
+++ b/packet/src/peer_beat.rs
@@ -39,7 +39,7 @@
     pub capacity: u32,
     /// Whether it takes packets: a host that is stopping no longer counts.
     pub ready: bool,
-    /// Whether it has heard nobody of its zone and wants to be told of some.
+    /// Whether it holds no state yet or has heard nobody of its zone, and wants an answer that names some.
     pub seeks: bool,
     /// Everything that the store changed up to this revision is known to the sender.
     pub through: Revision,
--- a/packet/src/peer_record.rs
+++ b/packet/src/peer_record.rs
@@ -99,6 +99,11 @@
         self.reads && ago.is_some_and(|ago| ago < READER_SILENCE)
     }
 
+    /// Whether it did not just give no state.
+    pub(crate) fn may_be_asked(&self, now: Instant) -> bool {
+        self.no_source_until.is_none_or(|until| now >= until)
+    }
+
     /// Whether nobody has spoken to it yet.
     pub(crate) fn is_stranger(&self) -> bool {
         self.heard.is_none() && self.greet_after.is_none()
--- a/packet/src/peer_rounds.rs
+++ b/packet/src/peer_rounds.rs
@@ -19,6 +19,9 @@
 /// Pause between rounds of beats.
 pub const BEAT_PAUSE: Duration = Duration::from_millis(500);
 
+/// The same for a host that holds no state yet and looks for a peer that does.
+const SEEK_PAUSE: Duration = Duration::from_millis(200);
+
 /// Peers of the own zone that get a beat in a round; the others have their turn in the next.
 const NEAR_A_ROUND: usize = 6;
 
@@ -80,11 +83,12 @@
 impl PeerTable {
     /// The peers that get a beat now; `None` between rounds. A host that reads the store sends to all
     /// of its zone, and to the readers of others.
-    pub fn round(&mut self, now: Instant, reads: bool) -> Option<BeatRound> {
+    pub fn round(&mut self, now: Instant, reads: bool, lacks_state: bool) -> Option<BeatRound> {
         if self.turns.next_round.is_some_and(|next| now < next) {
             return None;
         }
-        self.turns.next_round = Some(now + BEAT_PAUSE);
+        let pause = if lacks_state { SEEK_PAUSE } else { BEAT_PAUSE };
+        self.turns.next_round = Some(now + pause);
         self.peers.retain(|_address, peer| now < peer.forget_at);
         let all_near = self.addresses(|peer| peer.zone == self.zone);
         let mut near = self.strangers(now, &all_near, STRANGERS_A_ROUND);
@@ -106,9 +110,17 @@
         take_turn(&near, &mut self.turns.word, WORD_TARGETS)
     }
 
-    /// Some living hosts of a zone to name in a beat for another host there.
+    /// Makes the next round due: this host has just come by its state, which others may look for.
+    pub fn hurry(&mut self) {
+        self.turns.next_round = None;
+    }
+
+    /// Some living hosts of a zone to name in a beat for another host there: such as hold a state, if any do.
     pub fn some_of(&mut self, now: Instant, zone: &ZoneName) -> Vec<SocketAddrV4> {
-        let members = self.living(now, |peer| peer.zone == *zone);
+        let mut members = self.living(now, |peer| peer.zone == *zone && peer.through > 0);
+        if members.is_empty() {
+            members = self.living(now, |peer| peer.zone == *zone);
+        }
         take_turn(&members, &mut self.turns.named, MOST_NAMED)
     }
 
@@ -153,8 +165,8 @@
         self.living(now, |peer| peer.zone == self.zone).is_empty()
     }
 
-    /// The addresses of the settings, while nobody is heard: all of them; while nobody of the own zone is,
-    /// or of others, one in each round. Hosts that were parted for longer than peers are remembered find
+    /// The addresses of the settings: all of them in the first round; one in each further round while
+    /// nobody of the own zone is heard, or nobody of others. Hosts that were parted for longer than peers are remembered find
     /// each other by them again.
     fn seeds_to_greet(&mut self, now: Instant) -> Vec<SocketAddrV4> {
         let own = self.own;
@@ -163,8 +175,9 @@
         seeds.sort_unstable();
         let near = self.living(now, |peer| peer.zone == self.zone).len();
         let far = self.living(now, |peer| peer.zone != self.zone).len();
+        let first = self.turns.seed.is_none();
         let count = match (near, far) {
-            (0, 0) => seeds.len(),
+            (0, 0) if first => seeds.len(),
             (0, _) | (_, 0) => 1,
             _ => 0,
         };
--- a/packet/src/state_source.rs
+++ b/packet/src/state_source.rs
@@ -26,9 +26,12 @@
 /// Pause between two questions for state.
 const ASK_PAUSE: Duration = Duration::from_millis(400);
 
-/// How long a peer that gave no state is passed over, if another one has it.
+/// How long a peer that gave no state is not asked again.
 const SOURCE_MISTRUST: Duration = Duration::from_secs(3);
 
+/// The same for one that serves others at present.
+const BUSY_PAUSE: Duration = Duration::from_millis(150);
+
 /// Where a host has its knowledge from at present.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadState {
@@ -63,7 +66,7 @@
 }
 
 impl PeerTable {
-    /// The peer to ask for what this host is missing; the one that knows most of those that did not just fail to tell, of the own zone if
+    /// The peer to ask for what this host is missing; the one that knows most of those that did not just fail to tell it, of the own zone if
     /// there is a choice, and of equals another for each host, so that those that miss the same do not
     /// all ask one. How long it first waits to learn the same otherwise depends on `state`.
     pub fn source(
@@ -75,11 +78,10 @@
         let own_key = address_key(self.own);
         let best = self
             .alive(now)
-            .filter(|(_address, peer)| peer.through > through)
+            .filter(|(_address, peer)| peer.through > through && peer.may_be_asked(now))
             .max_by_key(|(address, peer)| {
                 let weight = rendezvous_weight(own_key, address_key(*address));
-                let trusted = peer.no_source_until.is_none_or(|until| now >= until);
-                (trusted, peer.through, peer.zone == self.zone, weight)
+                (peer.through, peer.zone == self.zone, weight)
             })
             .map(|(address, _peer)| address);
         let Some(best) = best else {
@@ -96,9 +98,10 @@
     }
 
     /// Learns that a peer that was asked gave no state; another may be asked at once.
-    pub fn source_failed(&mut self, now: Instant, peer: SocketAddrV4) {
+    pub fn source_failed(&mut self, now: Instant, peer: SocketAddrV4, busy: bool) {
+        let pause = if busy { BUSY_PAUSE } else { SOURCE_MISTRUST };
         if let Some(record) = self.peers.get_mut(&peer) {
-            record.no_source_until = Some(now + SOURCE_MISTRUST);
+            record.no_source_until = Some(now + pause);
         }
         self.wait.next_ask = None;
     }
--- a/packet/src/store_feed.rs
+++ b/packet/src/store_feed.rs
@@ -49,6 +49,9 @@
     /// No answer in time.
     #[snafu(display("the store did not answer in time"))]
     TimedOut,
+    /// The list came in so slowly that it is left to others.
+    #[snafu(display("the store's list comes in slowly"))]
+    Crowded,
     /// The store refused the call.
     #[snafu(display("the store refused the call with status {status}"))]
     Refused {
@@ -95,6 +98,8 @@
     List {
         /// The last key of the page before.
         after: Option<SmolStr>,
+        /// How long the body of the answer may take before the list is left to other hosts.
+        body_limit: Option<Duration>,
     },
     /// Wait for changes after this revision.
     Watch {
@@ -144,15 +149,11 @@
             },
             None => FeedStep::List {
                 after: self.next_after.clone(),
+                body_limit: None,
             },
         }
     }
 
-    /// Failures in a row.
-    pub fn failures(&self) -> u32 {
-        self.failures
-    }
-
     /// Goes on from a revision that a peer has handed on, if that is further; nothing is listed then.
     pub fn skip_to(&mut self, revision: Revision) {
         if revision > self.watched.unwrap_or(self.dropped) {
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -16,5 +16,6 @@
 mod test_published_view;
 mod test_read_role;
 mod test_silence_record;
+mod test_start_plan;
 mod test_store_feed;
 mod test_upstream_choice;
--- a/packetd/src/note_log.rs
+++ b/packetd/src/note_log.rs
@@ -98,6 +98,9 @@
             let reader = reader.map(|reader| reader.to_string()).unwrap_or_default();
             log::info!(change:? = change, reader, peers, through; "reading of the store");
         }
+        DecisionNote::FirstState { upstreams, through } => {
+            log::info!(upstreams, through; "first state");
+        }
         DecisionNote::Routes {
             version,
             routes,
--- a/packetd/src/state_transfer.rs
+++ b/packetd/src/state_transfer.rs
@@ -34,9 +34,9 @@
 /// How long one exchange may take; peers are milliseconds away, and another may be asked next.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(1);
 
-/// Hosts that are handed the state at the same time. When half of a fleet starts at once, those that ask
-/// the same host would else share its link, and all of them be late.
-const SERVED_AT_ONCE: u32 = 4;
+/// Hosts that are handed the state at the same time. When a fleet starts at once, those that ask the same
+/// host would else share its link, and all of them be late; each that has the state hands it on.
+const SERVED_AT_ONCE: u32 = 2;
 
 /// Most bytes of a state: 5,000 upstreams of 200 bytes and 5,000 routes of 100 fit four times.
 const MOST_STATE_BYTES: usize = 8 * 1024 * 1024;
@@ -133,7 +133,9 @@
             let code = fault.code();
             state.metrics.count_result(code);
             log::warn!(code = code.number(), peer:% = peer, after, took_ms; "no state from a peer: {fault}");
-            state.core.borrow_mut().source_failed(Instant::now(), peer);
+            let busy = code == ResultCode::PeerBusy;
+            let mut core = state.core.borrow_mut();
+            core.source_failed(Instant::now(), peer, busy);
         }
     }
 }
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -25,8 +25,10 @@
         let step = state.core.borrow_mut().store_step(Instant::now());
         match step {
             FeedStep::Wait { until } => tokio::time::sleep_until(until.into()).await,
-            FeedStep::List { after } => {
-                let page = client.list(after.as_deref(), ANSWER_LIMIT).await;
+            FeedStep::List { after, body_limit } => {
+                let page = client
+                    .list(after.as_deref(), ANSWER_LIMIT, body_limit)
+                    .await;
                 let update = page.map(|page| {
                     let mut core = state.core.borrow_mut();
                     core.store_listed(Instant::now(), page)
@@ -72,6 +74,7 @@
 fn fault_code(fault: &StoreFault) -> ResultCode {
     match fault {
         StoreFault::Unreachable { .. } | StoreFault::TimedOut => ResultCode::PlatformUnreachable,
+        StoreFault::Crowded => ResultCode::PlatformCrowded,
         StoreFault::Refused { .. } => ResultCode::PlatformRefused,
         StoreFault::HistoryDropped => ResultCode::PlatformHistoryDropped,
         StoreFault::Malformed { .. } => ResultCode::PlatformMalformed,
