--- a/lib/src/control_core.rs
+++ b/lib/src/control_core.rs
@@ -28,7 +28,6 @@
 use crate::ids::ZoneName;
 use crate::platform_feed::FeedDemand;
 use crate::platform_feed::PlatformFeed;
-use crate::reader_duty::DutySettings;
 use crate::reader_duty::READER_SILENCE;
 use crate::reader_duty::ReaderDuty;
 use crate::reader_rank::FAR_LINKS;
@@ -136,12 +135,7 @@
             far_peers: Vec::new(),
             avoided: BTreeMap::new(),
             connecting: BTreeMap::new(),
-            duty: ReaderDuty::new(
-                now,
-                identity.host,
-                DutySettings::default(),
-                identity.first_beat,
-            ),
+            duty: ReaderDuty::new(now, identity.host, identity.first_beat),
             reading: false,
             accompanied: now,
             started: now,
--- a/lib/src/reader_duty.rs
+++ b/lib/src/reader_duty.rs
@@ -19,25 +19,8 @@
 /// With seven seconds, a change that followed the death of both readers of a zone took up to seven
 /// seconds; all are to be in force within five.
 pub const READER_SILENCE: Duration = Duration::from_millis(3_500);
-/// See [`DutySettings::stagger`].
+/// How much longer each further host in rank waits, so that one replaces the reader, not all.
 const READER_STAGGER: Duration = Duration::from_secs(1);
-/// How the hosts of a zone share the reading.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DutySettings {
-    /// Hosts of a zone that read at a time; at least 1.
-    pub readers: usize,
-    /// How much longer each further host in rank waits, so that one replaces the reader, not all.
-    pub stagger: Duration,
-}
-
-impl Default for DutySettings {
-    fn default() -> Self {
-        Self {
-            readers: READERS_PER_ZONE,
-            stagger: READER_STAGGER,
-        }
-    }
-}
 
 /// How many hosts of a zone may become readers while the platform answers nobody.
 ///
@@ -94,7 +77,6 @@
 /// A host's place among the readers of its zone.
 pub struct ReaderDuty {
     host: HostId,
-    settings: DutySettings,
     ranking: Vec<HostId>,
     beat: ReaderBeat,
     beat_due: Instant,
@@ -104,10 +86,9 @@
 
 impl ReaderDuty {
     /// Makes a duty for a host that knows no ranking yet.
-    pub fn new(now: Instant, host: HostId, settings: DutySettings, first_beat: ReaderBeat) -> Self {
+    pub fn new(now: Instant, host: HostId, first_beat: ReaderBeat) -> Self {
         Self {
             host,
-            settings,
             ranking: Vec::new(),
             beat: first_beat,
             beat_due: now,
@@ -127,7 +108,7 @@
     /// Whether to read: if among the first in rank, if too few of the better ones are heard to read,
     /// if no peer can be reached, or if no list is known yet.
     pub fn decide(&mut self, now: Instant, is_heard: impl Fn(HostId) -> bool, alone: bool) -> bool {
-        let readers = self.settings.readers;
+        let readers = READERS_PER_ZONE;
         let rank = self.ranking.iter().position(|host| *host == self.host);
         let rank = rank.unwrap_or(usize::MAX);
         let better = self.ranking.iter().take(rank);
@@ -153,7 +134,7 @@
     }
 
     fn replacement_wait(&self, rank: usize) -> Duration {
-        let later = (rank - self.settings.readers) as u32;
-        self.settings.stagger * later
+        let later = (rank - READERS_PER_ZONE) as u32;
+        READER_STAGGER * later
     }
 }
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -151,10 +151,12 @@
             self.apply(now, change, first, output);
         }
         if first {
-            let (upstreams, through) = (outcome.changes.len(), self.view.through());
-            output
-                .notes
-                .push(DecisionNote::FirstState { upstreams, through });
+            let listed = outcome.changes.iter();
+            let upstreams = listed.filter(|change| matches!(change, ViewChange::Upstream(_)));
+            output.notes.push(DecisionNote::FirstState {
+                upstreams: upstreams.count(),
+                through: self.view.through(),
+            });
             self.peers.hurry();
         }
         if self.steady_since.is_none() && self.view.is_complete() {
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_flow_evidence;
 mod test_flow_load;
 mod test_lost_upstreams;
+mod test_moved_callers;
 mod test_names;
 mod test_opening_admission;
 mod test_packet_core;
--- a/packetd/tests/test_packet_failures.rs
+++ b/packetd/tests/test_packet_failures.rs
@@ -69,12 +69,7 @@
     cell.wait_for_rotation(2).await;
     cell.hosts[0].kill().await;
     cell.wait_for_rotation(1).await;
-    let mut caller = cell.caller().await;
-    let mut flow = caller.open(ledger()).await.expect("a flow");
-    caller
-        .request(&mut flow, b"one", REQUEST_LIMIT)
-        .await
-        .expect("an answer");
+    cell.serve_one().await;
 }
 
 #[tokio::test]
@@ -126,12 +121,7 @@
     cell.hosts[0]
         .wait_for_metric("lagoon_packet_through", |through| through >= 106.0)
         .await;
-    let mut caller = cell.caller().await;
-    let mut flow = caller.open(ledger()).await.expect("a flow");
-    caller
-        .request(&mut flow, b"one", REQUEST_LIMIT)
-        .await
-        .expect("an answer");
+    cell.serve_one().await;
     let unreadable = cell.hosts[0].metric("lagoon_packet_unreadable").await;
     assert!((unreadable - 3.0).abs() < 0.5, "{unreadable} items counted");
 }
--- a/packetd/tests/test_state_faults.rs
+++ b/packetd/tests/test_state_faults.rs
@@ -81,11 +81,6 @@
             .await;
         let after = cell.hosts[0].metric("lagoon_packet_through").await;
         assert!((before - after).abs() < 0.5, "{}", case.name);
-        let mut caller = cell.caller().await;
-        let mut flow = caller.open(ledger()).await.expect("a flow");
-        caller
-            .request(&mut flow, b"one", REQUEST_LIMIT)
-            .await
-            .expect("an answer");
+        cell.serve_one().await;
     }
 }
--- a/standin/src/packet_cell.rs
+++ b/standin/src/packet_cell.rs
@@ -177,6 +177,16 @@
             .unwrap()
     }
 
+    /// Serves a request of a caller of its own, on a new flow to the ledger.
+    pub async fn serve_one(&mut self) {
+        let mut caller = self.caller().await;
+        let mut flow = caller.open(ledger()).await.expect("a flow");
+        caller
+            .request(&mut flow, b"one", REQUEST_LIMIT)
+            .await
+            .expect("an answer");
+    }
+
     /// Waits until so many hosts are in the rotation.
     pub async fn wait_for_rotation(&mut self, hosts: usize) {
         let fabric = self.fabric.clone();
