--- a/packet/src/core_peers.rs
+++ b/packet/src/core_peers.rs
@@ -15,41 +15,66 @@
 const WORD_PAUSE: Duration = Duration::from_millis(200);
 
 /// A beat and whom it is for.
-pub type AddressedBeat = (PeerBeat, Vec<SocketAddrV4>);
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AddressedBeat {
+    /// What is said.
+    pub beat: PeerBeat,
+    /// To whom.
+    pub targets: Vec<SocketAddrV4>,
+}
+
+/// What a peer's beat calls for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BeatReplies {
+    /// The peer was not heard before.
+    pub is_new: bool,
+    /// To be sent at once.
+    pub beats: Vec<AddressedBeat>,
+}
 
 impl PacketCore {
-    /// Takes in a peer's beat; whether the peer was not known, and the beats to send at once.
+    /// Takes in a peer's beat.
     pub fn heard(
         &mut self,
         now: Instant,
         from: SocketAddrV4,
         beat: PeerBeat,
         stopping: bool,
-    ) -> (bool, Vec<AddressedBeat>) {
+    ) -> BeatReplies {
         let heard = self.peers.heard(now, from, beat);
         let replies = heard.greet.into_iter().map(|target| {
             let zone = self.peers.zone_of(target);
-            let mut reply = self.beat_for(now, &zone, stopping);
+            let mut beat = self.beat_for(now, &zone, stopping);
             // An answer calls for none: two hosts that both seek would answer each other without end.
-            reply.seeks = false;
-            (reply, vec![target])
+            beat.seeks = false;
+            let targets = vec![target];
+            AddressedBeat { beat, targets }
         });
-        (heard.is_new, replies.collect())
+        BeatReplies {
+            is_new: heard.is_new,
+            beats: replies.collect(),
+        }
     }
 
-    /// The beats to send now, each with whom it is for; none between rounds.
+    /// The beats to send now; none between rounds.
     pub fn round(&mut self, now: Instant, stopping: bool) -> Vec<AddressedBeat> {
         let lacks_state = self.view.through() == 0;
         let Some(round) = self.peers.round(now, self.role.reads(), lacks_state) else {
             return Vec::new();
         };
         let zone = self.zone.clone();
-        let near = self.beat_for(now, &zone, stopping);
-        let mut beats = vec![(near.sign_of_life(), round.led), (near, round.near)];
+        let beat = self.beat_for(now, &zone, stopping);
+        let led = AddressedBeat {
+            beat: beat.sign_of_life(),
+            targets: round.led,
+        };
+        let targets = round.near;
+        let mut beats = vec![led, AddressedBeat { beat, targets }];
         for (zone, targets) in round.far {
-            beats.push((self.beat_for(now, &zone, stopping), targets));
+            let beat = self.beat_for(now, &zone, stopping);
+            beats.push(AddressedBeat { beat, targets });
         }
-        beats.retain(|(_beat, targets)| !targets.is_empty());
+        beats.retain(|addressed| !addressed.targets.is_empty());
         beats
     }
 
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -70,7 +70,7 @@
     pub(crate) last_event: Option<Instant>,
     pub(crate) feed: StoreFeed,
     pub(crate) start: StartPlan,
-    /// Whether the last call of the store was answered.
+    /// Whether the store answered the last call of this host; false for one that has just begun to read.
     pub(crate) in_touch: bool,
     /// Since when the published state has been held without a break in the contact to the store.
     pub(crate) steady_since: Option<Instant>,
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -551,9 +551,9 @@
         let core = &mut self.hosts[place].core;
         match datagram {
             PeerDatagram::Beat(beat) => {
-                let (_is_new, replies) = core.heard(now, from, beat, false);
+                let replies = core.heard(now, from, beat, false);
                 let lacks_state = core.view().through() == 0;
-                self.send_beats(place, replies);
+                self.send_beats(place, replies.beats);
                 if lacks_state {
                     self.ask_if_behind(place);
                 }
@@ -566,7 +566,7 @@
     }
 
     fn send_beats(&mut self, place: HostPlace, beats: Vec<AddressedBeat>) {
-        for (beat, targets) in beats {
+        for AddressedBeat { beat, targets } in beats {
             for target in targets {
                 self.send(place, target, PeerDatagram::Beat(beat.clone()));
             }
--- a/packet/tests/test_flow_load.rs
+++ b/packet/tests/test_flow_load.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lagoonproxy_packet::core_peers::AddressedBeat;
 use lagoonproxy_packet::host_settings::HostSettings;
 use lagoonproxy_packet::packet_action::PacketOutput;
 use lagoonproxy_packet::packet_core::PacketCore;
@@ -241,7 +242,7 @@
             let from = *from;
             core.tick(now, &mut PacketOutput::default());
             core.store_answered(now);
-            for (beat, targets) in core.round(now, false) {
+            for AddressedBeat { beat, targets } in core.round(now, false) {
                 let hosts = self.hosts.iter_mut();
                 for (_address, _zone, peer) in
                     hosts.filter(|(address, ..)| targets.contains(address))
--- a/packet/tests/test_read_role.rs
+++ b/packet/tests/test_read_role.rs
@@ -93,14 +93,14 @@
         let now = self.now;
         let sent = beats
             .iter()
-            .flat_map(|(beat, targets)| targets.iter().map(move |target| (beat, *target)));
+            .flat_map(|sent| sent.targets.iter().map(|target| (&sent.beat, *target)));
         for (beat, target) in sent {
             let to = self.hosts.iter().position(|host| host.address == target);
             let Some(to) = to.filter(|to| self.hosts[*to].alive) else {
                 continue;
             };
             let replies = self.hosts[to].core.heard(now, from, beat.clone(), false);
-            self.deliver(target, &replies.1);
+            self.deliver(target, &replies.beats);
         }
     }
 
--- a/packetd/src/peer_socket.rs
+++ b/packetd/src/peer_socket.rs
@@ -87,13 +87,13 @@
     let (zone, through) = (beat.zone.clone(), beat.through);
     let stopping = state.stopping.get();
     let mut core = state.core.borrow_mut();
-    let (is_new, replies) = core.heard(Instant::now(), source, beat, stopping);
+    let replies = core.heard(Instant::now(), source, beat, stopping);
     let lacks_state = core.view().through() == 0;
     drop(core);
-    if is_new {
+    if replies.is_new {
         log::info!(peer:% = source, zone:%, through; "peer heard");
     }
-    send_beats(state, socket, replies);
+    send_beats(state, socket, replies.beats);
     if lacks_state && through > 0 {
         state.heard_peer.notify_one();
     }
@@ -154,7 +154,7 @@
 }
 
 fn send_beats(state: &HostState, socket: &UdpSocket, beats: Vec<AddressedBeat>) {
-    for (beat, targets) in beats {
+    for AddressedBeat { beat, targets } in beats {
         send(state, socket, &PeerDatagram::Beat(beat), &targets);
     }
 }
