--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -88,6 +88,8 @@
     life: u32,
     asking: bool,
     serving: u32,
+    /// Until when its process stands still.
+    frozen_until: Option<Instant>,
 }
 
 /// A list that is under way.
@@ -199,6 +201,7 @@
                     life: 0,
                     asking: false,
                     serving: 0,
+                    frozen_until: None,
                 }
             })
             .collect();
@@ -259,6 +262,17 @@
         killed.life += 1;
     }
 
+    /// Lets a host stand still for a time; what comes meanwhile waits for it.
+    pub fn freeze(&mut self, host: HostPlace, time: Duration) {
+        self.hosts[host].frozen_until = Some(self.now + time);
+    }
+
+    /// Whether a host sends new flows to the one upstream.
+    pub fn places_flows(&self, host: HostPlace) -> bool {
+        let upstreams = self.hosts[host].core.upstreams();
+        upstreams.records().any(|record| record.takes_flows())
+    }
+
     /// Parts these hosts from all others; nobody is parted after an empty list.
     pub fn part(&mut self, hosts: impl IntoIterator<Item = HostPlace>) {
         self.parted = hosts.into_iter().collect();
@@ -295,6 +309,12 @@
         {
             let ((at, _number), event) = entry.remove_entry();
             self.now = self.now.max(at);
+            let frozen_until = self.hosts[event.host].frozen_until;
+            if let Some(until) = frozen_until.filter(|until| at < *until) {
+                self.queued += 1;
+                self.queue.insert((until, self.queued), event);
+                continue;
+            }
             let lives = self.hosts[event.host].life == event.life;
             if lives || matches!(event.event, FleetEvent::LinkStep) {
                 self.happen(event.host, event.event);
--- a/packet/tests/test_fleet_reading.rs
+++ b/packet/tests/test_fleet_reading.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use lagoonproxy::ids::ZoneName;
+use lagoonproxy_packet::upstream_entry::EntryState;
+use lagoonproxy_packet::upstream_entry::UpstreamEntry;
 
 use crate::core_rig::*;
 use crate::fleet_rig::*;
@@ -28,6 +30,14 @@
     rig
 }
 
+/// The one upstream, as it says that it is leaving.
+fn drained_entry() -> UpstreamEntry {
+    UpstreamEntry {
+        state: EntryState::Draining,
+        ..entry(1, "ledger")
+    }
+}
+
 fn reader_counts(rig: &FleetRig) -> Vec<usize> {
     let zones = rig.zones();
     zones.iter().map(|zone| rig.readers(zone).len()).collect()
@@ -84,6 +94,10 @@
             name: "killed",
             fail: |rig, reader| rig.kill(reader),
         },
+        Case {
+            name: "frozen for a while",
+            fail: |rig, reader| rig.freeze(reader, Duration::from_secs(5)),
+        },
         Case {
             name: "turned away by the store",
             fail: |rig, reader| rig.hosts[reader].served = false,
@@ -111,18 +125,12 @@
         rig.pass(200);
         (case.fail)(&mut rig, first);
         let before = rig.now;
-        rig.publish(|revision| upstream_item(revision, entry(1, "ledger")));
-        let changed = rig.revision;
+        rig.publish(|revision| upstream_item(revision, drained_entry()));
         rig.pass(IN_FORCE_MILLIS);
-        let behind = rig.hosts.iter().enumerate().filter(|(place, host)| {
-            *place != first && host.zone == zone && host.core.view().through() < changed
+        let unaware = (0..rig.hosts.len()).filter(|place| {
+            *place != first && rig.hosts[*place].zone == zone && rig.places_flows(*place)
         });
-        assert_eq!(
-            behind.count(),
-            0,
-            "{}: hosts that miss the change",
-            case.name
-        );
+        assert_eq!(unaware.count(), 0, "{}: hosts that miss it", case.name);
         let others = rig
             .readers(&zone)
             .into_iter()
@@ -132,6 +140,9 @@
         assert!(calls <= 30, "{}: {calls} watches", case.name);
         let listed = rig.calls_since(before, StoreCall::List);
         assert_eq!(listed, 0, "{}", case.name);
+        rig.pass(4000);
+        let unaware = rig.hosts[first].alive && rig.places_flows(first);
+        assert!(!unaware, "{}: the former reader misses it", case.name);
     }
 }
 
@@ -144,6 +155,10 @@
     let half = 0..35;
     rig.part(half.clone());
     rig.pass(IN_FORCE_MILLIS);
+    rig.publish(|revision| upstream_item(revision, drained_entry()));
+    rig.pass(IN_FORCE_MILLIS);
+    let unaware = (0..rig.hosts.len()).filter(|place| rig.places_flows(*place));
+    assert_eq!(unaware.count(), 0, "hosts that miss a drain");
     let readers = rig.readers(&zone);
     let within = readers.iter().filter(|place| half.contains(*place)).count();
     assert!(within >= 1 && readers.len() > within, "{readers:?}");
