--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -1,23 +1,54 @@
-//! How a core comes by the published state: from the store or from peers, and when it asks whom.
+//! How a core comes by the published state, from the store or from peers, and puts it in force.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::packet_action::BeliefChange;
 use crate::packet_action::DecisionNote;
 use crate::packet_action::PacketOutput;
 use crate::packet_core::PacketCore;
+use crate::published_view::ViewChange;
 use crate::published_view::ViewUpdate;
+use crate::route_table::RouteTable;
 use crate::state_source::ReadState;
 use crate::store_feed::FeedStep;
 use crate::store_feed::ListPage;
 use crate::store_feed::StoreFault;
 use crate::store_feed::WatchBatch;
+use crate::upstream_record::UpstreamStanding;
 
 /// How often a host that leaves the reading to another looks whether that still reads.
 const ROLE_PAUSE: Duration = Duration::from_millis(100);
 
 impl PacketCore {
+    /// Takes in what the store or a peer published; true if it was something new.
+    pub fn join(&mut self, now: Instant, update: &ViewUpdate, output: &mut PacketOutput) -> bool {
+        let before = self.view.through();
+        let outcome = self.view.join(update);
+        if outcome.passed_over {
+            return false;
+        }
+        self.note_outcome(&outcome, output);
+        let first = before == 0;
+        for change in &outcome.changes {
+            self.apply(now, change, first, output);
+        }
+        if first {
+            let listed = outcome.changes.iter();
+            let upstreams = listed.filter(|change| matches!(change, ViewChange::Upstream(_)));
+            output.notes.push(DecisionNote::FirstState {
+                upstreams: upstreams.count(),
+                through: self.view.through(),
+            });
+            self.peers.hurry();
+        }
+        if self.steady_since.is_none() && self.view.is_complete() {
+            self.steady_since = Some(now);
+        }
+        self.view.through() > before
+    }
+
     /// What to do at the store now.
     pub fn store_step(&mut self, now: Instant) -> FeedStep {
         if self.view.through() == 0 {
@@ -148,6 +179,38 @@
         }
     }
 
+    /// Puts a change in force. What a first state lists is noted as a whole: hundreds of lines would take
+    /// the place of all others at the start, and time that callers wait.
+    fn apply(&mut self, now: Instant, change: &ViewChange, first: bool, output: &mut PacketOutput) {
+        match change {
+            ViewChange::Routes(config) => {
+                self.routes = RouteTable::new(config, &mut self.upstreams);
+                self.version = config.version;
+                output.notes.push(DecisionNote::Routes {
+                    version: config.version,
+                    routes: config.routes.len(),
+                    through: self.view.through(),
+                });
+            }
+            ViewChange::Upstream(entry) => {
+                let index = self.upstreams.register(now, entry);
+                if !first {
+                    self.note_belief(now, index, BeliefChange::Registered, output);
+                }
+            }
+            ViewChange::Removed(name) => {
+                if let Some(index) = self.upstreams.unregister(now, name) {
+                    let standing = self.upstreams.get(index).standing;
+                    let change = match standing {
+                        UpstreamStanding::Missing { .. } => BeliefChange::Missing,
+                        _ => BeliefChange::Gone,
+                    };
+                    self.note_belief(now, index, change, output);
+                }
+            }
+        }
+    }
+
     fn read_state(&self) -> ReadState {
         match (self.view.through(), self.in_touch, self.role.reads()) {
             (0, false, _) => ReadState::Empty,
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -27,8 +27,6 @@
 use crate::peer_table::PeerTable;
 use crate::policy_figures::PolicyFigures;
 use crate::published_view::PublishedView;
-use crate::published_view::ViewChange;
-use crate::published_view::ViewUpdate;
 use crate::read_role::ReadRole;
 use crate::route_table::RouteTable;
 use crate::start_plan::StartPlan;
@@ -138,33 +136,6 @@
         &self.evidence
     }
 
-    /// Takes in what the store or a peer published; true if it was something new.
-    pub fn join(&mut self, now: Instant, update: &ViewUpdate, output: &mut PacketOutput) -> bool {
-        let before = self.view.through();
-        let outcome = self.view.join(update);
-        if outcome.passed_over {
-            return false;
-        }
-        self.note_outcome(&outcome, output);
-        let first = before == 0;
-        for change in &outcome.changes {
-            self.apply(now, change, first, output);
-        }
-        if first {
-            let listed = outcome.changes.iter();
-            let upstreams = listed.filter(|change| matches!(change, ViewChange::Upstream(_)));
-            output.notes.push(DecisionNote::FirstState {
-                upstreams: upstreams.count(),
-                through: self.view.through(),
-            });
-            self.peers.hurry();
-        }
-        if self.steady_since.is_none() && self.view.is_complete() {
-            self.steady_since = Some(now);
-        }
-        self.view.through() > before
-    }
-
     /// Notices by the clock that the host was held up: frozen, or without processor time.
     ///
     /// Asked at each packet, because packets that piled up are read before the next tick: copies of
@@ -415,38 +386,6 @@
             version: self.version,
         });
     }
-
-    /// Puts a change in force. What a first state lists is noted as a whole: hundreds of lines would take
-    /// the place of all others at the start, and time that callers wait.
-    fn apply(&mut self, now: Instant, change: &ViewChange, first: bool, output: &mut PacketOutput) {
-        match change {
-            ViewChange::Routes(config) => {
-                self.routes = RouteTable::new(config, &mut self.upstreams);
-                self.version = config.version;
-                output.notes.push(DecisionNote::Routes {
-                    version: config.version,
-                    routes: config.routes.len(),
-                    through: self.view.through(),
-                });
-            }
-            ViewChange::Upstream(entry) => {
-                let index = self.upstreams.register(now, entry);
-                if !first {
-                    self.note_belief(now, index, BeliefChange::Registered, output);
-                }
-            }
-            ViewChange::Removed(name) => {
-                if let Some(index) = self.upstreams.unregister(now, name) {
-                    let standing = self.upstreams.get(index).standing;
-                    let change = match standing {
-                        UpstreamStanding::Missing { .. } => BeliefChange::Missing,
-                        _ => BeliefChange::Gone,
-                    };
-                    self.note_belief(now, index, change, output);
-                }
-            }
-        }
-    }
 }
 
 fn flow_key(head: &PacketHead) -> FlowKey {
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -19,7 +19,6 @@
 use lagoonproxy_packet::policy_figures::PolicyFigures;
 use lagoonproxy_packet::published_view::PublishedItem;
 use lagoonproxy_packet::published_view::ViewUpdate;
-use lagoonproxy_packet::store_feed::FeedStep;
 use lagoonproxy_packet::store_feed::ListPage;
 use lagoonproxy_packet::store_feed::StoreFault;
 use lagoonproxy_packet::store_feed::WatchBatch;
@@ -28,6 +27,9 @@
 use rand::rngs::StdRng;
 
 use crate::core_rig::*;
+use crate::fleet_store::ListTransfer;
+use crate::fleet_store::StoreCall;
+use crate::fleet_store::WaitingWatch;
 
 /// How often a host looks what is to be done.
 const LOOK: Duration = Duration::from_millis(100);
@@ -36,9 +38,6 @@
 const NEAR_DELAY: Duration = Duration::from_micros(200);
 const FAR_DELAY: Duration = Duration::from_micros(3900);
 
-/// How long the store takes for an answer.
-const STORE_DELAY: Duration = Duration::from_millis(8);
-
 /// How long a state is under way from peer to peer: 250 KB over 20 Mbit/s.
 const STATE_DELAY: Duration = Duration::from_millis(100);
 
@@ -48,27 +47,12 @@
 /// Hosts that one hands its state to at the same time.
 const SERVED_AT_ONCE: u32 = 2;
 
-/// Bytes of the whole list, and what the store's link and a host's carry in a step.
-const LIST_BYTES: f64 = 460_000.0;
-const LINK_STEP: Duration = Duration::from_millis(5);
-const STORE_STEP_BYTES: f64 = 125_000_000.0 * 0.005;
-const HOST_STEP_BYTES: f64 = 2_500_000.0 * 0.005;
-
 /// Datagrams lost, in ten thousand.
 const LOST: u32 = 15;
 
 /// A host by its place in the fleet.
 pub type HostPlace = usize;
 
-/// A kind of call of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StoreCall {
-    /// A page of the list.
-    List,
-    /// A watch.
-    Watch,
-}
-
 /// One host.
 pub struct FleetHost {
     /// Where peers reach it.
@@ -85,23 +69,15 @@
     pub reads: bool,
     capacity: u32,
     /// Counts its starts, so that what was meant for an earlier one is lost.
-    life: u32,
+    pub(crate) life: u32,
     asking: bool,
     serving: u32,
     /// Until when its process stands still.
     frozen_until: Option<Instant>,
 }
 
-/// A list that is under way.
-struct ListTransfer {
-    host: HostPlace,
-    life: u32,
-    left: f64,
-    /// When the host leaves it.
-    leaves: Option<Instant>,
-}
-
-enum FleetEvent {
+/// What happens to a host.
+pub(crate) enum FleetEvent {
     Look,
     /// The host's wait between two calls of the store is over.
     Read,
@@ -124,20 +100,13 @@
     LinkStep,
 }
 
+/// When and to whom it happens.
 struct HostEvent {
     host: HostPlace,
     life: u32,
     event: FleetEvent,
 }
 
-/// A watch that waits at the store.
-struct WaitingWatch {
-    host: HostPlace,
-    life: u32,
-    after: Revision,
-    until: Instant,
-}
-
 /// The fleet.
 pub struct FleetRig {
     /// Its hosts, zone by zone.
@@ -154,13 +123,13 @@
     random: StdRng,
     /// Hosts of which these are parted from the others.
     parted: BTreeSet<HostPlace>,
-    items: Vec<PublishedItem>,
+    pub(crate) items: Vec<PublishedItem>,
     /// The store's revision.
     pub revision: Revision,
-    watches: Vec<WaitingWatch>,
-    lists: Vec<ListTransfer>,
+    pub(crate) watches: Vec<WaitingWatch>,
+    pub(crate) lists: Vec<ListTransfer>,
     /// The store's link carries lists.
-    link_busy: bool,
+    pub(crate) link_busy: bool,
 }
 
 /// A fleet to be.
@@ -286,21 +255,6 @@
         }
     }
 
-    /// Publishes one change.
-    pub fn publish(&mut self, item: impl FnOnce(Revision) -> PublishedItem) {
-        self.revision += 1;
-        let item = item(self.revision);
-        self.items.retain(|held| held.key != item.key);
-        self.items.push(item);
-        let (ready, waiting) = std::mem::take(&mut self.watches)
-            .into_iter()
-            .partition(|watch| watch.after < self.revision);
-        self.watches = waiting;
-        for watch in ready {
-            self.end_watch(&watch);
-        }
-    }
-
     /// Lets time pass.
     pub fn pass(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
@@ -345,7 +299,7 @@
             .count()
     }
 
-    fn push(&mut self, host: HostPlace, delay: Duration, event: FleetEvent) {
+    pub(crate) fn push(&mut self, host: HostPlace, delay: Duration, event: FleetEvent) {
         self.queued += 1;
         let life = self.hosts[host].life;
         let event = HostEvent { host, life, event };
@@ -412,117 +366,6 @@
         }
     }
 
-    fn call_store(&mut self, place: HostPlace) {
-        let now = self.now;
-        let host = &mut self.hosts[place];
-        let step = host.core.store_step(now);
-        let served = host.served;
-        let refusal = StoreFault::Refused { status: 503 };
-        match step {
-            FeedStep::Wait { until } => {
-                self.wake(place, until);
-            }
-            FeedStep::List { body_limit, .. } if served => {
-                self.calls.push((now, place, StoreCall::List));
-                if !self.link_busy {
-                    self.link_busy = true;
-                    self.push(place, LINK_STEP, FleetEvent::LinkStep);
-                }
-                self.lists.push(ListTransfer {
-                    host: place,
-                    life: self.hosts[place].life,
-                    left: LIST_BYTES,
-                    leaves: body_limit.map(|limit| now + limit),
-                });
-            }
-            FeedStep::List { .. } => {
-                self.calls.push((now, place, StoreCall::List));
-                self.push(place, STORE_DELAY, FleetEvent::Listed(Err(refusal)));
-            }
-            FeedStep::Watch { after, wait } => {
-                self.calls.push((now, place, StoreCall::Watch));
-                let life = self.hosts[place].life;
-                let until = now + wait;
-                let watch = WaitingWatch {
-                    host: place,
-                    life,
-                    after,
-                    until,
-                };
-                if !served {
-                    self.push(place, STORE_DELAY, FleetEvent::Watched(Err(refusal)));
-                } else if after < self.revision {
-                    self.end_watch(&watch);
-                } else {
-                    self.watches.push(watch);
-                    self.push(place, wait, FleetEvent::WatchEnds);
-                }
-            }
-        }
-    }
-
-    /// Shares a step of the store's link among the lists that are under way.
-    fn carry_lists(&mut self) {
-        let share = STORE_STEP_BYTES / self.lists.len() as f64;
-        let step = share.min(HOST_STEP_BYTES);
-        let mut lists = std::mem::take(&mut self.lists);
-        lists.retain_mut(|list| {
-            list.left -= step;
-            let left = list.left > 0.0;
-            let leaves = list.leaves.is_some_and(|leaves| leaves <= self.now);
-            let alive = self.hosts[list.host].life == list.life;
-            if alive && (!left || leaves) {
-                let page = ListPage {
-                    items: self.items.clone(),
-                    next_after: None,
-                    revision: self.revision,
-                };
-                let answer = if left {
-                    Err(StoreFault::Crowded)
-                } else {
-                    Ok(page)
-                };
-                self.push(list.host, STORE_DELAY, FleetEvent::Listed(answer));
-            }
-            alive && left && !leaves
-        });
-        self.lists = lists;
-        self.link_busy = !self.lists.is_empty();
-        if let Some(list) = self.lists.first() {
-            self.push(list.host, LINK_STEP, FleetEvent::LinkStep);
-        }
-    }
-
-    fn wake(&mut self, place: HostPlace, until: Instant) {
-        let delay = until.saturating_duration_since(self.now);
-        self.push(place, delay, FleetEvent::Read);
-    }
-
-    /// Ends the watches that have waited their time.
-    fn end_old_watches(&mut self) {
-        let now = self.now;
-        let (old, waiting) = std::mem::take(&mut self.watches)
-            .into_iter()
-            .partition(|watch| watch.until <= now);
-        self.watches = waiting;
-        for watch in old {
-            self.end_watch(&watch);
-        }
-    }
-
-    fn end_watch(&mut self, watch: &WaitingWatch) {
-        if self.hosts[watch.host].life != watch.life {
-            return;
-        }
-        let newer = self.items.iter().filter(|item| item.revision > watch.after);
-        let batch = WatchBatch {
-            items: newer.cloned().collect(),
-            changed: watch.after < self.revision,
-            revision: self.revision,
-        };
-        self.push(watch.host, STORE_DELAY, FleetEvent::Watched(Ok(batch)));
-    }
-
     fn ask(&mut self, place: HostPlace, source: SocketAddrV4) {
         let after = self.hosts[place].core.view().through();
         let asked = self.place_of(source);
@@ -555,7 +398,7 @@
         );
     }
 
-    fn join_and_pass_on(&mut self, place: HostPlace, update: &ViewUpdate) {
+    pub(crate) fn join_and_pass_on(&mut self, place: HostPlace, update: &ViewUpdate) {
         let now = self.now;
         let core = &mut self.hosts[place].core;
         if !core.join(now, update, &mut PacketOutput::default()) {
--- /dev/null
+++ b/packet/tests/fleet_store.rs
@@ -0,0 +1,178 @@
+//! The store of a fleet in virtual time: a list over one link that all share, watches, and refusals.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy_packet::ids::Revision;
+use lagoonproxy_packet::published_view::PublishedItem;
+use lagoonproxy_packet::store_feed::FeedStep;
+use lagoonproxy_packet::store_feed::ListPage;
+use lagoonproxy_packet::store_feed::StoreFault;
+use lagoonproxy_packet::store_feed::WatchBatch;
+
+use crate::fleet_rig::FleetEvent;
+use crate::fleet_rig::FleetRig;
+use crate::fleet_rig::HostPlace;
+
+/// How long the store takes for an answer.
+const STORE_DELAY: Duration = Duration::from_millis(8);
+
+/// Bytes of the whole list, and what the store's link and a host's carry in a step.
+const LIST_BYTES: f64 = 460_000.0;
+const LINK_STEP: Duration = Duration::from_millis(5);
+const STORE_STEP_BYTES: f64 = 125_000_000.0 * 0.005;
+const HOST_STEP_BYTES: f64 = 2_500_000.0 * 0.005;
+
+/// A kind of call of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// A page of the list.
+    List,
+    /// A watch.
+    Watch,
+}
+
+/// A list that is under way.
+pub(crate) struct ListTransfer {
+    pub(crate) host: HostPlace,
+    pub(crate) life: u32,
+    pub(crate) left: f64,
+    /// When the host leaves it.
+    pub(crate) leaves: Option<Instant>,
+}
+
+/// A watch that waits at the store.
+pub(crate) struct WaitingWatch {
+    pub(crate) host: HostPlace,
+    pub(crate) life: u32,
+    pub(crate) after: Revision,
+    pub(crate) until: Instant,
+}
+
+impl FleetRig {
+    /// Publishes one change.
+    pub fn publish(&mut self, item: impl FnOnce(Revision) -> PublishedItem) {
+        self.revision += 1;
+        let item = item(self.revision);
+        self.items.retain(|held| held.key != item.key);
+        self.items.push(item);
+        let (ready, waiting) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|watch| watch.after < self.revision);
+        self.watches = waiting;
+        for watch in ready {
+            self.end_watch(&watch);
+        }
+    }
+
+    pub(crate) fn call_store(&mut self, place: HostPlace) {
+        let now = self.now;
+        let host = &mut self.hosts[place];
+        let step = host.core.store_step(now);
+        let served = host.served;
+        let refusal = StoreFault::Refused { status: 503 };
+        match step {
+            FeedStep::Wait { until } => {
+                self.wake(place, until);
+            }
+            FeedStep::List { body_limit, .. } if served => {
+                self.calls.push((now, place, StoreCall::List));
+                if !self.link_busy {
+                    self.link_busy = true;
+                    self.push(place, LINK_STEP, FleetEvent::LinkStep);
+                }
+                self.lists.push(ListTransfer {
+                    host: place,
+                    life: self.hosts[place].life,
+                    left: LIST_BYTES,
+                    leaves: body_limit.map(|limit| now + limit),
+                });
+            }
+            FeedStep::List { .. } => {
+                self.calls.push((now, place, StoreCall::List));
+                self.push(place, STORE_DELAY, FleetEvent::Listed(Err(refusal)));
+            }
+            FeedStep::Watch { after, wait } => {
+                self.calls.push((now, place, StoreCall::Watch));
+                let life = self.hosts[place].life;
+                let until = now + wait;
+                let watch = WaitingWatch {
+                    host: place,
+                    life,
+                    after,
+                    until,
+                };
+                if !served {
+                    self.push(place, STORE_DELAY, FleetEvent::Watched(Err(refusal)));
+                } else if after < self.revision {
+                    self.end_watch(&watch);
+                } else {
+                    self.watches.push(watch);
+                    self.push(place, wait, FleetEvent::WatchEnds);
+                }
+            }
+        }
+    }
+
+    /// Shares a step of the store's link among the lists that are under way.
+    pub(crate) fn carry_lists(&mut self) {
+        let share = STORE_STEP_BYTES / self.lists.len() as f64;
+        let step = share.min(HOST_STEP_BYTES);
+        let mut lists = std::mem::take(&mut self.lists);
+        lists.retain_mut(|list| {
+            list.left -= step;
+            let left = list.left > 0.0;
+            let leaves = list.leaves.is_some_and(|leaves| leaves <= self.now);
+            let alive = self.hosts[list.host].life == list.life;
+            if alive && (!left || leaves) {
+                let page = ListPage {
+                    items: self.items.clone(),
+                    next_after: None,
+                    revision: self.revision,
+                };
+                let answer = if left {
+                    Err(StoreFault::Crowded)
+                } else {
+                    Ok(page)
+                };
+                self.push(list.host, STORE_DELAY, FleetEvent::Listed(answer));
+            }
+            alive && left && !leaves
+        });
+        self.lists = lists;
+        self.link_busy = !self.lists.is_empty();
+        if let Some(list) = self.lists.first() {
+            self.push(list.host, LINK_STEP, FleetEvent::LinkStep);
+        }
+    }
+
+    fn wake(&mut self, place: HostPlace, until: Instant) {
+        let delay = until.saturating_duration_since(self.now);
+        self.push(place, delay, FleetEvent::Read);
+    }
+
+    /// Ends the watches that have waited their time.
+    pub(crate) fn end_old_watches(&mut self) {
+        let now = self.now;
+        let (old, waiting) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|watch| watch.until <= now);
+        self.watches = waiting;
+        for watch in old {
+            self.end_watch(&watch);
+        }
+    }
+
+    fn end_watch(&mut self, watch: &WaitingWatch) {
+        if self.hosts[watch.host].life != watch.life {
+            return;
+        }
+        let newer = self.items.iter().filter(|item| item.revision > watch.after);
+        let batch = WatchBatch {
+            items: newer.cloned().collect(),
+            changed: watch.after < self.revision,
+            revision: self.revision,
+        };
+        self.push(watch.host, STORE_DELAY, FleetEvent::Watched(Ok(batch)));
+    }
+}
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod core_rig;
 mod fleet_rig;
+mod fleet_store;
 mod test_allocations;
 mod test_answer_record;
 mod test_failing_upstreams;
--- a/packet/tests/test_fleet_reading.rs
+++ b/packet/tests/test_fleet_reading.rs
@@ -8,6 +8,7 @@
 
 use crate::core_rig::*;
 use crate::fleet_rig::*;
+use crate::fleet_store::StoreCall;
 
 /// The time in which a change has to be in force, with the second that a store may take to answer.
 const IN_FORCE_MILLIS: u64 = 3000;
