start: a list is left only if it would take longer than to find a peer

Change: 80 ms after the answer's head a host reckons from what has come how long the list takes, and leaves it over 0.7 s. The adapter reports the progress, start_plan decides. Hosts that seek send two beats a round in turn, not six. Tried: 1.0 and 0.6 s.

--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -68,12 +68,9 @@
         if let Some(until) = self.start.waits_until(now, greets) {
             return FeedStep::Wait { until };
         }
-        let limit = self.start.body_limit(greets);
+        let look_after = self.start.look_after(greets);
         match self.feed.next_step(now) {
-            FeedStep::List { after, .. } => FeedStep::List {
-                after,
-                body_limit: limit,
-            },
+            FeedStep::List { after, .. } => FeedStep::List { after, look_after },
             step => step,
         }
     }
--- a/packet/src/peer_rounds.rs
+++ b/packet/src/peer_rounds.rs
@@ -25,6 +25,10 @@
 /// Peers of the own zone that get a beat in a round; the others have their turn in the next.
 const NEAR_A_ROUND: usize = 6;
 
+/// The same for a host that holds no state yet: its greetings are answered, and while all hosts start,
+/// answers take the time of those that are to read.
+const SEEK_TURNS: usize = 2;
+
 /// The same for other zones, where each byte has its price.
 const FAR_A_ROUND: usize = 2;
 
@@ -92,7 +96,12 @@
         self.peers.retain(|_address, peer| now < peer.forget_at);
         let all_near = self.addresses(|peer| peer.zone == self.zone);
         let mut near = self.strangers(now, &all_near, STRANGERS_A_ROUND);
-        near.extend(take_turn(&all_near, &mut self.turns.near, NEAR_A_ROUND));
+        let turns = if lacks_state {
+            SEEK_TURNS
+        } else {
+            NEAR_A_ROUND
+        };
+        near.extend(take_turn(&all_near, &mut self.turns.near, turns));
         sort_unique(&mut near);
         let led = if reads {
             let others = all_near.into_iter();
--- a/packet/src/start_plan.rs
+++ b/packet/src/start_plan.rs
@@ -6,7 +6,7 @@
 //! than a greeting takes: where all hosts start at once, nobody has a state to hand over.
 //!
 //! Then hundreds read the list at once and share the store's link, so that all of them have it as late as
-//! the last. A host whose list comes in slowly leaves it to a few of them, and takes the state
+//! the last. A host whose list would take longer than to find a peer leaves it to a few of them, and takes the state
 //! from one of these; links between hosts are many. If none is found, it reads the list after all.
 
 use std::net::Ipv4Addr;
@@ -15,6 +15,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::store_feed::ListProgress;
+
 /// How long a host that starts waits for an answer to its greeting: three times what the way between
 /// zones and back takes.
 const GREETING_PATIENCE: Duration = Duration::from_millis(25);
@@ -25,9 +27,11 @@
 /// Longest time after its start in which it waits for peers.
 const LONGEST_PATIENCE: Duration = Duration::from_millis(800);
 
-/// How long the body of the list may take before it counts as shared with many; alone, it takes a few
-/// milliseconds.
-const CROWDED_AFTER: Duration = Duration::from_millis(80);
+/// When it is looked how fast the body of the list comes in; alone, a host has it by then.
+const LOOK_AFTER: Duration = Duration::from_millis(80);
+
+/// How long the whole body may take at that speed: what it takes otherwise to find a peer that has the state.
+const LONGEST_LIST: Duration = Duration::from_millis(700);
 
 /// Of the hosts that meet a crowd, one in this many stays in it.
 const STAYS: u64 = 8;
@@ -72,10 +76,19 @@
         Some(list_at).filter(|list_at| now < *list_at)
     }
 
-    /// How long the body of a list may take until it is left to others; `None` for a host that does not.
-    pub fn body_limit(&self, greets: bool) -> Option<Duration> {
+    /// When to look whether a list is crowded; `None` for a host that stays in any case.
+    pub fn look_after(&self, greets: bool) -> Option<Duration> {
         let yields = greets && !self.has_yielded && !self.draw.is_multiple_of(STAYS);
-        yields.then_some(CROWDED_AFTER)
+        yields.then_some(LOOK_AFTER)
+    }
+
+    /// Whether a list comes in so slowly that it is better left to others.
+    pub fn is_crowded(progress: &ListProgress) -> bool {
+        let Some(total) = progress.total else {
+            return false;
+        };
+        let share = progress.received as f64 / total.max(1) as f64;
+        share < progress.elapsed.as_secs_f64() / LONGEST_LIST.as_secs_f64()
     }
 
     /// Learns that the list was left to others.
--- a/packet/src/store_feed.rs
+++ b/packet/src/store_feed.rs
@@ -80,6 +80,17 @@
     pub revision: Revision,
 }
 
+/// How far the body of a page has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListProgress {
+    /// Bytes that have come.
+    pub received: u64,
+    /// Bytes of the whole body; `None` if the store does not say.
+    pub total: Option<u64>,
+    /// Time since the answer's head.
+    pub elapsed: Duration,
+}
+
 /// What a watch brought.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WatchBatch {
@@ -98,8 +109,8 @@
     List {
         /// The last key of the page before.
         after: Option<SmolStr>,
-        /// How long the body of the answer may take before the list is left to other hosts.
-        body_limit: Option<Duration>,
+        /// How long after the answer's head to look whether the list is better left to other hosts.
+        look_after: Option<Duration>,
     },
     /// Wait for changes after this revision.
     Watch {
@@ -149,7 +160,7 @@
             },
             None => FeedStep::List {
                 after: self.next_after.clone(),
-                body_limit: None,
+                look_after: None,
             },
         }
     }
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -127,6 +127,8 @@
     /// The store's revision.
     pub revision: Revision,
     pub(crate) watches: Vec<WaitingWatch>,
+    /// Bytes of the whole list.
+    pub list_bytes: f64,
     pub(crate) lists: Vec<ListTransfer>,
     /// The store's link carries lists.
     pub(crate) link_busy: bool,
@@ -194,6 +196,7 @@
             items,
             revision: 10,
             watches: Vec::new(),
+            list_bytes: 460_000.0,
             lists: Vec::new(),
             link_busy: false,
         }
--- a/packet/tests/fleet_store.rs
+++ b/packet/tests/fleet_store.rs
@@ -5,8 +5,10 @@
 
 use lagoonproxy_packet::ids::Revision;
 use lagoonproxy_packet::published_view::PublishedItem;
+use lagoonproxy_packet::start_plan::StartPlan;
 use lagoonproxy_packet::store_feed::FeedStep;
 use lagoonproxy_packet::store_feed::ListPage;
+use lagoonproxy_packet::store_feed::ListProgress;
 use lagoonproxy_packet::store_feed::StoreFault;
 use lagoonproxy_packet::store_feed::WatchBatch;
 
@@ -17,8 +19,7 @@
 /// How long the store takes for an answer.
 const STORE_DELAY: Duration = Duration::from_millis(8);
 
-/// Bytes of the whole list, and what the store's link and a host's carry in a step.
-const LIST_BYTES: f64 = 460_000.0;
+/// What the store's link and a host's carry in a step.
 const LINK_STEP: Duration = Duration::from_millis(5);
 const STORE_STEP_BYTES: f64 = 125_000_000.0 * 0.005;
 const HOST_STEP_BYTES: f64 = 2_500_000.0 * 0.005;
@@ -37,8 +38,9 @@
     pub(crate) host: HostPlace,
     pub(crate) life: u32,
     pub(crate) left: f64,
-    /// When the host leaves it.
-    pub(crate) leaves: Option<Instant>,
+    /// When the host looks whether to leave it.
+    pub(crate) look_at: Option<Instant>,
+    pub(crate) started: Instant,
 }
 
 /// A watch that waits at the store.
@@ -75,7 +77,7 @@
             FeedStep::Wait { until } => {
                 self.wake(place, until);
             }
-            FeedStep::List { body_limit, .. } if served => {
+            FeedStep::List { look_after, .. } if served => {
                 self.calls.push((now, place, StoreCall::List));
                 if !self.link_busy {
                     self.link_busy = true;
@@ -84,8 +86,9 @@
                 self.lists.push(ListTransfer {
                     host: place,
                     life: self.hosts[place].life,
-                    left: LIST_BYTES,
-                    leaves: body_limit.map(|limit| now + limit),
+                    left: self.list_bytes,
+                    started: now,
+                    look_at: look_after.map(|after| now + after),
                 });
             }
             FeedStep::List { .. } => {
@@ -122,7 +125,14 @@
         lists.retain_mut(|list| {
             list.left -= step;
             let left = list.left > 0.0;
-            let leaves = list.leaves.is_some_and(|leaves| leaves <= self.now);
+            let looks = list.look_at.take_if(|look_at| *look_at <= self.now);
+            let leaves = looks.is_some_and(|_look| {
+                StartPlan::is_crowded(&ListProgress {
+                    received: (self.list_bytes - list.left) as u64,
+                    total: Some(self.list_bytes as u64),
+                    elapsed: self.now - list.started,
+                })
+            });
             let alive = self.hosts[list.host].life == list.life;
             if alive && (!left || leaves) {
                 let page = ListPage {
--- a/packet/tests/test_fleet_reading.rs
+++ b/packet/tests/test_fleet_reading.rs
@@ -208,30 +208,52 @@
 #[test]
 fn test_fleet_that_returns_shares_what_few_have_read() {
     // Every host of a large fleet comes back at once after a loss of power, and callers wait. If all of them
-    // read the whole list over the one link of the store, none has it before the last: 1.3 s here. Few
-    // have to read it, and the others have to find these although they know nobody yet.
-    for seed in 1..=2 {
+    // read a long list over the one link of the store, none has it before the last: 1.3 s here. Few
+    // have to read it, and the others have to find these although they know nobody yet. A short list is
+    // there sooner than a peer is found, and nobody is to leave it.
+    struct Case {
+        name: &'static str,
+        list_bytes: f64,
+        half_ms: u64,
+        all_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "a long list",
+            list_bytes: 460_000.0,
+            half_ms: 800,
+            all_ms: 1200,
+        },
+        Case {
+            name: "a short list",
+            list_bytes: 235_000.0,
+            half_ms: 800,
+            all_ms: 1000,
+        },
+    ];
+    for case in cases {
         let mut rig = FleetRig::new(&FleetPlan {
             zones: 5,
             hosts_a_zone: 70,
             large_a_zone: 3,
-            seed,
+            seed: 1,
         });
+        rig.list_bytes = case.list_bytes;
         rig.start_all();
         let ready = |rig: &FleetRig| {
             let hosts = rig.hosts.iter();
             hosts.filter(|host| host.core.is_ready()).count()
         };
-        rig.pass(800);
-        assert!(
-            ready(&rig) >= 175,
-            "seed {seed}: {} after 0.8 s",
-            ready(&rig)
-        );
-        rig.pass(400);
-        assert_eq!(ready(&rig), 350, "seed {seed}: after 1.2 s");
+        let mut curve = Vec::new();
+        for _tenth in 0..14 {
+            rig.pass(100);
+            curve.push(ready(&rig));
+        }
+        let after = |millis: u64| curve[millis as usize / 100 - 1];
+        assert!(after(case.half_ms) >= 175, "{}: {curve:?}", case.name);
+        assert_eq!(after(case.all_ms), 350, "{}: {curve:?}", case.name);
         let sent = rig.sent / rig.hosts.len();
-        assert!(sent <= 200, "seed {seed}: {sent} datagrams a host");
+        assert!(sent <= 200, "{}: {sent} datagrams a host", case.name);
     }
 }
 
--- a/packet/tests/test_start_plan.rs
+++ b/packet/tests/test_start_plan.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use lagoonproxy_packet::start_plan::StartPlan;
+use lagoonproxy_packet::store_feed::ListProgress;
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -110,11 +111,53 @@
     let mut stay = 0;
     for number in 0..=255 {
         let mut plan = StartPlan::new(Ipv4Addr::new(10, 1, 0, number));
-        stay += usize::from(plan.body_limit(true).is_none());
+        stay += usize::from(plan.look_after(true).is_none());
         plan.yielded(Instant::now());
-        assert_eq!(plan.body_limit(true), None, "it has left once");
+        assert_eq!(plan.look_after(true), None, "it has left once");
     }
     assert!((16..=64).contains(&stay), "{stay} of 256 stay");
     let alone = StartPlan::new(Ipv4Addr::new(10, 1, 0, 1));
-    assert_eq!(alone.body_limit(false), None, "nobody else could have it");
+    assert_eq!(alone.look_after(false), None, "nobody else could have it");
+}
+
+#[test]
+fn test_which_lists_are_crowded() {
+    // Hundreds of hosts read a list at once. Whether one does better to look for a peer depends on when it would
+    // have the list: a short one is there sooner although it is shared.
+    struct Case {
+        name: &'static str,
+        progress: ListProgress,
+        crowded: bool,
+    }
+    let progress = |received, total| ListProgress {
+        received,
+        total,
+        elapsed: millis(80),
+    };
+    let cases = [
+        Case {
+            name: "done in half a second at this speed",
+            progress: progress(37_000, Some(235_000)),
+            crowded: false,
+        },
+        Case {
+            name: "done in 1.4 s",
+            progress: progress(27_000, Some(470_000)),
+            crowded: true,
+        },
+        Case {
+            name: "nothing has come",
+            progress: progress(0, Some(470_000)),
+            crowded: true,
+        },
+        Case {
+            name: "nobody knows how much is to come",
+            progress: progress(27_000, None),
+            crowded: false,
+        },
+    ];
+    for case in cases {
+        let crowded = StartPlan::is_crowded(&case.progress);
+        assert_eq!(crowded, case.crowded, "{}", case.name);
+    }
 }
--- a/packet/tests/test_store_feed.rs
+++ b/packet/tests/test_store_feed.rs
@@ -34,7 +34,7 @@
 fn first_page() -> FeedStep {
     FeedStep::List {
         after: None,
-        body_limit: None,
+        look_after: None,
     }
 }
 
@@ -51,7 +51,7 @@
     assert_eq!(feed.listed(list_page(10, &[1], Some("servers/i-01"))), None);
     let next = FeedStep::List {
         after: Some("servers/i-01".into()),
-        body_limit: None,
+        look_after: None,
     };
     assert_eq!(feed.next_step(now), next);
     let update = feed
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -5,9 +5,11 @@
 
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::published_view::ViewUpdate;
+use lagoonproxy_packet::start_plan::StartPlan;
 use lagoonproxy_packet::store_feed::ANSWER_LIMIT;
 use lagoonproxy_packet::store_feed::FeedStep;
 use lagoonproxy_packet::store_feed::StoreFault;
+use lagoonproxy_platform::store_client::BodyCheck;
 use lagoonproxy_platform::store_client::StoreClient;
 
 use crate::host_state::HostState;
@@ -25,10 +27,12 @@
         let step = state.core.borrow_mut().store_step(Instant::now());
         match step {
             FeedStep::Wait { until } => tokio::time::sleep_until(until.into()).await,
-            FeedStep::List { after, body_limit } => {
-                let page = client
-                    .list(after.as_deref(), ANSWER_LIMIT, body_limit)
-                    .await;
+            FeedStep::List { after, look_after } => {
+                let check = look_after.map(|look_after| BodyCheck {
+                    look_after,
+                    leaves: StartPlan::is_crowded,
+                });
+                let page = client.list(after.as_deref(), ANSWER_LIMIT, check).await;
                 let update = page.map(|page| {
                     let mut core = state.core.borrow_mut();
                     core.store_listed(Instant::now(), page)
