--- a/packet/src/core_peers.rs
+++ b/packet/src/core_peers.rs
@@ -82,7 +82,6 @@
     /// Hosts of other zones do not look at the upstreams of this one, and bytes between zones have a price.
     pub fn beat_for(&mut self, now: Instant, zone: &ZoneName, stopping: bool) -> PeerBeat {
         let is_near = *zone == self.zone;
-        let reader = self.peers.readers(now, zone).next();
         PeerBeat {
             zone: self.zone.clone(),
             reads: self.role.reads() && self.in_touch && !stopping,
@@ -90,7 +89,7 @@
             ready: self.is_ready() && !stopping,
             seeks: self.view.through() == 0 || self.peers.seeks(now),
             through: self.view.through(),
-            reader: reader.map(|(address, _capacity)| address),
+            reader: self.peers.reader(now, zone),
             named: self.peers.some_of(now, zone),
             others: self.peers.some_others(now, zone),
             reports: is_near.then(|| self.upstreams.reports(now)),
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -102,8 +102,7 @@
 
     /// Another host of the zone that is heard to read the store.
     pub fn zone_reader(&self, now: Instant) -> Option<SocketAddrV4> {
-        let mut readers = self.peers.readers(now, &self.zone);
-        readers.next().map(|(address, _capacity)| address)
+        self.peers.reader(now, &self.zone)
     }
 
     /// Takes in a page of the store's list; the update once the list is whole.
--- a/packet/src/peer_table.rs
+++ b/packet/src/peer_table.rs
@@ -44,8 +44,8 @@
 pub struct HeardBeat {
     /// The sender was not heard before.
     pub is_new: bool,
-    /// Hosts that should get a beat at once: a sender that is new or seeks its zone, and a reader of the own zone that others
-    /// hear and this host does not, for it may not know this host either.
+    /// Hosts that should get a beat at once: a sender that is new or seeks, and a reader of the own zone
+    /// that others hear and this host does not, for it may not know this host either.
     pub greet: ArrayVec<SocketAddrV4, 2>,
 }
 
@@ -152,9 +152,15 @@
             .map(|(address, peer)| (*address, peer.capacity))
     }
 
+    /// One other host of a zone that was heard to read the store.
+    pub fn reader(&self, now: Instant, zone: &ZoneName) -> Option<SocketAddrV4> {
+        let mut readers = self.readers(now, zone);
+        readers.next().map(|(address, _capacity)| address)
+    }
+
     /// Whether any other host of the own zone was heard to read the store.
     pub fn has_reader(&self, now: Instant) -> bool {
-        self.readers(now, &self.zone).next().is_some()
+        self.reader(now, &self.zone).is_some()
     }
 
     /// Peers that are alive.
--- a/packet/src/store_feed.rs
+++ b/packet/src/store_feed.rs
@@ -173,8 +173,8 @@
         }
     }
 
-    /// Learns that another host reads in place of this one: what the store answered before says nothing
-    /// about the next call.
+    /// Learns that this host begins or ends to read: what the store answered before says nothing about the
+    /// next call.
     pub fn pause(&mut self) {
         self.answered = false;
         self.not_before = None;
