observability: rejected updates leave a line and a count; the revision of the answer that ends an outage

'state rejected as older' has both revisions, 'store regained' the one that was offered, and lagoon_packet_rejected_updates counts deltas too. No decision changes.

--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -27,6 +27,11 @@
         let before = self.view.through();
         let outcome = self.view.merge(update);
         if outcome.is_stale {
+            output.events.push(DecisionEvent::UpdateRejected {
+                whole: update.whole,
+                offered: update.through,
+                through: before,
+            });
             return false;
         }
         self.record_outcome(&outcome, output);
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -201,6 +201,15 @@
         /// The store's revision up to which this host has read.
         through: Revision,
     },
+    /// An update was rejected: it is older than the state, or does not continue it.
+    UpdateRejected {
+        /// Whether it was a whole state, and not a delta.
+        whole: bool,
+        /// The revision up to which it contains every change.
+        offered: Revision,
+        /// The revision up to which this host has read.
+        through: Revision,
+    },
     /// An older configuration was rejected.
     RoutesRegressed {
         /// Its version.
--- a/packetd/src/event_log.rs
+++ b/packetd/src/event_log.rs
@@ -121,6 +121,16 @@
             let code = code.number();
             log::info!(code, zone:% = zone, evacuated, known, flows, through; "zone evacuation");
         }
+        DecisionEvent::UpdateRejected {
+            whole,
+            offered,
+            through,
+        } => {
+            metrics.rejected_updates.inc();
+            if *whole {
+                log::warn!(offered, through; "state rejected as older");
+            }
+        }
         DecisionEvent::RoutesRegressed { version } => {
             log::warn!(version; "older routes rejected");
         }
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -51,6 +51,8 @@
     pub failing: Counter,
     /// Published items that could not be used.
     pub unreadable: Counter,
+    /// Updates that are older than the state, or do not continue it.
+    pub rejected_updates: Counter,
     results: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     version: Gauge<u64, AtomicU64>,
@@ -77,6 +79,7 @@
             avoided: Counter::default(),
             failing: Counter::default(),
             unreadable: Counter::default(),
+            rejected_updates: Counter::default(),
             results: Family::default(),
             store_calls: Family::default(),
             version: Gauge::default(),
@@ -114,6 +117,11 @@
                 &self.failing,
             ),
             ("unreadable", "Published items unusable", &self.unreadable),
+            (
+                "rejected_updates",
+                "Updates older than the state, or not continuing it",
+                &self.rejected_updates,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -57,7 +57,8 @@
         Ok(update) => {
             state.metrics.count_store_call(ResultCode::Success);
             if state.store_lost.take() {
-                log::info!("store regained");
+                let offered = update.as_ref().map(|update| update.through);
+                log::info!(offered:? = offered; "store regained");
             }
             if let Some(update) = update {
                 state.merge_and_forward(update);
