--- a/packet/tests/fleet_store.rs
+++ b/packet/tests/fleet_store.rs
@@ -34,6 +34,12 @@
     Watch,
 }
 
+/// The store's content at one moment.
+pub struct StoreCopy {
+    items: Vec<PublishedItem>,
+    revision: Revision,
+}
+
 /// A list that is under way.
 pub(crate) struct ListTransfer {
     pub(crate) host: HostPlace,
@@ -68,6 +74,25 @@
         }
     }
 
+    /// The store's content, to come back from.
+    pub fn copy_store(&self) -> StoreCopy {
+        StoreCopy {
+            items: self.items.clone(),
+            revision: self.revision,
+        }
+    }
+
+    /// Lets the store come back from a copy: what was published since is gone, its revisions are given out again, and
+    /// waiting watches are cut.
+    pub fn restore_store(&mut self, copy: &StoreCopy) {
+        self.items.clone_from(&copy.items);
+        self.revision = copy.revision;
+        self.dropped = self.dropped.min(copy.revision);
+        for watch in std::mem::take(&mut self.watches) {
+            self.end_watch(&watch);
+        }
+    }
+
     /// Drops the store's history: watches that are behind need the list again, and waiting ones are cut.
     pub fn drop_history(&mut self) {
         self.dropped = self.revision;
@@ -116,7 +141,7 @@
                 };
                 if !served {
                     self.push(place, STORE_DELAY, FleetEvent::Watched(Err(refusal)));
-                } else if after < self.revision {
+                } else if after != self.revision {
                     self.end_watch(&watch);
                 } else {
                     self.watches.push(watch);
@@ -192,7 +217,7 @@
         if self.hosts[watch.host].life != watch.life {
             return;
         }
-        if watch.after < self.dropped {
+        if watch.after < self.dropped || watch.after > self.revision {
             let fault = StoreFault::HistoryDropped;
             self.push(watch.host, STORE_DELAY, FleetEvent::Watched(Err(fault)));
             return;
--- a/standin/src/packet_store.rs
+++ b/standin/src/packet_store.rs
@@ -15,7 +15,9 @@
 use axum::Router;
 use axum::extract::Query;
 use axum::extract::State;
+use axum::http::HeaderValue;
 use axum::http::StatusCode;
+use axum::middleware::map_response_with_state;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
@@ -40,8 +42,10 @@
     Silent,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Content {
+    /// How often the store came back from a copy.
+    era: u64,
     revision: u64,
     /// Values in base64, with the revision of their last change.
     items: BTreeMap<String, (String, u64)>,
@@ -64,6 +68,12 @@
     shared: Arc<Shared>,
 }
 
+/// The keys and the counter of the store at one moment.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    content: Content,
+}
+
 /// The store as one host meets it.
 #[derive(Clone, Debug)]
 pub struct StorePort {
@@ -94,6 +104,13 @@
     }
 }
 
+impl Content {
+    /// Whether a watch cannot go on from this revision.
+    fn lacks(&self, after: u64) -> bool {
+        after < self.dropped || after > self.revision
+    }
+}
+
 impl Shared {
     fn content(&self) -> MutexGuard<'_, Content> {
         self.content.lock().unwrap_or_else(PoisonError::into_inner)
@@ -122,6 +139,7 @@
         let router = Router::new()
             .route("/v1/kv-range", get(range))
             .route("/v1/kv-watch", get(watch_changes))
+            .layer(map_response_with_state(self.shared.clone(), add_era))
             .with_state(state);
         tokio::spawn(async move { axum::serve(listener, router).await });
         Ok(StorePort {
@@ -165,6 +183,23 @@
         content.history.clear();
     }
 
+    /// The present content, to come back from.
+    pub fn copy(&self) -> StoreCopy {
+        let content = self.shared.content().clone();
+        StoreCopy { content }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut content = self.shared.content();
+        *content = Content {
+            era: content.era + 1,
+            calls: content.calls,
+            ..copy.content.clone()
+        };
+        self.shared.changed.send_replace(content.revision);
+    }
+
     /// Calls of all hosts, refused ones included.
     pub fn calls(&self) -> u64 {
         self.shared.content().calls
@@ -173,6 +208,13 @@
 
 type Words = Query<HashMap<String, String>>;
 
+/// Every answer says which copy the store runs on, refusals included.
+async fn add_era(State(shared): State<Arc<Shared>>, mut response: Response) -> Response {
+    let era = HeaderValue::from(shared.content().era);
+    response.headers_mut().insert("Store-Era", era);
+    response
+}
+
 /// Waits out the mood; `Some` if the call ends with that.
 async fn moody(state: &PortState) -> Option<Response> {
     state.shared.content().calls += 1;
@@ -226,9 +268,10 @@
     };
     let after = number("after");
     let wait = Duration::from_millis(number("WaitMs"));
-    if after < state.shared.content().dropped {
+    if state.shared.content().lacks(after) {
         return refusal(410);
     }
+    let era = state.shared.content().era;
     let mut changed = state.shared.changed.subscribe();
     let mut mood = state.mood.clone();
     tokio::select! {
@@ -239,7 +282,7 @@
         return response;
     }
     let content = state.shared.content();
-    if after < content.dropped {
+    if content.lacks(after) || content.era != era {
         return refusal(410);
     }
     let newer = content
