--- a/bench/src/packet_cost.rs
+++ b/bench/src/packet_cost.rs
@@ -23,6 +23,7 @@
 use lagoonproxy_packet::state_snapshot::ItemKey;
 use lagoonproxy_packet::state_snapshot::PublishedItem;
 use lagoonproxy_packet::state_snapshot::StateUpdate;
+use lagoonproxy_packet::store_position::StorePosition;
 use lagoonproxy_packet::upstream_entry::EntryState;
 use lagoonproxy_packet::upstream_entry::UpstreamEntry;
 use lagoonproxy_packet::upstream_table::flow_tag;
@@ -33,6 +34,12 @@
 /// Datagrams that are sent before they are read, well below a socket's buffer.
 const WINDOW: usize = 32;
 
+/// The position of everything that is published.
+const FIRST: StorePosition = StorePosition {
+    era: 0,
+    revision: 1,
+};
+
 /// Where the service of the measurement is.
 const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
 
@@ -55,9 +62,9 @@
         items.extend((0..upstreams).map(|number| upstream_item(number, address)));
         let update = StateUpdate {
             items,
-            through: 1,
+            through: FIRST,
             whole: true,
-            after: 0,
+            after: StorePosition::UNREAD,
         };
         bench.core.merge(bench.now, &update, &mut bench.output);
         bench
@@ -200,7 +207,7 @@
     };
     PublishedItem {
         key: ItemKey::Routes,
-        revision: 1,
+        position: FIRST,
         content: ItemContent::Routes(Arc::new(config)),
     }
 }
@@ -217,10 +224,11 @@
         state: EntryState::Ready,
         warmup_left: Duration::ZERO,
         born: None,
+        write_count: 1,
     };
     PublishedItem {
         key: ItemKey::Upstream(name.into()),
-        revision: 1,
+        position: FIRST,
         content: ItemContent::Upstream(Arc::new(entry)),
     }
 }
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -113,6 +113,8 @@
     EvacuationInvalid = 506,
     /// A published evacuation names a zone that is not in the settings and has no upstream.
     EvacuationUnknown = 507,
+    /// The platform has come back from a copy, and has lost what was written since.
+    PlatformRestored = 508,
 }
 
 impl ResultCode {
@@ -167,6 +169,7 @@
         Self::PlatformCrowded,
         Self::EvacuationInvalid,
         Self::EvacuationUnknown,
+        Self::PlatformRestored,
     ];
 
     /// The number that stands on the wire and in logs.
--- a/packet/src/core_events.rs
+++ b/packet/src/core_events.rs
@@ -13,6 +13,7 @@
 use crate::packet_core::PacketCore;
 use crate::packet_head::PacketHead;
 use crate::state_snapshot::MergeOutcome;
+use crate::store_position::StorePosition;
 
 impl PacketCore {
     pub(crate) fn record_outcome(&self, outcome: &MergeOutcome, output: &mut PacketOutput) {
@@ -28,6 +29,14 @@
         }
     }
 
+    pub(crate) fn record_era(&self, before: StorePosition, whole: bool, output: &mut PacketOutput) {
+        output.events.push(DecisionEvent::EraChanged {
+            before,
+            through: self.view.through(),
+            whole,
+        });
+    }
+
     pub(crate) fn record_placed(
         &self,
         now: Instant,
--- a/packet/src/core_peers.rs
+++ b/packet/src/core_peers.rs
@@ -57,7 +57,7 @@
 
     /// The heartbeats to send now; none between rounds.
     pub fn round(&mut self, now: Instant, stopping: bool) -> Vec<AddressedHeartbeat> {
-        let lacks_state = self.view.through() == 0;
+        let lacks_state = self.view.through().is_unread();
         let Some(round) = self.peers.round(now, self.role.reads(), lacks_state) else {
             return Vec::new();
         };
@@ -91,8 +91,9 @@
             reads: self.role.reads() && self.in_touch && !stopping,
             capacity: self.capacity,
             ready: self.is_ready() && !stopping,
-            seeks: self.view.through() == 0 || self.peers.seeks(now),
+            seeks: self.view.through().is_unread() || self.peers.seeks(now),
             through: self.view.through(),
+            version: self.view.query().version,
             reader: self.peers.reader(now, zone),
             named: self.peers.some_of(now, zone),
             others: self.peers.some_others(now, zone),
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -10,6 +10,7 @@
 use crate::packet_core::PacketCore;
 use crate::route_table::RouteTable;
 use crate::state_snapshot::StateChange;
+use crate::state_snapshot::StateQuery;
 use crate::state_snapshot::StateUpdate;
 use crate::state_source::ReadState;
 use crate::store_feed::FeedStep;
@@ -17,6 +18,7 @@
 use crate::store_feed::StoreFault;
 use crate::store_feed::WatchBatch;
 use crate::upstream_record::RegistrationState;
+use crate::upstream_table::RestoredEntry;
 
 /// Interval at which a host that does not watch the store looks at its role.
 const ROLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -25,6 +27,7 @@
     /// Merges an update of the store or of a peer and applies it; true if it was new.
     pub fn merge(&mut self, now: Instant, update: &StateUpdate, output: &mut PacketOutput) -> bool {
         let before = self.view.through();
+        let had_state = !before.is_unread();
         let outcome = self.view.merge(update);
         if outcome.is_stale {
             output.events.push(DecisionEvent::UpdateRejected {
@@ -35,11 +38,19 @@
             return false;
         }
         self.record_outcome(&outcome, output);
-        let first = before == 0;
+        if outcome.crosses_era {
+            self.record_era(before, update.whole, output);
+            self.upstreams.extend_lapses(now);
+            self.steady_since = None;
+        }
         for change in &outcome.changes {
-            self.apply(now, change, first, output);
+            if outcome.crosses_era {
+                self.apply_restored(now, change, output);
+            } else {
+                self.apply(now, change, had_state, output);
+            }
         }
-        if first {
+        if !had_state {
             self.state_since = Some(now);
             let listed = outcome.changes.iter();
             let upstreams = listed.filter(|change| matches!(change, StateChange::Upstream(_)));
@@ -52,12 +63,23 @@
         if self.steady_since.is_none() && self.view.is_complete() {
             self.steady_since = Some(now);
         }
-        self.view.through() > before
+        self.view.through() > before || !outcome.changes.is_empty()
+    }
+
+    /// What the hosts of the zone are sent of an update that this host has just merged into the state of `before`: the state
+    /// of a later era as a delta, as most of them hold that state too.
+    pub fn forwarded_update(&self, update: StateUpdate, before: &StateQuery) -> StateUpdate {
+        let crosses = !before.after.is_unread() && update.through.era > before.after.era;
+        if update.whole && crosses {
+            self.view.update_since(before)
+        } else {
+            update
+        }
     }
 
     /// What to do at the store now.
     pub fn store_step(&mut self, now: Instant) -> FeedStep {
-        if self.view.through() == 0 {
+        if self.view.through().is_unread() {
             let has_seeds = self.peers.has_seeds();
             return self.first_step(now, has_seeds);
         }
@@ -84,7 +106,7 @@
     /// Elects the watcher of the zone anew; only a host with a state takes part.
     pub(crate) fn decide_role(&mut self, now: Instant, output: &mut PacketOutput) {
         self.role.begin(now);
-        if self.view.through() == 0 {
+        if self.view.through().is_unread() {
             return;
         }
         let change = self.role.decide(now, &self.peers, self.in_touch);
@@ -111,22 +133,35 @@
     }
 
     /// Accepts a page of the store's list; the update once the list is complete.
-    pub fn store_listed(&mut self, now: Instant, page: ListPage) -> Option<StateUpdate> {
+    pub fn store_listed(
+        &mut self,
+        now: Instant,
+        page: ListPage,
+    ) -> Result<Option<StateUpdate>, StoreFault> {
+        let update = self.feed.listed(page)?;
         self.store_answered(now);
-        self.feed.listed(page)
+        Ok(update)
     }
 
     /// Accepts the events of a watch.
-    pub fn store_changed(&mut self, now: Instant, batch: WatchBatch) -> StateUpdate {
+    pub fn store_changed(
+        &mut self,
+        now: Instant,
+        batch: WatchBatch,
+    ) -> Result<StateUpdate, StoreFault> {
+        let update = self.feed.changed(now, batch)?;
         self.store_answered(now);
-        self.feed.changed(now, batch)
+        Ok(update)
     }
 
     /// Records that a call of the store failed.
     pub fn store_failed(&mut self, now: Instant, fault: &StoreFault) {
-        self.in_touch = false;
         self.steady_since = None;
         self.feed.failed(now, fault);
+        if fault.needs_list() {
+            return;
+        }
+        self.in_touch = false;
         if *fault == StoreFault::Crowded {
             self.start.yielded(now);
         } else {
@@ -146,7 +181,7 @@
     pub fn source(&mut self, now: Instant) -> Option<SocketAddrV4> {
         let source = self
             .peers
-            .source(now, self.view.through(), self.read_state());
+            .source(now, &self.view.query(), self.read_state());
         if source.is_some() {
             self.start.asked(now);
         }
@@ -186,7 +221,7 @@
         &mut self,
         now: Instant,
         change: &StateChange,
-        first: bool,
+        had_state: bool,
         output: &mut PacketOutput,
     ) {
         match change {
@@ -202,7 +237,7 @@
             }
             StateChange::Upstream(entry) => {
                 let index = self.upstreams.register(now, entry);
-                if !first {
+                if had_state {
                     self.record_upstream(now, index, UpstreamChange::Registered, output);
                 }
             }
@@ -227,12 +262,36 @@
         }
     }
 
+    /// Applies a change that comes with a later era. What the store no longer lists may have been lost and is
+    /// written again; what it lists may be older than what an upstream said last.
+    fn apply_restored(&mut self, now: Instant, change: &StateChange, output: &mut PacketOutput) {
+        match change {
+            StateChange::Upstream(entry) => {
+                let (index, change) = match self.upstreams.register_restored(now, entry) {
+                    RestoredEntry::Registered(index) => (index, UpstreamChange::Registered),
+                    RestoredEntry::Held(index) => (index, UpstreamChange::Held),
+                };
+                self.record_upstream(now, index, change, output);
+            }
+            StateChange::Removed(name) => {
+                if let Some(index) = self.upstreams.lapse_unlisted(now, name) {
+                    self.record_upstream(now, index, UpstreamChange::Missing, output);
+                }
+            }
+            StateChange::Restored(zone) => self.upstreams.hold_evacuation(now, zone),
+            StateChange::Routes(_) | StateChange::Evacuated(..) => {
+                self.apply(now, change, true, output);
+            }
+        }
+    }
+
     fn read_state(&self) -> ReadState {
-        match (self.view.through(), self.in_touch, self.role.reads()) {
-            (0, false, _) => ReadState::Empty,
-            (0, true, _) => ReadState::Listing,
-            (_, _, true) => ReadState::Reading,
-            (_, _, false) => ReadState::Following,
+        let has_state = !self.view.through().is_unread();
+        match (has_state, self.in_touch, self.role.reads()) {
+            (false, false, _) => ReadState::Empty,
+            (false, true, _) => ReadState::Listing,
+            (true, _, true) => ReadState::Reading,
+            (true, _, false) => ReadState::Following,
         }
     }
 }
--- a/packet/src/ids.rs
+++ b/packet/src/ids.rs
@@ -20,8 +20,14 @@
 /// Place of a service's name in the table of upstreams; never given to another service.
 pub type ServiceIndex = u32;
 
-/// The store's counter of changes; a larger one is newer.
+/// The store's counter of changes; within an era of the store a larger one is newer.
 pub type Revision = u64;
 
+/// How often the store has come back from a copy; 0 if it does not say.
+pub type StoreEra = u64;
+
+/// How often an upstream has written its registration since its process started.
+pub type WriteCount = u64;
+
 /// Millisecond since 1970 at which an upstream's process started; tells restarts apart.
 pub type BornMillis = u64;
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod state_snapshot;
 pub mod state_source;
 pub mod store_feed;
+pub mod store_position;
 pub mod upstream_entry;
 pub mod upstream_record;
 pub mod upstream_selection;
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -9,10 +9,10 @@
 
 use crate::answer_record::AnswerCounts;
 use crate::ids::FlowTag;
-use crate::ids::Revision;
 use crate::ids::UpstreamName;
 use crate::ids::UpstreamNumber;
 use crate::read_role::RoleChange;
+use crate::store_position::StorePosition;
 
 /// What becomes of one packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,8 +58,10 @@
 pub enum UpstreamChange {
     /// It is new, or its registration changed.
     Registered,
-    /// Its registration vanished while it answered.
+    /// Its registration vanished while it answered, or was lost by the store.
     Missing,
+    /// The store lists a registration that is older than its last one; that one stands for now.
+    Held,
     /// It is gone.
     Gone,
     /// New flows avoid it: attempts went without an answer.
@@ -158,8 +160,8 @@
         answers: AnswerCounts,
         /// Time since it last proved to be alive, if it has.
         heard_ago: Option<Duration>,
-        /// The store's revision up to which this host has read.
-        through: Revision,
+        /// The store's position up to which this host has read.
+        through: StorePosition,
     },
     /// This host begins or ends to read the store for its zone.
     Role {
@@ -169,15 +171,15 @@
         reader: Option<SocketAddrV4>,
         /// Hosts of the zone that it knew to be alive.
         peers: usize,
-        /// The store's revision up to which it knows every change.
-        through: Revision,
+        /// The store's position up to which it knows every change.
+        through: StorePosition,
     },
     /// The first state is held.
     FirstState {
         /// Upstreams that are registered.
         upstreams: usize,
-        /// The store's revision up to which every change is contained.
-        through: Revision,
+        /// The store's position up to which every change is contained.
+        through: StorePosition,
     },
     /// Another configuration is in force.
     Routes {
@@ -185,8 +187,8 @@
         version: Version,
         /// How many routes it has.
         routes: usize,
-        /// The store's revision up to which this host has read.
-        through: Revision,
+        /// The store's position up to which this host has read.
+        through: StorePosition,
     },
     /// A zone's evacuation was applied, or has ended.
     Evacuation {
@@ -198,17 +200,26 @@
         known: bool,
         /// Open flows through this host to its upstreams.
         flows: u32,
-        /// The store's revision up to which this host has read.
-        through: Revision,
+        /// The store's position up to which this host has read.
+        through: StorePosition,
+    },
+    /// The state is of a later era: the store has come back from a copy.
+    EraChanged {
+        /// The position before.
+        before: StorePosition,
+        /// The position now.
+        through: StorePosition,
+        /// Whether the whole state came, and not a delta.
+        whole: bool,
     },
     /// An update was rejected: it is older than the state, or does not continue it.
     UpdateRejected {
         /// Whether it was a whole state, and not a delta.
         whole: bool,
-        /// The revision up to which it contains every change.
-        offered: Revision,
-        /// The revision up to which this host has read.
-        through: Revision,
+        /// The position up to which it contains every change.
+        offered: StorePosition,
+        /// The position up to which this host has read.
+        through: StorePosition,
     },
     /// An older configuration was rejected.
     RoutesRegressed {
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -172,9 +172,16 @@
     pub fn tick(&mut self, now: Instant, output: &mut PacketOutput) {
         self.detect_stall(now);
         self.upstreams.learn_reports(self.peers.local_reports(now));
-        for index in self.upstreams.tick(now) {
+        let expired = self.upstreams.tick(now);
+        for index in expired.retired {
             self.record_upstream(now, index, UpstreamChange::Gone, output);
         }
+        for index in expired.registered {
+            self.record_upstream(now, index, UpstreamChange::Registered, output);
+        }
+        for zone in self.upstreams.expire_evacuations(now) {
+            self.record_evacuation(&zone, false, output);
+        }
         self.claim_warmups(now);
         let idle = self.view.routes().map(|routes| routes.flow_idle);
         let avoided = self.evidence.tick(now, idle, &mut self.upstreams);
--- a/packet/src/packet_status.rs
+++ b/packet/src/packet_status.rs
@@ -14,6 +14,7 @@
 
 use crate::ids::Revision;
 use crate::ids::ServiceName;
+use crate::ids::StoreEra;
 use crate::ids::UpstreamName;
 use crate::packet_core::PacketCore;
 use crate::upstream_record::RegistrationState;
@@ -32,7 +33,10 @@
     pub stopping: bool,
     /// Version of the routes in force; `None` before the first.
     pub version: Option<Version>,
-    /// Revision of the store up to which it knows every change.
+    /// How often the store had come back from a copy, as far as it knows.
+    #[serde(default)]
+    pub era: StoreEra,
+    /// Revision of the store in that era up to which it knows every change.
     pub through: Revision,
     /// Other hosts that it has heard of late.
     pub peers: usize,
@@ -106,7 +110,8 @@
         upstreams.sort_by(|left, right| left.name.cmp(&right.name));
         Self {
             version: core.view().routes().map(|routes| routes.version),
-            through: core.view().through(),
+            era: core.view().through().era,
+            through: core.view().through().revision,
             peers: core.peers().alive_hosts(now),
             reads: core.reads(),
             reader: core.zone_reader(now),
--- a/packet/src/peer_datagram.rs
+++ b/packet/src/peer_datagram.rs
@@ -10,7 +10,7 @@
 use crate::state_snapshot::StateUpdate;
 
 /// First byte of a datagram; changes with the format.
-const DATAGRAM_FORMAT: u8 = 5;
+const DATAGRAM_FORMAT: u8 = 6;
 
 /// Most bytes of a datagram: what fits into one frame of the usual networks.
 pub const MOST_DATAGRAM: usize = 1400;
--- a/packet/src/peer_heartbeat.rs
+++ b/packet/src/peer_heartbeat.rs
@@ -1,11 +1,12 @@
 //! Heartbeats between entry hosts, one datagram each.
 //!
-//! A heartbeat holds the sender's zone and revision, some peers, and reports on the upstreams of its zone. Its
+//! A heartbeat holds the sender's zone and the position of its state, some peers, and reports on the upstreams of its zone. Its
 //! content expires, and no packet depends on it.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use lagoonproxy::ids::Version;
 use lagoonproxy::ids::ZoneName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -14,7 +15,7 @@
 
 use crate::answer_record::AnswerCounts;
 use crate::ids::FlowTag;
-use crate::ids::Revision;
+use crate::store_position::StorePosition;
 
 /// Most hosts of the receiver's zone that a heartbeat names.
 pub const MOST_NAMED: usize = 8;
@@ -41,8 +42,10 @@
     pub ready: bool,
     /// Whether it asks for a reply that names peers: it holds no state, or hears no local peer.
     pub seeks: bool,
-    /// Everything that the store changed up to this revision is known to the sender.
-    pub through: Revision,
+    /// Everything that the store changed up to this position is known to the sender.
+    pub through: StorePosition,
+    /// The version of the sender's configuration; `None` before the first.
+    pub version: Option<Version>,
     /// The host that reads the store for the receiver's zone, if the sender heard it say so itself.
     /// What others say is not passed on, so that a reader that died is soon named by nobody.
     pub reader: Option<SocketAddrV4>,
--- a/packet/src/peer_record.rs
+++ b/packet/src/peer_record.rs
@@ -3,14 +3,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lagoonproxy::ids::Version;
 use lagoonproxy::ids::ZoneName;
 
-use crate::ids::Revision;
 use crate::peer_heartbeat::FailureReport;
 use crate::peer_heartbeat::MOST_FAILURES;
 use crate::peer_heartbeat::MOST_REPORTS;
 use crate::peer_heartbeat::PeerHeartbeat;
 use crate::peer_heartbeat::UpstreamReport;
+use crate::state_snapshot::StateQuery;
+use crate::store_position::StorePosition;
 
 /// How long a peer that reads the store may not be heard until another takes over: two heartbeats lost,
 /// for readers send one to each host of their zone in each round.
@@ -27,7 +29,9 @@
     pub(crate) zone: ZoneName,
     pub(crate) ready: bool,
     pub(crate) capacity: u32,
-    pub(crate) through: Revision,
+    pub(crate) through: StorePosition,
+    /// The version of its configuration; `None` before the first.
+    pub(crate) version: Option<Version>,
     /// When its last heartbeat came; `None` if it was only named by others.
     pub(crate) heard: Option<Instant>,
     /// When it may get a hello again out of turn; `None` if it never got one.
@@ -49,7 +53,8 @@
             zone,
             ready: false,
             capacity: 0,
-            through: 0,
+            through: StorePosition::UNREAD,
+            version: None,
             heard: None,
             hello_after: None,
             reports: Vec::new(),
@@ -67,6 +72,7 @@
         self.reads = heartbeat.reads;
         self.capacity = heartbeat.capacity;
         self.through = heartbeat.through;
+        self.version = heartbeat.version;
         self.heard = Some(now);
         self.forget_at = now + FORGET_AFTER;
         if let Some(reports) = heartbeat.reports {
@@ -99,6 +105,13 @@
         self.reads && ago.is_some_and(|ago| ago < READER_SILENCE)
     }
 
+    /// Whether it has what is missing in a state. Hosts at one position may have different configurations: one that the store
+    /// has lost stays in force where it was.
+    pub(crate) fn is_ahead_of(&self, held: &StateQuery) -> bool {
+        let newer_routes = self.version > held.version && self.through >= held.after;
+        self.through > held.after || newer_routes
+    }
+
     /// Whether it did not just give no state.
     pub(crate) fn may_be_asked(&self, now: Instant) -> bool {
         self.no_source_until.is_none_or(|until| now >= until)
--- a/packet/src/peer_rounds.rs
+++ b/packet/src/peer_rounds.rs
@@ -132,7 +132,7 @@
 
     /// Some living hosts of a zone to name in a heartbeat for another host there: such as hold a state, if any do.
     pub fn some_of(&mut self, now: Instant, zone: &ZoneName) -> Vec<SocketAddrV4> {
-        let mut members = self.living(now, |peer| peer.zone == *zone && peer.through > 0);
+        let mut members = self.living(now, |peer| peer.zone == *zone && !peer.through.is_unread());
         if members.is_empty() {
             members = self.living(now, |peer| peer.zone == *zone);
         }
--- a/packet/src/policy_config.rs
+++ b/packet/src/policy_config.rs
@@ -94,6 +94,11 @@
     pub grace: Duration,
     /// Greatest age of a response that keeps an upstream in use.
     pub recent_response: Duration,
+    /// How long a registration stands that a restored store has lost, wholly or in its last state. Covers the time in
+    /// which upstreams write again, and in which the store removes those that do not.
+    pub restored_grace: Duration,
+    /// How long an evacuation stands that a restored store has lost.
+    pub evacuation_grace: Duration,
 }
 
 /// Parameters of [`crate::flow_load`].
@@ -173,6 +178,8 @@
         Self {
             grace: Duration::from_millis(2500),
             recent_response: Duration::from_millis(1000),
+            restored_grace: Duration::from_secs(5),
+            evacuation_grace: Duration::from_secs(30),
         }
     }
 }
--- a/packet/src/state_snapshot.rs
+++ b/packet/src/state_snapshot.rs
@@ -1,7 +1,8 @@
 //! A snapshot of the store, merged from its lists and watches and from peers; it never regresses.
 //!
-//! The store has one revision counter, so that a state with every change up to a revision supersedes any
-//! with fewer, from whichever source and in whichever order updates arrive.
+//! A state at a position of the store supersedes any at a smaller one, from whichever source and in whichever order
+//! updates arrive. A state of a later era replaces one of an earlier era: what the store has lost is dropped. Only the
+//! configuration is ordered by its own version, across eras as well.
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
@@ -16,6 +17,7 @@
 use crate::ids::Revision;
 use crate::ids::UpstreamName;
 use crate::route_config::RouteConfig;
+use crate::store_position::StorePosition;
 use crate::upstream_entry::UpstreamEntry;
 
 /// Most tombstones that are kept, so that a peer that is a little behind gets a delta.
@@ -54,16 +56,16 @@
 pub struct PublishedItem {
     /// Its identity.
     pub key: ItemKey,
-    /// The store's revision of the change.
-    pub revision: Revision,
+    /// The store's position of the change.
+    pub position: StorePosition,
     /// Its content since.
     pub content: ItemContent,
 }
 
 impl PublishedItem {
     /// The item, without its content for a receiver that holds every change up to `known`.
-    fn named_if_known(mut self, known: Revision) -> Self {
-        if self.revision <= known {
+    fn named_if_known(mut self, known: StorePosition) -> Self {
+        if self.key != ItemKey::Routes && self.position <= known {
             self.content = ItemContent::Unchanged;
         }
         self
@@ -75,13 +77,23 @@
 pub struct StateUpdate {
     /// The items, in the order of the store where it matters.
     pub items: Vec<PublishedItem>,
-    /// Every change up to this revision is contained.
-    pub through: Revision,
+    /// Every change of the era up to this position is contained.
+    pub through: StorePosition,
     /// Whether everything that exists is listed, so that what is missing was removed; if not, the
-    /// items continue the state at revision `after`.
+    /// items continue the state at `after`.
     pub whole: bool,
-    /// The revision that the items continue; 0 when `whole`.
-    pub after: Revision,
+    /// The position that the items continue; unread when `whole`. If it is of another era than `through`, the items
+    /// continue only the state at exactly this position.
+    pub after: StorePosition,
+}
+
+/// What a host holds, for which it asks a peer for the rest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateQuery {
+    /// The position of its state; unread if it has none.
+    pub after: StorePosition,
+    /// The version of its configuration; `None` before the first.
+    pub version: Option<Version>,
 }
 
 /// One effect of a merged update.
@@ -110,11 +122,14 @@
     pub regressed: Option<Version>,
     /// The update was rejected: it is older than the snapshot, or does not continue it.
     pub is_stale: bool,
+    /// The update is of a later era than the snapshot was. What it removes may have been lost by the store, and what
+    /// it contains may be older than what was lost.
+    pub crosses_era: bool,
 }
 
 #[derive(Clone, Debug)]
 struct HeldEntry {
-    revision: Revision,
+    position: StorePosition,
     /// `None` while the entry cannot be read.
     entry: Option<Arc<UpstreamEntry>>,
 }
@@ -124,28 +139,36 @@
 pub struct StateSnapshot {
     /// The configuration with the largest version met; never replaced by an older one.
     routes: Option<Arc<RouteConfig>>,
-    routes_revision: Revision,
+    routes_position: StorePosition,
     upstreams: BTreeMap<UpstreamName, HeldEntry>,
-    /// The zones that are evacuated, with the revision of the request.
-    evacuations: BTreeMap<ZoneName, Revision>,
-    /// Every change up to here is contained. Never decreases; 0 before the first whole update.
-    through: Revision,
+    /// The zones that are evacuated, with the position of the request.
+    evacuations: BTreeMap<ZoneName, StorePosition>,
+    /// Every change of the era up to here is contained. Never decreases; unread before the first whole update.
+    through: StorePosition,
     /// The last tombstones, oldest first.
-    removals: VecDeque<(Revision, ItemKey)>,
-    /// Tombstones up to this revision may have been dropped.
-    removals_from: Revision,
-    /// Between these two revisions the state was replaced whole: what came and went there is not known,
-    /// and for a peer that stands there no difference can be made. Of several such gaps the last is
-    /// kept, and what lies before it counts as forgotten.
-    gap: Option<(Revision, Revision)>,
+    removals: VecDeque<(StorePosition, ItemKey)>,
+    /// Tombstones up to this position may have been dropped.
+    removals_from: StorePosition,
+    /// Between these two positions the state was replaced whole, or by that of a later era: what came and went there is
+    /// not known, and for a peer that stands there no difference can be made. Of several such gaps the last is kept,
+    /// and what lies before it counts as forgotten.
+    gap: Option<(StorePosition, StorePosition)>,
 }
 
 impl StateSnapshot {
-    /// Every change up to this revision is contained; 0 when nothing was read yet.
-    pub fn through(&self) -> Revision {
+    /// Every change of the era up to this position is contained; unread when nothing was read yet.
+    pub fn through(&self) -> StorePosition {
         self.through
     }
 
+    /// What a peer is asked with for what is missing here.
+    pub fn query(&self) -> StateQuery {
+        StateQuery {
+            after: self.through,
+            version: self.routes.as_ref().map(|routes| routes.version),
+        }
+    }
+
     /// The effective configuration.
     pub fn routes(&self) -> Option<&Arc<RouteConfig>> {
         self.routes.as_ref()
@@ -153,18 +176,23 @@
 
     /// Whether flows can be placed: there is a configuration and a list of upstreams.
     pub fn is_complete(&self) -> bool {
-        self.through > 0 && self.routes.is_some()
+        !self.through.is_unread() && self.routes.is_some()
     }
 
     /// Merges an update.
     pub fn merge(&mut self, update: &StateUpdate) -> MergeOutcome {
-        let mut outcome = MergeOutcome::default();
-        let older = update.through < self.through;
-        let gap = !update.whole && update.after > self.through;
-        if older || gap {
+        let has_state = !self.through.is_unread();
+        let mut outcome = MergeOutcome {
+            crosses_era: has_state && update.through.era > self.through.era,
+            ..MergeOutcome::default()
+        };
+        if update.through < self.through || !self.is_continued_by(update) {
             outcome.is_stale = true;
             return outcome;
         }
+        if update.whole || outcome.crosses_era {
+            self.open_gap(update.through);
+        }
         if update.whole {
             self.drop_unlisted(update, &mut outcome);
         }
@@ -175,24 +203,47 @@
         outcome
     }
 
-    /// The delta for a peer that holds every change up to `after`; the whole state where tombstones may be
-    /// missing, without the content that the peer must hold already.
-    pub fn update_since(&self, after: Revision) -> StateUpdate {
+    fn is_continued_by(&self, update: &StateUpdate) -> bool {
+        let same_era =
+            update.after.era == update.through.era && update.after.era == self.through.era;
+        update.whole || update.after == self.through || same_era && update.after <= self.through
+    }
+
+    /// Records that what happened between the present position and `through` is not known.
+    fn open_gap(&mut self, through: StorePosition) {
+        if let Some((_from, to)) = self.gap {
+            self.removals_from = self.removals_from.max(to);
+        }
+        self.gap = Some((self.through, through));
+    }
+
+    /// The delta for a peer that holds this; the whole state where tombstones may be missing, without the content
+    /// that the peer must hold already.
+    pub fn update_since(&self, query: &StateQuery) -> StateUpdate {
+        let after = query.after;
         let in_gap = self
             .gap
             .is_some_and(|(from, to)| from < after && after < to);
-        let forgotten = after == 0 || after < self.removals_from;
+        let forgotten = after.is_unread() || after < self.removals_from;
         let ahead = after > self.through;
         let whole = forgotten || in_gap || ahead;
-        let known = if ahead { 0 } else { after };
+        // A peer in another era may hold what the store has lost in place of what it holds now.
+        let other_era = after.era != self.through.era;
+        let known = if ahead || whole && other_era {
+            StorePosition::UNREAD
+        } else {
+            after
+        };
         let held = self.held_items();
         let items: Vec<PublishedItem> = if whole {
             held.map(|item| item.named_if_known(known)).collect()
         } else {
-            let newer = held.filter(|item| item.revision > known);
+            let newer = held.filter(|item| item.position > known);
             newer.chain(self.removed_items(known)).collect()
         };
-        let after = if whole { 0 } else { after };
+        let routes = self.routes_item(query.version, whole);
+        let items = routes.into_iter().chain(items).collect();
+        let after = if whole { StorePosition::UNREAD } else { after };
         StateUpdate {
             items,
             through: self.through,
@@ -201,15 +252,26 @@
         }
     }
 
-    fn held_items(&self) -> impl Iterator<Item = PublishedItem> {
-        let routes = self.routes.iter().map(|routes| PublishedItem {
+    /// The configuration, for a peer that holds the version `known`.
+    fn routes_item(&self, known: Option<Version>, whole: bool) -> Option<PublishedItem> {
+        let routes = self.routes.as_ref()?;
+        let is_known = known.is_some_and(|known| known >= routes.version);
+        let content = match is_known {
+            true => ItemContent::Unchanged,
+            false => ItemContent::Routes(routes.clone()),
+        };
+        (whole || !is_known).then_some(PublishedItem {
             key: ItemKey::Routes,
-            revision: self.routes_revision,
-            content: ItemContent::Routes(routes.clone()),
-        });
+            position: self.routes_position,
+            content,
+        })
+    }
+
+    /// Everything that is held but the configuration.
+    fn held_items(&self) -> impl Iterator<Item = PublishedItem> {
         let upstreams = self.upstreams.iter().map(|(name, held)| PublishedItem {
             key: ItemKey::Upstream(name.clone()),
-            revision: held.revision,
+            position: held.position,
             content: match &held.entry {
                 Some(entry) => ItemContent::Upstream(entry.clone()),
                 None => ItemContent::Unreadable,
@@ -218,20 +280,20 @@
         let evacuations = self
             .evacuations
             .iter()
-            .map(|(zone, revision)| PublishedItem {
+            .map(|(zone, position)| PublishedItem {
                 key: ItemKey::Evacuation(zone.clone()),
-                revision: *revision,
+                position: *position,
                 content: ItemContent::Evacuated,
             });
-        routes.chain(evacuations).chain(upstreams)
+        evacuations.chain(upstreams)
     }
 
-    fn removed_items(&self, after: Revision) -> impl Iterator<Item = PublishedItem> {
+    fn removed_items(&self, after: StorePosition) -> impl Iterator<Item = PublishedItem> {
         let removals = self.removals.iter();
-        let newer = removals.filter(move |(revision, key)| *revision > after && !self.holds(key));
-        newer.map(|(revision, key)| PublishedItem {
+        let newer = removals.filter(move |(position, key)| *position > after && !self.holds(key));
+        newer.map(|(position, key)| PublishedItem {
             key: key.clone(),
-            revision: *revision,
+            position: *position,
             content: ItemContent::Removed,
         })
     }
@@ -249,28 +311,24 @@
         let through = update.through;
         let upstreams = self.upstreams.iter().map(|(name, held)| {
             let key = ItemKey::Upstream(name.clone());
-            (key, held.revision)
+            (key, held.position)
         });
-        let evacuations = self.evacuations.iter().map(|(zone, revision)| {
+        let evacuations = self.evacuations.iter().map(|(zone, position)| {
             let key = ItemKey::Evacuation(zone.clone());
-            (key, *revision)
+            (key, *position)
         });
         let unlisted = upstreams
             .chain(evacuations)
-            .filter(|(key, revision)| *revision <= through && !listed.contains(key));
-        let dropped: Vec<ItemKey> = unlisted.map(|(key, _revision)| key).collect();
-        if let Some((_from, to)) = self.gap {
-            self.removals_from = self.removals_from.max(to);
-        }
-        self.gap = Some((self.through, through));
+            .filter(|(key, position)| *position <= through && !listed.contains(key));
+        let dropped: Vec<ItemKey> = unlisted.map(|(key, _position)| key).collect();
         for key in dropped {
-            // The revision of the deletion is not known; it is at most this one.
+            // The position of the deletion is not known; it is at most this one.
             self.remove(through, &key, outcome);
         }
     }
 
     /// Removes an item and keeps a tombstone.
-    fn remove(&mut self, revision: Revision, key: &ItemKey, outcome: &mut MergeOutcome) {
+    fn remove(&mut self, position: StorePosition, key: &ItemKey, outcome: &mut MergeOutcome) {
         let change = match key {
             ItemKey::Routes => None,
             ItemKey::Upstream(name) => {
@@ -279,48 +337,49 @@
             }
             ItemKey::Evacuation(zone) => {
                 let removed = self.evacuations.remove(zone);
-                removed.map(|_revision| StateChange::Restored(zone.clone()))
+                removed.map(|_position| StateChange::Restored(zone.clone()))
             }
         };
         outcome.changes.extend(change);
-        self.remember_removal(revision, key);
+        self.remember_removal(position, key);
     }
 
     fn merge_item(&mut self, item: &PublishedItem, outcome: &mut MergeOutcome) {
         match (&item.key, &item.content) {
             (ItemKey::Routes, ItemContent::Routes(routes)) => {
-                self.merge_routes(item.revision, routes, outcome);
+                self.merge_routes(item.position, routes, outcome);
             }
             (ItemKey::Routes, ItemContent::Unchanged) if self.routes.is_some() => {}
             (ItemKey::Routes, _) => outcome.unreadable += 1,
             (ItemKey::Upstream(name), content) => {
-                self.merge_upstream(item.revision, name, content, outcome);
+                self.merge_upstream(item.position, name, content, outcome);
             }
             (ItemKey::Evacuation(zone), content) => {
-                self.merge_evacuation(item.revision, zone, content, outcome);
+                self.merge_evacuation(item.position, zone, content, outcome);
             }
         }
     }
 
     fn merge_evacuation(
         &mut self,
-        revision: Revision,
+        position: StorePosition,
         zone: &ZoneName,
         content: &ItemContent,
         outcome: &mut MergeOutcome,
     ) {
         let held = self.evacuations.get(zone).copied();
-        if held.is_some_and(|held| held >= revision) {
+        if held.is_some_and(|held| is_known(held, position, outcome)) {
             return;
         }
         match content {
+            ItemContent::Evacuated if held.is_some_and(|held| is_same_write(held, position)) => {}
             ItemContent::Evacuated => {
-                self.evacuations.insert(zone.clone(), revision);
-                let change = StateChange::Evacuated(zone.clone(), revision);
+                self.evacuations.insert(zone.clone(), position);
+                let change = StateChange::Evacuated(zone.clone(), position.revision);
                 outcome.changes.push(change);
             }
             ItemContent::Removed => {
-                self.remove(revision, &ItemKey::Evacuation(zone.clone()), outcome);
+                self.remove(position, &ItemKey::Evacuation(zone.clone()), outcome);
             }
             ItemContent::Unchanged if held.is_some() => {}
             _ => outcome.unreadable += 1,
@@ -331,31 +390,34 @@
     /// leave callers without routes, and an older one must not restore routes that were dropped.
     fn merge_routes(
         &mut self,
-        revision: Revision,
+        position: StorePosition,
         routes: &Arc<RouteConfig>,
         outcome: &mut MergeOutcome,
     ) {
-        let held = self.routes.as_ref().map(|held| held.version);
-        if held.is_some_and(|held| held > routes.version) {
-            outcome.regressed = Some(routes.version);
-            return;
-        }
-        if held != Some(routes.version) {
-            outcome.changes.push(StateChange::Routes(routes.clone()));
+        if let Some(held) = &self.routes {
+            let same_version = held.version == routes.version;
+            if held.version > routes.version {
+                outcome.regressed = Some(routes.version);
+                return;
+            }
+            if same_version && (position <= self.routes_position || held == routes) {
+                return;
+            }
         }
+        outcome.changes.push(StateChange::Routes(routes.clone()));
         self.routes = Some(routes.clone());
-        self.routes_revision = self.routes_revision.max(revision);
+        self.routes_position = position;
     }
 
     fn merge_upstream(
         &mut self,
-        revision: Revision,
+        position: StorePosition,
         name: &UpstreamName,
         content: &ItemContent,
         outcome: &mut MergeOutcome,
     ) {
         let held = self.upstreams.get(name);
-        if held.is_some_and(|held| held.revision >= revision) {
+        if held.is_some_and(|held| is_known(held.position, position, outcome)) {
             return;
         }
         let entry = match content {
@@ -369,22 +431,27 @@
                 return;
             }
             ItemContent::Removed => {
-                self.remove(revision, &ItemKey::Upstream(name.clone()), outcome);
+                self.remove(position, &ItemKey::Upstream(name.clone()), outcome);
                 return;
             }
         };
+        let is_same = held.is_some_and(|held| held.entry == entry);
+        if is_same && held.is_some_and(|held| is_same_write(held.position, position)) {
+            return;
+        }
         let was_usable = held.is_some_and(|held| held.entry.is_some());
         match &entry {
+            Some(_entry) if is_same && outcome.crosses_era => {}
             Some(entry) => outcome.changes.push(StateChange::Upstream(entry.clone())),
             None if was_usable => outcome.changes.push(StateChange::Removed(name.clone())),
             None => {}
         }
         self.upstreams
-            .insert(name.clone(), HeldEntry { revision, entry });
+            .insert(name.clone(), HeldEntry { position, entry });
     }
 
-    fn remember_removal(&mut self, revision: Revision, key: &ItemKey) {
-        self.removals.push_back((revision, key.clone()));
+    fn remember_removal(&mut self, position: StorePosition, key: &ItemKey) {
+        self.removals.push_back((position, key.clone()));
         if self.removals.len() > MAX_TOMBSTONES
             && let Some((forgotten, _key)) = self.removals.pop_front()
         {
@@ -392,3 +459,18 @@
         }
     }
 }
+
+/// Whether an item held at one position makes the same item at another one stale. Across eras only equal positions do: an
+/// item that the store has lost may have the larger one.
+fn is_known(held: StorePosition, position: StorePosition, outcome: &MergeOutcome) -> bool {
+    match outcome.crosses_era {
+        true => held == position,
+        false => held >= position,
+    }
+}
+
+/// Whether two positions of an item with the same content may be the same write, that a copy of the store contains. The item
+/// then keeps the earlier position, so that peers of the earlier era need not be sent it again.
+fn is_same_write(held: StorePosition, position: StorePosition) -> bool {
+    held.revision == position.revision && held.era <= position.era
+}
--- a/packet/src/state_source.rs
+++ b/packet/src/state_source.rs
@@ -6,8 +6,8 @@
 
 use lagoonproxy::flow_hash::rendezvous_weight;
 
-use crate::ids::Revision;
 use crate::peer_table::PeerTable;
+use crate::state_snapshot::StateQuery;
 
 /// How long a host that lists the store waits for the end before it asks a peer as well.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -70,13 +70,13 @@
     pub fn source(
         &mut self,
         now: Instant,
-        through: Revision,
+        held: &StateQuery,
         state: ReadState,
     ) -> Option<SocketAddrV4> {
         let own_key = address_key(self.own);
         let best = self
             .alive(now)
-            .filter(|(_address, peer)| peer.through > through && peer.may_be_asked(now))
+            .filter(|(_address, peer)| peer.is_ahead_of(held) && peer.may_be_asked(now))
             .max_by_key(|(address, peer)| {
                 let weight = rendezvous_weight(own_key, address_key(*address));
                 let is_local = peer.zone == self.zone;
--- a/packet/src/store_feed.rs
+++ b/packet/src/store_feed.rs
@@ -2,8 +2,8 @@
 //!
 //! First the whole list is read, page by page, and then watched from the revision of the first
 //! page on, so that what changed between pages is seen again. A watch goes on where the last one
-//! ended, over any number of failures; only when the store has dropped that part of its history
-//! is the list read again. What was learned is never forgotten meanwhile.
+//! ended, over any number of failures; only when the store has dropped that part of its history, or has come back
+//! from a copy, is the list read again. What was learned is never forgotten meanwhile.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -11,9 +11,10 @@
 use smol_str::SmolStr;
 use snafu::Snafu;
 
-use crate::ids::Revision;
+use crate::ids::StoreEra;
 use crate::state_snapshot::PublishedItem;
 use crate::state_snapshot::StateUpdate;
+use crate::store_position::StorePosition;
 
 /// How long a watch may wait at the store. A shorter one costs calls, of which only the few readers
 /// make any; a longer one leaves a store that is silent to its reader unnoticed.
@@ -61,6 +62,20 @@
     /// The store no longer has the history asked for.
     #[snafu(display("the store has dropped the history that was asked for"))]
     HistoryDropped,
+    /// The store has come back from a copy since the list was begun, or since the position to be watched from.
+    #[snafu(display("the store has come back from a copy: era {era}"))]
+    EraChanged {
+        /// The era of the answer.
+        era: StoreEra,
+    },
+    /// The answer is of an earlier state than the store has shown before.
+    #[snafu(display("the store's answer is of {answered}, which is before {known}"))]
+    Regressed {
+        /// The position of the answer.
+        answered: StorePosition,
+        /// The position that the store has shown before.
+        known: StorePosition,
+    },
     /// The answer cannot be read.
     #[snafu(display("the store's answer cannot be read: {reason}"))]
     Malformed {
@@ -76,8 +91,8 @@
     pub items: Vec<PublishedItem>,
     /// The last key of the page; `None` if it is the last page.
     pub next_after: Option<SmolStr>,
-    /// The store's revision when the page was read.
-    pub revision: Revision,
+    /// The store's position when the page was read.
+    pub position: StorePosition,
 }
 
 /// How far the body of a page has come.
@@ -98,8 +113,8 @@
     pub items: Vec<PublishedItem>,
     /// Whether there was any change, also such as does not concern this system.
     pub changed: bool,
-    /// The revision to go on from.
-    pub revision: Revision,
+    /// The position to go on from.
+    pub position: StorePosition,
 }
 
 /// What to do next.
@@ -112,10 +127,10 @@
         /// How long after the answer's head to look whether the list is better left to other hosts.
         look_after: Option<Duration>,
     },
-    /// Wait for changes after this revision.
+    /// Wait for changes after this position.
     Watch {
-        /// The revision.
-        after: Revision,
+        /// The position.
+        after: StorePosition,
         /// How long the store may wait for a change.
         wait: Duration,
     },
@@ -130,16 +145,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct StoreFeed {
     /// Where the watch goes on; `None` while the list has to be read.
-    watched: Option<Revision>,
-    /// The store has dropped the history up to here, so that a state as old as that needs the list.
-    dropped: Revision,
+    watched: Option<StorePosition>,
+    /// The store has refused to continue this position, so that a state as old as that needs the list.
+    refused: StorePosition,
     /// Whether the store has answered the last call of this host.
     answered: bool,
-    /// Revision of the first page of a list that is being read.
-    listed_from: Option<Revision>,
+    /// Position of the first page of a list that is being read.
+    listed_from: Option<StorePosition>,
     next_after: Option<SmolStr>,
     gathered: Vec<PublishedItem>,
     not_before: Option<Instant>,
+    /// Failed calls since the last watch that was answered. A list does not end the count: a store may refuse
+    /// each watch from where its own list ends.
     failures: u32,
 }
 
@@ -165,10 +182,10 @@
         }
     }
 
-    /// Goes on from a revision that a peer has handed on, if that is further; nothing is listed then.
-    pub fn skip_to(&mut self, revision: Revision) {
-        if revision > self.watched.unwrap_or(self.dropped) {
-            self.watched = Some(revision);
+    /// Goes on from a position that a peer has handed on, if that is further; nothing is listed then.
+    pub fn skip_to(&mut self, position: StorePosition) {
+        if position > self.watched.unwrap_or(self.refused) {
+            self.watched = Some(position);
             self.leave_list();
         }
     }
@@ -181,50 +198,59 @@
     }
 
     /// Accepts a page; the update once the list is complete.
-    pub fn listed(&mut self, page: ListPage) -> Option<StateUpdate> {
-        self.succeeded();
-        let through = *self.listed_from.get_or_insert(page.revision);
+    ///
+    /// Fails if the page is of another era than those before it, or of an earlier state than a watch was refused
+    /// from.
+    pub fn listed(&mut self, page: ListPage) -> Result<Option<StateUpdate>, StoreFault> {
+        let through = self.listed_from.unwrap_or(page.position);
+        check_position(page.position, through.max(self.refused), through.era)?;
+        self.answered = true;
+        self.not_before = None;
+        self.listed_from = Some(through);
         self.gathered.extend(page.items);
         if page.next_after.is_some() {
             self.next_after = page.next_after;
-            return None;
+            return Ok(None);
         }
         self.next_after = None;
         self.listed_from = None;
         self.watched = Some(through);
-        Some(StateUpdate {
+        Ok(Some(StateUpdate {
             items: std::mem::take(&mut self.gathered),
             through,
             whole: true,
-            after: 0,
-        })
+            after: StorePosition::UNREAD,
+        }))
     }
 
     /// Accepts the events of a watch.
-    pub fn changed(&mut self, now: Instant, batch: WatchBatch) -> StateUpdate {
-        self.succeeded();
+    ///
+    /// Fails if they do not continue the position that was watched from.
+    pub fn changed(&mut self, now: Instant, batch: WatchBatch) -> Result<StateUpdate, StoreFault> {
         let after = self.watched.unwrap_or_default();
-        let through = batch.revision.max(after);
+        let through = batch.position;
+        check_position(through, after, after.era)?;
+        self.failures = 0;
+        self.answered = true;
         self.watched = Some(through);
-        if batch.changed {
-            self.not_before = Some(now + BATCH_PAUSE);
-        }
-        StateUpdate {
+        self.not_before = batch.changed.then(|| now + BATCH_PAUSE);
+        Ok(StateUpdate {
             items: batch.items,
             through,
             whole: false,
             after,
-        }
+        })
     }
 
     /// Records a failed call.
     pub fn failed(&mut self, now: Instant, fault: &StoreFault) {
         self.answered = false;
-        if *fault == StoreFault::HistoryDropped {
-            self.dropped = self.watched.take().unwrap_or(self.dropped);
+        let needs_list = fault.needs_list();
+        if needs_list {
+            self.refused = self.watched.take().unwrap_or(self.refused);
         }
         self.leave_list();
-        if *fault == StoreFault::HistoryDropped && self.failures == 0 {
+        if needs_list && self.failures == 0 {
             self.failures = 1;
             return;
         }
@@ -240,10 +266,26 @@
         self.next_after = None;
         self.gathered = Vec::new();
     }
+}
 
-    fn succeeded(&mut self) {
-        self.failures = 0;
-        self.answered = true;
-        self.not_before = None;
+impl StoreFault {
+    /// Whether the store responded, and the list has to be read to go on.
+    pub fn needs_list(&self) -> bool {
+        matches!(self, Self::HistoryDropped | Self::EraChanged { .. })
+    }
+}
+
+/// Checks that an answer is of this era, and not of an earlier state than is known.
+fn check_position(
+    answered: StorePosition,
+    known: StorePosition,
+    era: StoreEra,
+) -> Result<(), StoreFault> {
+    if answered < known {
+        return Err(StoreFault::Regressed { answered, known });
+    }
+    if answered.era != era {
+        return Err(StoreFault::EraChanged { era: answered.era });
     }
+    Ok(())
 }
--- a/packet/src/upstream_entry.rs
+++ b/packet/src/upstream_entry.rs
@@ -13,6 +13,7 @@
 use crate::ids::ServiceName;
 use crate::ids::UpstreamName;
 use crate::ids::UpstreamNumber;
+use crate::ids::WriteCount;
 
 /// Whether an upstream wants new flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,4 +47,6 @@
     pub warmup_left: Duration,
     /// When its process started, if it says so. A change means that it holds nothing of before.
     pub born: Option<BornMillis>,
+    /// Which of its process's writes this is; a larger one is newer.
+    pub write_count: WriteCount,
 }
--- a/packet/src/upstream_record.rs
+++ b/packet/src/upstream_record.rs
@@ -12,6 +12,8 @@
 use crate::ids::ServiceIndex;
 use crate::ids::UpstreamName;
 use crate::ids::UpstreamNumber;
+use crate::ids::WriteCount;
+use crate::upstream_entry::UpstreamEntry;
 use crate::warmup_admission::WarmupAdmission;
 
 /// The state of an upstream's registration.
@@ -21,11 +23,13 @@
     Ready,
     /// It keeps its flows and takes no new ones.
     Draining,
-    /// The registration vanished without notice while the upstream responded; it counts as ready until the
-    /// deadline, then as deregistered.
+    /// The registration vanished without notice while the upstream responded, or was lost by the store; it stands
+    /// until the deadline, and the upstream then counts as deregistered.
     Lapsed {
         /// When it counts as deregistered.
         until: Instant,
+        /// Whether it takes no new flows: it was draining.
+        is_draining: bool,
     },
     /// The registration is gone. Flows to which the upstream still responds go on.
     Deregistered {
@@ -34,6 +38,16 @@
     },
 }
 
+/// A registration that is applied only if its upstream does not write again before the deadline. The store removes that of an
+/// upstream that is gone within this time.
+#[derive(Clone, Debug)]
+pub struct HeldRegistration {
+    /// The registration.
+    pub entry: UpstreamEntry,
+    /// When it is applied.
+    pub until: Instant,
+}
+
 /// One upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamRecord {
@@ -56,6 +70,10 @@
     pub slots: u32,
     /// The state of its registration.
     pub registration: RegistrationState,
+    /// Which of its process's writes was applied last.
+    pub write_count: WriteCount,
+    /// A registration that a restored store lists and that is older than the one applied last.
+    pub held: Option<HeldRegistration>,
     /// Until when it is slow after its start.
     pub warm_at: Instant,
     /// How it gets new flows until then, if its service has a limit.
@@ -83,11 +101,27 @@
     pub fn takes_flows(&self) -> bool {
         let listed = matches!(
             self.registration,
-            RegistrationState::Ready | RegistrationState::Lapsed { .. }
+            RegistrationState::Ready
+                | RegistrationState::Lapsed {
+                    is_draining: false,
+                    ..
+                }
         );
         listed && self.tag.is_some()
     }
 
+    /// Whether a registration of it is older than the one applied last: a copy of the store may contain it.
+    pub fn supersedes(&self, entry: &UpstreamEntry) -> bool {
+        let same_process = match (self.born, entry.born) {
+            (Some(applied), Some(listed)) if applied != listed => return listed < applied,
+            _ => true,
+        };
+        let is_gone = matches!(self.registration, RegistrationState::Deregistered { .. });
+        let is_older = entry.write_count < self.write_count;
+        let is_last = entry.write_count == self.write_count;
+        same_process && (is_older || is_gone && is_last)
+    }
+
     /// Requests that it has in progress, as far as can be told: those through this host and, in its own
     /// zone, as many through each other host. What those say is half a second old, which is ten requests.
     pub fn requests(&self, local_hosts: u32) -> u32 {
--- a/packet/src/upstream_table.rs
+++ b/packet/src/upstream_table.rs
@@ -24,6 +24,7 @@
 use crate::policy_config::PolicyConfig;
 use crate::upstream_entry::EntryState;
 use crate::upstream_entry::UpstreamEntry;
+use crate::upstream_record::HeldRegistration;
 use crate::upstream_record::RegistrationState;
 use crate::upstream_record::UpstreamRecord;
 use crate::warmup_admission::WarmupAdmission;
@@ -46,6 +47,15 @@
     pub warmup: Option<WarmupLimit>,
 }
 
+/// What became of a registration that a restored store lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RestoredEntry {
+    /// It was applied.
+    Registered(UpstreamIndex),
+    /// It is older than what the upstream wrote last, and is held.
+    Held(UpstreamIndex),
+}
+
 /// Every upstream that is registered, or was and may still have flows.
 #[derive(Debug)]
 pub struct UpstreamTable {
@@ -62,6 +72,15 @@
     evacuated: EvacuatedZones,
 }
 
+/// Upstreams whose grace time has ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ExpiredUpstreams {
+    /// Their lapsed registrations now count as gone.
+    pub retired: Vec<UpstreamIndex>,
+    /// Their held registrations have been applied.
+    pub registered: Vec<UpstreamIndex>,
+}
+
 /// The tag of an upstream's flows: alike on every host, whatever its view.
 pub fn flow_tag(name: &UpstreamName) -> FlowTag {
     let hash = xxh3_64(name.as_bytes());
@@ -167,6 +186,8 @@
         record.is_local = is_local;
         record.slots = entry.slots;
         record.born = entry.born;
+        record.write_count = entry.write_count;
+        record.held = None;
         record.warm_at = now + entry.warmup_left;
         record.warmup.is_claimed = false;
         record.registration = match entry.state {
@@ -177,6 +198,57 @@
         index
     }
 
+    /// Registers an upstream that a restored store lists, unless it has written something newer that the store lost: until it
+    /// writes again, or for the grace time, that stands.
+    pub fn register_restored(&mut self, now: Instant, entry: &UpstreamEntry) -> RestoredEntry {
+        let known = self.by_name(&entry.name);
+        match known.filter(|index| self.get(*index).supersedes(entry)) {
+            Some(index) => {
+                let until = now + self.config.lapse.restored_grace;
+                let entry = entry.clone();
+                self.get_mut(index).held = Some(HeldRegistration { entry, until });
+                RestoredEntry::Held(index)
+            }
+            None => RestoredEntry::Registered(self.register(now, entry)),
+        }
+    }
+
+    /// Lets a registration that a restored store does not list stand for the grace time, in which its upstream writes it again;
+    /// `None` if it was gone before.
+    pub fn lapse_unlisted(&mut self, now: Instant, name: &UpstreamName) -> Option<UpstreamIndex> {
+        let until = now + self.config.lapse.restored_grace;
+        let index = self.by_name(name)?;
+        let record = self.get_mut(index);
+        record.held = None;
+        let is_draining = match record.registration {
+            RegistrationState::Ready => false,
+            RegistrationState::Draining => true,
+            RegistrationState::Lapsed { is_draining, .. } => is_draining,
+            RegistrationState::Deregistered { .. } => return None,
+        };
+        record.registration = RegistrationState::Lapsed { until, is_draining };
+        Some(index)
+    }
+
+    /// Gives upstreams whose registration is missing or held the whole grace time from now: the store has come back
+    /// from a copy once more, and may have lost again what they wrote.
+    pub fn extend_lapses(&mut self, now: Instant) {
+        let deadline = now + self.config.lapse.restored_grace;
+        for record in &mut self.records {
+            if let RegistrationState::Lapsed { until, .. } = &mut record.registration {
+                *until = deadline;
+            }
+            if let Some(held) = &mut record.held {
+                held.until = deadline;
+            }
+        }
+        for evacuation in self.evacuated.values_mut() {
+            if let Some(expires_at) = &mut evacuation.expires_at {
+                *expires_at = now + self.config.lapse.evacuation_grace;
+            }
+        }
+    }
+
     /// The evacuated zones.
     pub fn evacuated(&self) -> &EvacuatedZones {
         &self.evacuated
@@ -199,16 +271,41 @@
     pub fn evacuate(&mut self, now: Instant, zone: &ZoneName, revision: Revision) {
         if let Some(evacuation) = self.evacuated.get_mut(zone) {
             evacuation.revision = revision;
+            evacuation.expires_at = None;
             return;
         }
         let evacuation = ZoneEvacuation {
             revision,
             applied_at: now,
+            expires_at: None,
         };
         self.evacuated.insert(zone.clone(), evacuation);
         self.reassign_zone(zone);
     }
 
+    /// Lets an evacuation that a restored store does not list stand for the grace time, in which operators request it
+    /// again.
+    pub fn hold_evacuation(&mut self, now: Instant, zone: &ZoneName) {
+        let expires_at = now + self.config.lapse.evacuation_grace;
+        if let Some(evacuation) = self.evacuated.get_mut(zone) {
+            evacuation.expires_at = Some(expires_at);
+        }
+    }
+
+    /// Ends the evacuations that the store lost and that were not requested again; returns their zones.
+    pub fn expire_evacuations(&mut self, now: Instant) -> Vec<ZoneName> {
+        let due = self.evacuated.iter().filter(|(_zone, evacuation)| {
+            evacuation
+                .expires_at
+                .is_some_and(|expires_at| expires_at <= now)
+        });
+        let expired: Vec<ZoneName> = due.map(|(zone, _evacuation)| zone.clone()).collect();
+        for zone in &expired {
+            self.restore(now, zone);
+        }
+        expired
+    }
+
     /// Places new flows in a zone again. Its upstreams may have become cold without saying so yet, so
     /// that those with a limit warm up from now.
     pub fn restore(&mut self, now: Instant, zone: &ZoneName) {
@@ -299,45 +396,58 @@
         let LapseConfig {
             grace,
             recent_response,
+            ..
         } = self.config.lapse;
         let record = self.get_mut(index);
+        record.held = None;
         let answers = record
             .silence
             .last_response()
             .is_some_and(|sign| now.saturating_duration_since(sign) < recent_response);
         if record.registration == RegistrationState::Ready && answers {
             let until = now + grace;
-            record.registration = RegistrationState::Lapsed { until };
+            record.registration = RegistrationState::Lapsed {
+                until,
+                is_draining: false,
+            };
         } else {
             self.retire(now, index);
         }
         Some(index)
     }
 
-    /// Expires lapsed and deregistered upstreams; returns those whose grace has ended.
-    pub fn tick(&mut self, now: Instant) -> Vec<UpstreamIndex> {
-        let mut retired = Vec::new();
+    /// Expires lapsed and deregistered upstreams, and applies registrations that were held; returns those whose grace has
+    /// ended.
+    pub fn tick(&mut self, now: Instant) -> ExpiredUpstreams {
+        let mut expired = ExpiredUpstreams::default();
         let mut forgotten = Vec::new();
+        let mut due = Vec::new();
         for index in self.by_name.values().copied() {
             let record = &mut self.records[index as usize];
             record.silence.tick(now);
+            due.extend(record.held.take_if(|held| held.until <= now));
             match record.registration {
-                RegistrationState::Lapsed { until } if until <= now => retired.push(index),
+                RegistrationState::Lapsed { until, .. } if until <= now => {
+                    expired.retired.push(index);
+                }
                 RegistrationState::Deregistered { forget_at }
-                    if forget_at <= now && !record.has_flows() =>
+                    if forget_at <= now && !record.has_flows() && record.held.is_none() =>
                 {
                     forgotten.push(index);
                 }
                 _ => {}
             }
         }
-        for index in &retired {
+        for index in &expired.retired {
             self.retire(now, *index);
         }
         for index in forgotten {
             self.forget(index);
         }
-        retired
+        for held in due {
+            expired.registered.push(self.register(now, &held.entry));
+        }
+        expired
     }
 
     /// Runs outlier detection; returns the upstreams whose state changed.
@@ -452,6 +562,8 @@
             is_local: false,
             slots: entry.slots,
             registration: RegistrationState::Ready,
+            write_count: entry.write_count,
+            held: None,
             warm_at: now,
             warmup: WarmupAdmission::default(),
             born: entry.born,
--- a/packet/src/zone_evacuation.rs
+++ b/packet/src/zone_evacuation.rs
@@ -2,7 +2,7 @@
 //!
 //! An evacuated zone gets no new flow, whatever else is known of upstreams: neither saturation nor a
 //! panic threshold brings it back. Its open flows go on. It holds until the published state no longer
-//! lists it, also while the store cannot be read.
+//! lists it, also while the store cannot be read; if the store has lost it, for some time longer.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -18,6 +18,8 @@
     pub revision: Revision,
     /// When this host stopped placing flows there.
     pub applied_at: Instant,
+    /// When it ends unless it is requested again, if the store has lost the request.
+    pub expires_at: Option<Instant>,
 }
 
 /// The evacuated zones by name, also those that hold no upstream.
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -10,6 +10,7 @@
 use lagoonproxy_packet::host_settings::HostSettings;
 use lagoonproxy_packet::ids::FlowTag;
 use lagoonproxy_packet::ids::Revision;
+use lagoonproxy_packet::ids::StoreEra;
 use lagoonproxy_packet::ids::UpstreamName;
 use lagoonproxy_packet::packet_action::DecisionEvent;
 use lagoonproxy_packet::packet_action::FlowReset;
@@ -26,6 +27,7 @@
 use lagoonproxy_packet::state_snapshot::ItemKey;
 use lagoonproxy_packet::state_snapshot::PublishedItem;
 use lagoonproxy_packet::state_snapshot::StateUpdate;
+use lagoonproxy_packet::store_position::StorePosition;
 use lagoonproxy_packet::upstream_entry::EntryState;
 use lagoonproxy_packet::upstream_entry::UpstreamEntry;
 use lagoonproxy_packet::upstream_table::flow_tag;
@@ -33,6 +35,16 @@
 /// Zone of the host in tests.
 pub const ZONE: &str = "a";
 
+/// A position in the first era.
+pub fn at(revision: Revision) -> StorePosition {
+    in_era(0, revision)
+}
+
+/// A position in an era.
+pub fn in_era(era: StoreEra, revision: Revision) -> StorePosition {
+    StorePosition { era, revision }
+}
+
 /// The address of the ledger.
 pub fn ledger() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
@@ -75,6 +87,7 @@
         state: EntryState::Ready,
         warmup_left: Duration::ZERO,
         born: Some(1),
+        write_count: 1,
     }
 }
 
@@ -105,7 +118,7 @@
 pub fn routes_item(revision: Revision, config: RouteConfig) -> PublishedItem {
     PublishedItem {
         key: ItemKey::Routes,
-        revision,
+        position: at(revision),
         content: ItemContent::Routes(Arc::new(config)),
     }
 }
@@ -114,7 +127,7 @@
 pub fn upstream_item(revision: Revision, entry: UpstreamEntry) -> PublishedItem {
     PublishedItem {
         key: ItemKey::Upstream(entry.name.clone()),
-        revision,
+        position: at(revision),
         content: ItemContent::Upstream(Arc::new(entry)),
     }
 }
@@ -123,7 +136,7 @@
 pub fn removed_item(revision: Revision, number: u8) -> PublishedItem {
     PublishedItem {
         key: ItemKey::Upstream(upstream_name(number)),
-        revision,
+        position: at(revision),
         content: ItemContent::Removed,
     }
 }
@@ -132,7 +145,7 @@
 pub fn evacuation_item(revision: Revision, zone: &str) -> PublishedItem {
     PublishedItem {
         key: ItemKey::Evacuation(zone.into()),
-        revision,
+        position: at(revision),
         content: ItemContent::Evacuated,
     }
 }
@@ -149,9 +162,9 @@
 pub fn whole(through: Revision, items: Vec<PublishedItem>) -> StateUpdate {
     StateUpdate {
         items,
-        through,
+        through: at(through),
         whole: true,
-        after: 0,
+        after: StorePosition::UNREAD,
     }
 }
 
@@ -159,9 +172,9 @@
 pub fn changes(after: Revision, through: Revision, items: Vec<PublishedItem>) -> StateUpdate {
     StateUpdate {
         items,
-        through,
+        through: at(through),
         whole: false,
-        after,
+        after: at(after),
     }
 }
 
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -14,6 +14,7 @@
 use lagoonproxy_packet::core_peers::AddressedHeartbeat;
 use lagoonproxy_packet::host_settings::HostSettings;
 use lagoonproxy_packet::ids::Revision;
+use lagoonproxy_packet::ids::StoreEra;
 use lagoonproxy_packet::packet_action::PacketOutput;
 use lagoonproxy_packet::packet_core::PacketCore;
 use lagoonproxy_packet::peer_datagram::PeerDatagram;
@@ -130,6 +131,8 @@
     pub(crate) items: Vec<PublishedItem>,
     /// The store's revision.
     pub revision: Revision,
+    /// How often the store has come back from a copy.
+    pub era: StoreEra,
     /// Changes up to this revision are no longer in the store's history.
     pub(crate) dropped: Revision,
     pub(crate) watches: Vec<WaitingWatch>,
@@ -202,6 +205,7 @@
             parted: BTreeSet::new(),
             items,
             revision: 10,
+            era: 0,
             dropped: 0,
             watches: Vec::new(),
             list_bytes: 460_000.0,
@@ -351,28 +355,38 @@
             } => {
                 self.hosts[place].asking = false;
                 match update {
-                    Some(update) => self.merge_and_forward(place, &update),
+                    Some(update) => {
+                        if !self.merge_and_forward(place, update) {
+                            self.hosts[place].core.source_failed(now, source, false);
+                        }
+                    }
                     None => self.hosts[place].core.source_failed(now, source, busy),
                 }
             }
             FleetEvent::Listed(Ok(page)) => {
                 let update = self.hosts[place].core.store_listed(now, page);
-                if let Some(update) = update {
-                    self.merge_and_forward(place, &update);
-                }
-                self.push(place, Duration::ZERO, FleetEvent::Read);
+                self.take_read(place, update);
             }
             FleetEvent::Watched(Ok(batch)) => {
                 let update = self.hosts[place].core.store_changed(now, batch);
-                self.merge_and_forward(place, &update);
-                self.push(place, Duration::ZERO, FleetEvent::Read);
+                self.take_read(place, update.map(Some));
             }
             FleetEvent::Listed(Err(fault)) | FleetEvent::Watched(Err(fault)) => {
-                let host = &mut self.hosts[place];
-                host.core.store_failed(now, &fault);
-                self.push(place, Duration::ZERO, FleetEvent::Read);
+                self.take_read(place, Err(fault));
+            }
+        }
+    }
+
+    /// Takes in the outcome of a call of the store.
+    fn take_read(&mut self, place: HostPlace, update: Result<Option<StateUpdate>, StoreFault>) {
+        match update {
+            Ok(Some(update)) => {
+                self.merge_and_forward(place, update);
             }
+            Ok(None) => {}
+            Err(fault) => self.hosts[place].core.store_failed(self.now, &fault),
         }
+        self.push(place, Duration::ZERO, FleetEvent::Read);
     }
 
     fn look(&mut self, place: HostPlace) {
@@ -396,7 +410,7 @@
     }
 
     fn ask(&mut self, place: HostPlace, source: SocketAddrV4) {
-        let after = self.hosts[place].core.view().through();
+        let query = self.hosts[place].core.view().query();
         let asked = self.place_of(source);
         let asked = asked.filter(|asked| self.hosts[*asked].alive && self.reach(place, *asked));
         self.hosts[place].asking = true;
@@ -411,7 +425,7 @@
             self.push(place, BUSY_DELAY, answer);
             return;
         }
-        let update = asked.map(|asked| self.hosts[asked].core.view().update_since(after));
+        let update = asked.map(|asked| self.hosts[asked].core.view().update_since(&query));
         if let Some(asked) = asked {
             self.hosts[asked].serving += 1;
             self.push(asked, STATE_DELAY, FleetEvent::Served);
@@ -427,15 +441,19 @@
         );
     }
 
-    pub(crate) fn merge_and_forward(&mut self, place: HostPlace, update: &StateUpdate) {
+    /// Merges an update and forwards it to the hosts of the zone if it was new; true if it was.
+    pub(crate) fn merge_and_forward(&mut self, place: HostPlace, update: StateUpdate) -> bool {
         let now = self.now;
         let core = &mut self.hosts[place].core;
-        if !core.merge(now, update, &mut PacketOutput::default()) {
-            return;
+        let before = core.view().query();
+        if !core.merge(now, &update, &mut PacketOutput::default()) {
+            return false;
         }
+        let update = core.forwarded_update(update, &before);
         for follower in self.hosts[place].core.followers(now) {
             self.send(place, follower, PeerDatagram::Change(update.clone()));
         }
+        true
     }
 
     fn take(&mut self, place: HostPlace, from: SocketAddrV4, datagram: PeerDatagram) {
@@ -444,7 +462,7 @@
         match datagram {
             PeerDatagram::Heartbeat(heartbeat) => {
                 let replies = core.heard(now, from, heartbeat, false);
-                let lacks_state = core.view().through() == 0;
+                let lacks_state = core.view().through().is_unread();
                 self.send_heartbeats(place, replies.heartbeats);
                 if lacks_state {
                     self.ask_if_behind(place);
--- a/packet/tests/fleet_store.rs
+++ b/packet/tests/fleet_store.rs
@@ -12,7 +12,9 @@
 use lagoonproxy_packet::store_feed::ListProgress;
 use lagoonproxy_packet::store_feed::StoreFault;
 use lagoonproxy_packet::store_feed::WatchBatch;
+use lagoonproxy_packet::store_position::StorePosition;
 
+use crate::core_rig::in_era;
 use crate::fleet_rig::FleetEvent;
 use crate::fleet_rig::FleetRig;
 use crate::fleet_rig::HostPlace;
@@ -54,7 +56,7 @@
 pub(crate) struct WaitingWatch {
     pub(crate) host: HostPlace,
     pub(crate) life: u32,
-    pub(crate) after: Revision,
+    pub(crate) after: StorePosition,
     pub(crate) until: Instant,
 }
 
@@ -62,18 +64,24 @@
     /// Publishes one change.
     pub fn publish(&mut self, item: impl FnOnce(Revision) -> PublishedItem) {
         self.revision += 1;
-        let item = item(self.revision);
+        let mut item = item(self.revision);
+        item.position.era = self.era;
         self.items.retain(|held| held.key != item.key);
         self.items.push(item);
         let (ready, waiting) = std::mem::take(&mut self.watches)
             .into_iter()
-            .partition(|watch| watch.after < self.revision);
+            .partition(|watch| watch.after.revision < self.revision);
         self.watches = waiting;
         for watch in ready {
             self.end_watch(&watch);
         }
     }
 
+    /// The position of the store.
+    pub fn position(&self) -> StorePosition {
+        in_era(self.era, self.revision)
+    }
+
     /// The store's content, to come back from.
     pub fn copy_store(&self) -> StoreCopy {
         StoreCopy {
@@ -85,7 +93,11 @@
     /// Lets the store come back from a copy: what was published since is gone, its revisions are given out again, and
     /// waiting watches are cut.
     pub fn restore_store(&mut self, copy: &StoreCopy) {
+        self.era += 1;
         self.items.clone_from(&copy.items);
+        for item in &mut self.items {
+            item.position.era = self.era;
+        }
         self.revision = copy.revision;
         self.dropped = self.dropped.min(copy.revision);
         for watch in std::mem::take(&mut self.watches) {
@@ -141,7 +153,7 @@
                 };
                 if !served {
                     self.push(place, STORE_DELAY, FleetEvent::Watched(Err(refusal)));
-                } else if after != self.revision {
+                } else if after != self.position() {
                     self.end_watch(&watch);
                 } else {
                     self.watches.push(watch);
@@ -172,7 +184,7 @@
                 let page = ListPage {
                     items: self.listed_items(),
                     next_after: None,
-                    revision: self.revision,
+                    position: self.position(),
                 };
                 let answer = if left {
                     Err(StoreFault::Crowded)
@@ -217,16 +229,20 @@
         if self.hosts[watch.host].life != watch.life {
             return;
         }
-        if watch.after < self.dropped || watch.after > self.revision {
+        let after = watch.after.revision;
+        if after < self.dropped || after > self.revision {
             let fault = StoreFault::HistoryDropped;
             self.push(watch.host, STORE_DELAY, FleetEvent::Watched(Err(fault)));
             return;
         }
-        let newer = self.items.iter().filter(|item| item.revision > watch.after);
+        let newer = self
+            .items
+            .iter()
+            .filter(|item| item.position.revision > after);
         let batch = WatchBatch {
             items: newer.cloned().collect(),
-            changed: watch.after < self.revision,
-            revision: self.revision,
+            changed: after < self.revision,
+            position: self.position(),
         };
         self.push(watch.host, STORE_DELAY, FleetEvent::Watched(Ok(batch)));
     }
--- a/packet/tests/test_fleet_reading.rs
+++ b/packet/tests/test_fleet_reading.rs
@@ -191,7 +191,7 @@
     rig.part([stale, fresh]);
     rig.hosts[stale].served = false;
     rig.pass_with_changes(4000, 500);
-    let changed = rig.revision;
+    let changed = rig.position();
     rig.start(fresh, Duration::ZERO);
     rig.pass(200);
     assert!(rig.hosts[fresh].core.is_ready(), "by its peer's state");
--- a/packet/tests/test_peer_table.rs
+++ b/packet/tests/test_peer_table.rs
@@ -17,6 +17,8 @@
 use lagoonproxy_packet::state_source::ReadState;
 use proptest::prelude::*;
 
+use lagoonproxy_packet::state_snapshot::StateQuery;
+
 use crate::core_rig::*;
 
 pub fn address(number: u8) -> SocketAddrV4 {
@@ -29,7 +31,8 @@
         ready: true,
         reads: false,
         capacity: 250,
-        through,
+        through: at(through),
+        version: Some(1),
         seeks: false,
         reader: None,
         named: Vec::new(),
@@ -38,6 +41,14 @@
     }
 }
 
+/// What a host asks with that holds the usual configuration.
+pub fn query(through: u64) -> StateQuery {
+    StateQuery {
+        after: at(through),
+        version: Some(1),
+    }
+}
+
 fn table(seeds: &[u8]) -> PeerTable {
     let seeds = seeds.iter().map(|number| address(*number)).collect();
     PeerTable::new(address(1), ZONE.into(), seeds)
@@ -204,16 +215,16 @@
         for (number, zone, through) in case.peers {
             table.heard(start, address(*number), heartbeat(zone, *through));
         }
-        let first = table.source(start, case.own, case.state);
+        let first = table.source(start, &query(case.own), case.state);
         let now = start + Duration::from_millis(case.wait_ms);
         let asked = if case.wait_ms == 0 {
             first
         } else {
-            table.source(now, case.own, case.state)
+            table.source(now, &query(case.own), case.state)
         };
         assert_eq!(asked, case.expected.map(address), "{}", case.name);
         assert_eq!(
-            table.source(now, case.own, case.state),
+            table.source(now, &query(case.own), case.state),
             None,
             "{}: not twice at once",
             case.name
@@ -231,7 +242,7 @@
         for number in 1..=20 {
             table.heard(now, address(number), heartbeat(ZONE, 9));
         }
-        asked.extend(table.source(now, 0, ReadState::Empty));
+        asked.extend(table.source(now, &query(0), ReadState::Empty));
     }
     let busiest = (1..=20)
         .map(|number| {
--- a/packet/tests/test_state_snapshot.rs
+++ b/packet/tests/test_state_snapshot.rs
@@ -5,15 +5,17 @@
 use lagoonproxy_packet::state_snapshot::ItemContent;
 use lagoonproxy_packet::state_snapshot::ItemKey;
 use lagoonproxy_packet::state_snapshot::PublishedItem;
+use lagoonproxy_packet::state_snapshot::StateQuery;
 use lagoonproxy_packet::state_snapshot::StateSnapshot;
 use lagoonproxy_packet::state_snapshot::StateUpdate;
+use lagoonproxy_packet::store_position::StorePosition;
 use proptest::prelude::*;
 
 use crate::core_rig::*;
 
 /// What a view holds, for comparison.
-fn content(view: &StateSnapshot) -> (Vec<PublishedItem>, u64) {
-    let update = view.update_since(0);
+fn content(view: &StateSnapshot) -> (Vec<PublishedItem>, StorePosition) {
+    let update = view.update_since(&StateQuery::default());
     (update.items, update.through)
 }
 
@@ -130,7 +132,7 @@
             view.merge(update);
         }
         let mut peer = StateSnapshot::default();
-        peer.merge(&view.update_since(0));
+        peer.merge(&view.update_since(&StateQuery::default()));
         for (holder, view) in [("itself", &view), ("a peer", &peer)] {
             let zones: Vec<_> = content(view)
                 .0
@@ -228,7 +230,7 @@
                 11,
                 vec![PublishedItem {
                     key: ItemKey::Routes,
-                    revision: 11,
+                    position: at(11),
                     content: ItemContent::Removed,
                 }],
             ),
@@ -243,7 +245,7 @@
                 11,
                 vec![PublishedItem {
                     key: ItemKey::Upstream(upstream_name(1)),
-                    revision: 11,
+                    position: at(11),
                     content: ItemContent::Unreadable,
                 }],
             ),
@@ -256,7 +258,7 @@
         let mut view = StateSnapshot::default();
         view.merge(&first_state());
         view.merge(&case.update);
-        assert_eq!(view.through(), case.through, "{}", case.name);
+        assert_eq!(view.through(), at(case.through), "{}", case.name);
         let version = view.routes().map(|routes| routes.version);
         assert_eq!(version, Some(case.version), "{}", case.name);
         let names: Vec<_> = content(&view)
@@ -306,15 +308,15 @@
             let revision = index as u64;
             reader.merge(&changes(revision, revision + 1, vec![item.clone()]));
             if cuts.contains(&index) {
-                late.merge(&reader.update_since(late.through()));
+                late.merge(&reader.update_since(&late.query()));
             }
             if index % 3 == 0 {
-                peer.merge(&late.update_since(peer.through()));
-                peer.merge(&reader.update_since(peer.through()));
+                peer.merge(&late.update_since(&peer.query()));
+                peer.merge(&reader.update_since(&peer.query()));
             }
         }
-        peer.merge(&reader.update_since(peer.through()));
-        late.merge(&reader.update_since(late.through()));
+        peer.merge(&reader.update_since(&peer.query()));
+        late.merge(&reader.update_since(&late.query()));
         prop_assert_eq!(content(&peer), content(&reader));
         prop_assert_eq!(content(&late), content(&reader));
     }
@@ -336,24 +338,24 @@
             view.merge(&whole(1, Vec::new()));
         }
         for (index, item) in items.iter().enumerate() {
-            let after = truth.through();
-            let item = PublishedItem { revision: after + 1, ..item.clone() };
+            let after = truth.through().revision;
+            let item = PublishedItem { position: at(after + 1), ..item.clone() };
             truth.merge(&changes(after, after + 1, vec![item.clone()]));
             let misses = missed[index];
             if !misses && !reader.merge(&changes(after, after + 1, vec![item])).is_stale {
                 continue;
             }
             if !misses {
-                reader.merge(&truth.update_since(0));
+                reader.merge(&truth.update_since(&StateQuery::default()));
             }
             if cuts.contains(&index) {
-                peer.merge(&reader.update_since(peer.through()));
-                far.merge(&truth.update_since(far.through()));
+                peer.merge(&reader.update_since(&peer.query()));
+                far.merge(&truth.update_since(&far.query()));
             }
         }
-        reader.merge(&truth.update_since(0));
-        peer.merge(&reader.update_since(peer.through()));
-        far.merge(&reader.update_since(far.through()));
+        reader.merge(&truth.update_since(&StateQuery::default()));
+        peer.merge(&reader.update_since(&peer.query()));
+        far.merge(&reader.update_since(&far.query()));
         prop_assert_eq!(content(&reader), content(&truth));
         prop_assert_eq!(content(&peer), content(&truth));
         prop_assert_eq!(content(&far), content(&truth));
@@ -366,14 +368,14 @@
     let mut reader = StateSnapshot::default();
     reader.merge(&first_state());
     let mut peer = StateSnapshot::default();
-    peer.merge(&reader.update_since(0));
+    peer.merge(&reader.update_since(&StateQuery::default()));
     let items = vec![
         routes_item(3, usual_routes(7)),
         upstream_item(5, entry(2, "ledger")),
         upstream_item(14, entry(3, "ledger")),
     ];
     reader.merge(&whole(20, items));
-    let update = reader.update_since(peer.through());
+    let update = reader.update_since(&peer.query());
     assert!(!update.whole);
     assert_eq!(update.items.len(), 2, "one that is new, one that is gone");
     peer.merge(&update);
--- a/packet/tests/test_store_feed.rs
+++ b/packet/tests/test_store_feed.rs
@@ -21,13 +21,13 @@
     ListPage {
         items: items.collect(),
         next_after: next_after.map(Into::into),
-        revision,
+        position: at(revision),
     }
 }
 
 fn listed_feed() -> StoreFeed {
     let mut feed = StoreFeed::default();
-    feed.listed(list_page(10, &[1], None));
+    feed.listed(list_page(10, &[1], None)).expect("one page");
     feed
 }
 
@@ -39,7 +39,10 @@
 }
 
 fn watch(after: Revision, wait: Duration) -> FeedStep {
-    FeedStep::Watch { after, wait }
+    FeedStep::Watch {
+        after: at(after),
+        wait,
+    }
 }
 
 #[test]
@@ -47,7 +50,10 @@
     // Guards against changes between two pages of a listing that are missed.
     let mut feed = StoreFeed::default();
     let now = Instant::now();
-    assert_eq!(feed.listed(list_page(10, &[1], Some("servers/i-01"))), None);
+    assert_eq!(
+        feed.listed(list_page(10, &[1], Some("servers/i-01"))),
+        Ok(None)
+    );
     let next = FeedStep::List {
         after: Some("servers/i-01".into()),
         look_after: None,
@@ -55,10 +61,11 @@
     assert_eq!(feed.next_step(now), next);
     let update = feed
         .listed(list_page(14, &[2], None))
+        .expect("pages of one era")
         .expect("the list is whole");
     assert_eq!(
         (update.items.len(), update.through, update.whole),
-        (2, 10, true)
+        (2, at(10), true)
     );
     assert_eq!(feed.next_step(now), watch(10, WATCH_WAIT));
 }
@@ -159,15 +166,17 @@
 fn test_fault_in_the_middle_of_a_list_begins_it_anew() {
     // A page fails after others have come. Going on with a later list's pages would mix two states.
     let mut feed = StoreFeed::default();
-    feed.listed(list_page(10, &[1], Some("servers/i-01")));
+    feed.listed(list_page(10, &[1], Some("servers/i-01")))
+        .expect("a page");
     let now = Instant::now();
     feed.failed(now, &StoreFault::TimedOut);
     let later = now + Duration::from_secs(2);
     assert_eq!(feed.next_step(later), first_page());
     let update = feed
         .listed(list_page(20, &[2], None))
+        .expect("pages of one era")
         .expect("one page is all");
-    assert_eq!((update.items.len(), update.through), (1, 20));
+    assert_eq!((update.items.len(), update.through), (1, at(20)));
 }
 
 #[test]
@@ -177,10 +186,10 @@
     let batch = WatchBatch {
         items: Vec::new(),
         changed: true,
-        revision: 12,
+        position: at(12),
     };
-    let update = feed.changed(now, batch);
-    assert_eq!((update.after, update.through), (10, 12));
+    let update = feed.changed(now, batch).expect("it continues");
+    assert_eq!((update.after, update.through), (at(10), at(12)));
     assert!(
         matches!(feed.next_step(now), FeedStep::Wait { .. }),
         "a pause after changes"
@@ -188,10 +197,10 @@
     let quiet = WatchBatch {
         items: Vec::new(),
         changed: false,
-        revision: 12,
+        position: at(12),
     };
     let mut feed = listed_feed();
-    feed.changed(now, quiet);
+    feed.changed(now, quiet).expect("it continues");
     assert_eq!(
         feed.next_step(now),
         watch(12, WATCH_WAIT),
@@ -202,9 +211,9 @@
 #[test]
 fn test_state_from_a_peer_moves_the_watch_on() {
     let mut feed = listed_feed();
-    feed.skip_to(30);
+    feed.skip_to(at(30));
     assert_eq!(feed.next_step(Instant::now()), watch(30, WATCH_WAIT));
-    feed.skip_to(20);
+    feed.skip_to(at(20));
     assert_eq!(
         feed.next_step(Instant::now()),
         watch(30, WATCH_WAIT),
@@ -245,10 +254,10 @@
         let now = Instant::now();
         let mut feed = StoreFeed::default();
         if case.dropped {
-            feed.skip_to(10);
+            feed.skip_to(at(10));
             feed.failed(now, &StoreFault::HistoryDropped);
         }
-        feed.skip_to(case.state);
+        feed.skip_to(at(case.state));
         assert_eq!(feed.next_step(now), case.expected, "{}", case.name);
     }
 }
@@ -258,14 +267,16 @@
     // Guards against a listing that begins with pages of an abandoned one.
     let now = Instant::now();
     let mut feed = StoreFeed::default();
-    feed.listed(list_page(10, &[1], Some("servers/i-01")));
-    feed.skip_to(30);
+    feed.listed(list_page(10, &[1], Some("servers/i-01")))
+        .expect("a page");
+    feed.skip_to(at(30));
     feed.failed(now, &StoreFault::HistoryDropped);
     assert_eq!(feed.next_step(now), first_page());
     let update = feed
         .listed(list_page(50, &[2], None))
+        .expect("pages of one era")
         .expect("one page is all");
-    assert_eq!((update.items.len(), update.through), (1, 50));
+    assert_eq!((update.items.len(), update.through), (1, at(50)));
 }
 
 #[test]
@@ -280,8 +291,9 @@
         WatchBatch {
             items: Vec::new(),
             changed: false,
-            revision: 10,
+            position: at(10),
         },
-    );
+    )
+    .expect("it continues");
     assert_eq!(feed.next_step(now), watch(10, WATCH_WAIT));
 }
--- a/packet/tests/test_zone_evacuation.rs
+++ b/packet/tests/test_zone_evacuation.rs
@@ -6,11 +6,13 @@
 use lagoonproxy_packet::packet_action::DecisionEvent;
 use lagoonproxy_packet::packet_status::PacketStatus;
 use lagoonproxy_packet::state_snapshot::PublishedItem;
+use lagoonproxy_packet::state_snapshot::StateQuery;
 use lagoonproxy_packet::upstream_entry::EntryState;
 use lagoonproxy_packet::upstream_entry::UpstreamEntry;
 
 use crate::core_rig::*;
 use crate::fleet_rig::*;
+use crate::test_peer_table::query;
 
 /// Time from a request's acknowledgement until every host applies it, with all of them in touch.
 const CALM_MILLIS: u64 = 1000;
@@ -561,9 +563,9 @@
     view.merge(&whole(10, items));
     let mut behind = view.clone();
     // The history between is not known, so that everything is listed again.
-    view.merge(&whole(400, view.update_since(0).items));
-    view.merge(&whole(800, view.update_since(0).items));
-    let update = view.update_since(10);
+    view.merge(&whole(400, view.update_since(&StateQuery::default()).items));
+    view.merge(&whole(800, view.update_since(&StateQuery::default()).items));
+    let update = view.update_since(&query(10));
     assert!(update.whole);
     let outcome = behind.merge(&update);
     assert_eq!((outcome.changes.len(), outcome.unreadable), (0, 0));
--- a/packetd/src/event_log.rs
+++ b/packetd/src/event_log.rs
@@ -88,7 +88,7 @@
             };
             let heard_ms = millis(*heard_ago);
             let (served, failed) = (answers.served, answers.failed);
-            log::info!(upstream:% = upstream, zone:% = zone, change:? = change, attempts, served, failed, heard_ms, through; "upstream");
+            log::info!(upstream:% = upstream, zone:% = zone, change:? = change, attempts, served, failed, heard_ms, through:%; "upstream");
         }
         DecisionEvent::Role {
             change,
@@ -97,16 +97,16 @@
             through,
         } => {
             let reader = reader.map(|reader| reader.to_string()).unwrap_or_default();
-            log::info!(change:? = change, reader, peers, through; "reading of the store");
+            log::info!(change:? = change, reader, peers, through:%; "reading of the store");
         }
         DecisionEvent::FirstState { upstreams, through } => {
-            log::info!(upstreams, through; "first state");
+            log::info!(upstreams, through:%; "first state");
         }
         DecisionEvent::Routes {
             version,
             routes,
             through,
-        } => log::info!(version, routes, through; "routes in force"),
+        } => log::info!(version, routes, through:%; "routes in force"),
         DecisionEvent::Evacuation {
             zone,
             evacuated,
@@ -119,7 +119,15 @@
                 false => ResultCode::EvacuationUnknown,
             };
             let code = code.number();
-            log::info!(code, zone:% = zone, evacuated, known, flows, through; "zone evacuation");
+            log::info!(code, zone:% = zone, evacuated, known, flows, through:%; "zone evacuation");
+        }
+        DecisionEvent::EraChanged {
+            before,
+            through,
+            whole,
+        } => {
+            let code = ResultCode::PlatformRestored.number();
+            log::warn!(code, before:%, through:%, whole; "store came back from a copy");
         }
         DecisionEvent::UpdateRejected {
             whole,
@@ -128,7 +136,7 @@
         } => {
             metrics.rejected_updates.inc();
             if *whole {
-                log::warn!(offered, through; "state rejected as older");
+                log::warn!(offered:%, through:%; "state rejected as older");
             }
         }
         DecisionEvent::RoutesRegressed { version } => {
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -56,6 +56,7 @@
     results: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     version: Gauge<u64, AtomicU64>,
+    era: Gauge<u64, AtomicU64>,
     through: Gauge<u64, AtomicU64>,
     flows: Gauge<u64, AtomicU64>,
     reads: Gauge<u64, AtomicU64>,
@@ -83,6 +84,7 @@
             results: Family::default(),
             store_calls: Family::default(),
             version: Gauge::default(),
+            era: Gauge::default(),
             through: Gauge::default(),
             flows: Gauge::default(),
             reads: Gauge::default(),
@@ -135,7 +137,16 @@
         }
         let gauges = [
             ("routes_version", "Routes in force", &self.version),
-            ("through", "Revision read up to", &self.through),
+            (
+                "store_era",
+                "How often the store has come back from a copy",
+                &self.era,
+            ),
+            (
+                "through",
+                "Revision read up to, within the era",
+                &self.through,
+            ),
             ("flows", "Flows watched", &self.flows),
             (
                 "reads",
@@ -178,7 +189,9 @@
     pub fn text(&self, core: &PacketCore, now: Instant) -> String {
         let routes = core.view().routes();
         self.version.set(routes.map_or(0, |routes| routes.version));
-        self.through.set(core.view().through());
+        let through = core.view().through();
+        self.era.set(through.era);
+        self.through.set(through.revision);
         self.reads.set(u64::from(core.reads()));
         self.peers.set(core.peers().alive_hosts(now) as u64);
         self.flows.set(core.evidence().open_flows() as u64);
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -78,12 +78,16 @@
         }
     }
 
-    /// Merges an update, and forwards it to the hosts of the zone if it was new.
-    pub fn merge_and_forward(&self, update: StateUpdate) {
-        if self.merge(&update) {
+    /// Merges an update, and forwards it to the hosts of the zone if it was new; true if it was.
+    pub fn merge_and_forward(&self, update: StateUpdate) -> bool {
+        let before = self.core.borrow().view().query();
+        let is_new = self.merge(&update);
+        if is_new {
+            let update = self.core.borrow().forwarded_update(update, &before);
             self.to_forward.borrow_mut().push(update);
             self.read_something.notify_one();
         }
+        is_new
     }
 
     /// Merges an update; true if it was new.
@@ -94,7 +98,7 @@
         let is_new = core.merge(Instant::now(), update, &mut output);
         log_events(&output.events, None, &self.metrics);
         if !was_ready && core.is_ready() {
-            log::info!(through = core.view().through(); "ready");
+            log::info!(through:% = core.view().through(); "ready");
             self.became_ready.notify_waiters();
         }
         is_new
--- a/packetd/src/peer_socket.rs
+++ b/packetd/src/peer_socket.rs
@@ -94,13 +94,13 @@
     let stopping = state.stopping.get();
     let mut core = state.core.borrow_mut();
     let replies = core.heard(Instant::now(), source, heartbeat, stopping);
-    let lacks_state = core.view().through() == 0;
+    let lacks_state = core.view().through().is_unread();
     drop(core);
     if replies.is_new {
-        log::info!(peer:% = source, zone:%, through; "peer heard");
+        log::info!(peer:% = source, zone:%, through:%; "peer heard");
     }
     send_heartbeats(state, socket, replies.heartbeats);
-    if lacks_state && through > 0 {
+    if lacks_state && !through.is_unread() {
         state.heard_peer.notify_one();
     }
 }
--- a/packetd/src/state_transfer.rs
+++ b/packetd/src/state_transfer.rs
@@ -13,11 +13,12 @@
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use lagoonproxy::result_code::ResultCode;
-use lagoonproxy_packet::ids::Revision;
 use lagoonproxy_packet::peer_datagram::DatagramFault;
 use lagoonproxy_packet::peer_datagram::decode_state;
 use lagoonproxy_packet::peer_datagram::encode_state;
+use lagoonproxy_packet::state_snapshot::StateQuery;
 use lagoonproxy_packet::state_snapshot::StateUpdate;
+use lagoonproxy_packet::store_position::StorePosition;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_with::serde_as;
@@ -52,7 +53,7 @@
 /// Pause after a connection that could not be taken, for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// What a peer answers to the revision that a host holds.
+/// What a peer answers to what a host holds.
 #[serde_as]
 #[derive(Debug, Serialize, Deserialize)]
 enum StateAnswer {
@@ -86,7 +87,7 @@
     #[snafu(display("the peer serves as many as it can"))]
     Busy,
     #[snafu(display("the peer's state ends at {through}"))]
-    Stale { through: Revision },
+    Stale { through: StorePosition },
 }
 
 impl TransferFault {
@@ -126,22 +127,25 @@
 
 /// Asks a peer for what this host is missing, and takes it in.
 pub async fn ask(state: Rc<HostState>, peer: SocketAddrV4) {
-    let after = state.core.borrow().view().through();
+    let query = state.core.borrow().view().query();
     let started = Instant::now();
-    let answer = match timeout(EXCHANGE_LIMIT, question(peer, after)).await {
+    let answer = match timeout(EXCHANGE_LIMIT, question(peer, &query)).await {
         Ok(answer) => answer,
         Err(_elapsed) => Err(TransferFault::TimedOut),
     };
     let took_ms = started.elapsed().as_millis() as u64;
     match answer {
         Ok(update) => {
-            log::info!(peer:% = peer, after, through = update.through, items = update.items.len(), took_ms; "state from a peer");
-            state.merge_and_forward(update);
+            log::info!(peer:% = peer, after:% = query.after, through:% = update.through, items = update.items.len(), took_ms; "state from a peer");
+            if !state.merge_and_forward(update) {
+                let mut core = state.core.borrow_mut();
+                core.source_failed(Instant::now(), peer, false);
+            }
         }
         Err(fault) => {
             let code = fault.code();
             state.metrics.count_result(code);
-            log::warn!(code = code.number(), peer:% = peer, after, took_ms; "no state from a peer: {fault}");
+            log::warn!(code = code.number(), peer:% = peer, after:% = query.after, took_ms; "no state from a peer: {fault}");
             let busy = code == ResultCode::PeerBusy;
             let mut core = state.core.borrow_mut();
             core.source_failed(Instant::now(), peer, busy);
@@ -149,18 +153,19 @@
     }
 }
 
-async fn question(peer: SocketAddrV4, after: Revision) -> Result<StateUpdate, TransferFault> {
+async fn question(peer: SocketAddrV4, query: &StateQuery) -> Result<StateUpdate, TransferFault> {
     let stream = TcpStream::connect(peer).await.context(UnreachableSnafu)?;
     let url = format!("ws://{peer}/state");
     let (mut socket, _response) = client_async_with_config(url, stream, Some(config()))
         .await
         .context(ExchangeSnafu)?;
-    send(&mut socket, &after).await?;
+    send(&mut socket, query).await?;
     match receive(&mut socket).await? {
         StateAnswer::State(bytes) => {
             let update = decode_state(&bytes).context(StateSnafu)?;
             let through = update.through;
-            ensure!(through > after, StaleSnafu { through });
+            let has_more = through > query.after || !update.items.is_empty();
+            ensure!(has_more, StaleSnafu { through });
             Ok(update)
         }
         StateAnswer::Busy => BusySnafu.fail(),
@@ -181,11 +186,11 @@
     let mut socket = accept_async_with_config(stream, Some(config()))
         .await
         .context(ExchangeSnafu)?;
-    let after: Revision = receive(&mut socket).await?;
+    let query: StateQuery = receive(&mut socket).await?;
     let answer = if busy {
         StateAnswer::Busy
     } else {
-        let update = state.core.borrow().view().update_since(after);
+        let update = state.core.borrow().view().update_since(&query);
         StateAnswer::State(encode_state(&update).context(StateSnafu)?)
     };
     send(&mut socket, &answer).await?;
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -33,17 +33,17 @@
                     leaves: StartPlan::is_crowded,
                 });
                 let page = client.list(after.as_deref(), ANSWER_LIMIT, check).await;
-                let update = page.map(|page| {
+                let update = page.and_then(|page| {
                     let mut core = state.core.borrow_mut();
                     core.store_listed(Instant::now(), page)
                 });
                 take_in(&state, update);
             }
             FeedStep::Watch { after, wait } => {
-                let batch = client.watch(after, wait, ANSWER_LIMIT).await;
-                let update = batch.map(|batch| {
+                let batch = client.watch(after.revision, wait, ANSWER_LIMIT).await;
+                let update = batch.and_then(|batch| {
                     let mut core = state.core.borrow_mut();
-                    Some(core.store_changed(Instant::now(), batch))
+                    core.store_changed(Instant::now(), batch).map(Some)
                 });
                 take_in(&state, update);
             }
@@ -58,7 +58,8 @@
             state.metrics.count_store_call(ResultCode::Success);
             if state.store_lost.take() {
                 let offered = update.as_ref().map(|update| update.through);
-                log::info!(offered:? = offered; "store regained");
+                let offered = offered.map(|offered| offered.to_string());
+                log::info!(offered = offered.unwrap_or_default(); "store regained");
             }
             if let Some(update) = update {
                 state.merge_and_forward(update);
@@ -82,6 +83,8 @@
         StoreFault::Crowded => ResultCode::PlatformCrowded,
         StoreFault::Refused { .. } => ResultCode::PlatformRefused,
         StoreFault::HistoryDropped => ResultCode::PlatformHistoryDropped,
+        StoreFault::EraChanged { .. } => ResultCode::PlatformRestored,
+        StoreFault::Regressed { .. } => ResultCode::PlatformStale,
         StoreFault::Malformed { .. } => ResultCode::PlatformMalformed,
     }
 }
--- a/packetd/tests/faulty_peer.rs
+++ b/packetd/tests/faulty_peer.rs
@@ -7,6 +7,7 @@
 use futures_util::StreamExt;
 use lagoonproxy_packet::peer_datagram::PeerDatagram;
 use lagoonproxy_packet::peer_heartbeat::PeerHeartbeat;
+use lagoonproxy_packet::store_position::StorePosition;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
@@ -47,7 +48,11 @@
             capacity: 1000,
             ready: true,
             seeks: false,
-            through,
+            through: StorePosition {
+                era: 0,
+                revision: through,
+            },
+            version: None,
             reader: None,
             named: Vec::new(),
             others: Vec::new(),
--- a/packetd/tests/test_state_faults.rs
+++ b/packetd/tests/test_state_faults.rs
@@ -4,6 +4,7 @@
 
 use lagoonproxy_packet::peer_datagram::encode_state;
 use lagoonproxy_packet::state_snapshot::StateUpdate;
+use lagoonproxy_packet::store_position::StorePosition;
 use lagoonproxy_standin::packet_cell::*;
 
 use crate::faulty_peer::FaultyAnswer;
@@ -28,9 +29,12 @@
 fn state_answer(through: u64) -> Vec<u8> {
     let update = StateUpdate {
         items: Vec::new(),
-        through,
+        through: StorePosition {
+            era: 0,
+            revision: through,
+        },
         whole: false,
-        after: 0,
+        after: StorePosition::UNREAD,
     };
     state_bytes(encode_state(&update).unwrap())
 }
