state deltas: each states the positions that it continues

What a caller could see: new flows to an upstream that is gone, through a host that takes its state for complete, until the upstream is written again.

If the sender had read the list again in between, what came and went meanwhile is unknown to it, so that the delta lacks its removal.

Change: a delta states the first and the last position that it continues, and a receiver outside rejects it and asks again; a receiver of a delta over a gap has that gap itself. An item that is new to a state of an earlier era gets a position of the later one.

--- a/bench/src/packet_cost.rs
+++ b/bench/src/packet_cost.rs
@@ -65,6 +65,7 @@
             through: FIRST,
             whole: true,
             after: StorePosition::UNREAD,
+            until: StorePosition::UNREAD,
         };
         bench.core.merge(bench.now, &update, &mut bench.output);
         bench
--- a/packet/src/state_snapshot.rs
+++ b/packet/src/state_snapshot.rs
@@ -80,11 +80,13 @@
     /// Every change of the era up to this position is contained.
     pub through: StorePosition,
     /// Whether everything that exists is listed, so that what is missing was removed; if not, the
-    /// items continue the state at `after`.
+    /// items continue a state at any position from `after` to `until`.
     pub whole: bool,
-    /// The position that the items continue; unread when `whole`. If it is of another era than `through`, the items
-    /// continue only the state at exactly this position.
+    /// The first position that the items continue; unread when `whole`.
     pub after: StorePosition,
+    /// The last position that the items continue, unread when `whole`. If it is before `through`, what came and went
+    /// in between is not known.
+    pub until: StorePosition,
 }
 
 /// What a host holds, for which it asks a peer for the rest.
@@ -190,23 +192,29 @@
             outcome.is_stale = true;
             return outcome;
         }
-        if update.whole || outcome.crosses_era {
+        if update.until < update.through {
             self.open_gap(update.through);
         }
         if update.whole {
             self.drop_unlisted(update, &mut outcome);
         }
         for item in &update.items {
-            self.merge_item(item, &mut outcome);
+            // The sender may have held the item since an earlier era, in which this host had not.
+            let position = match outcome.crosses_era {
+                true => StorePosition {
+                    era: update.through.era,
+                    ..item.position
+                },
+                false => item.position,
+            };
+            self.merge_item(item, position, &mut outcome);
         }
         self.through = update.through;
         outcome
     }
 
     fn is_continued_by(&self, update: &StateUpdate) -> bool {
-        let same_era =
-            update.after.era == update.through.era && update.after.era == self.through.era;
-        update.whole || update.after == self.through || same_era && update.after <= self.through
+        update.whole || (update.after..=update.until).contains(&self.through)
     }
 
     /// Records that what happened between the present position and `through` is not known.
@@ -243,12 +251,19 @@
         };
         let routes = self.routes_item(query.version, whole);
         let items = routes.into_iter().chain(items).collect();
-        let after = if whole { StorePosition::UNREAD } else { after };
+        let before_gap = self.gap.map(|(from, _to)| from);
+        let until = before_gap.filter(|from| after <= *from);
+        let (after, until) = if whole {
+            (StorePosition::UNREAD, StorePosition::UNREAD)
+        } else {
+            (after, until.unwrap_or(self.through))
+        };
         StateUpdate {
             items,
             through: self.through,
             whole,
             after,
+            until,
         }
     }
 
@@ -344,18 +359,23 @@
         self.remember_removal(position, key);
     }
 
-    fn merge_item(&mut self, item: &PublishedItem, outcome: &mut MergeOutcome) {
+    fn merge_item(
+        &mut self,
+        item: &PublishedItem,
+        position: StorePosition,
+        outcome: &mut MergeOutcome,
+    ) {
         match (&item.key, &item.content) {
             (ItemKey::Routes, ItemContent::Routes(routes)) => {
-                self.merge_routes(item.position, routes, outcome);
+                self.merge_routes(position, routes, outcome);
             }
             (ItemKey::Routes, ItemContent::Unchanged) if self.routes.is_some() => {}
             (ItemKey::Routes, _) => outcome.unreadable += 1,
             (ItemKey::Upstream(name), content) => {
-                self.merge_upstream(item.position, name, content, outcome);
+                self.merge_upstream(position, name, content, outcome);
             }
             (ItemKey::Evacuation(zone), content) => {
-                self.merge_evacuation(item.position, zone, content, outcome);
+                self.merge_evacuation(position, zone, content, outcome);
             }
         }
     }
@@ -368,7 +388,7 @@
         outcome: &mut MergeOutcome,
     ) {
         let held = self.evacuations.get(zone).copied();
-        if held.is_some_and(|held| is_known(held, position, outcome)) {
+        if held.is_some_and(|held| held >= position) {
             return;
         }
         match content {
@@ -417,7 +437,7 @@
         outcome: &mut MergeOutcome,
     ) {
         let held = self.upstreams.get(name);
-        if held.is_some_and(|held| is_known(held.position, position, outcome)) {
+        if held.is_some_and(|held| held.position >= position) {
             return;
         }
         let entry = match content {
@@ -460,15 +480,6 @@
     }
 }
 
-/// Whether an item held at one position makes the same item at another one stale. Across eras only equal positions do: an
-/// item that the store has lost may have the larger one.
-fn is_known(held: StorePosition, position: StorePosition, outcome: &MergeOutcome) -> bool {
-    match outcome.crosses_era {
-        true => held == position,
-        false => held >= position,
-    }
-}
-
 /// Whether two positions of an item with the same content may be the same write, that a copy of the store contains. The item
 /// then keeps the earlier position, so that peers of the earlier era need not be sent it again.
 fn is_same_write(held: StorePosition, position: StorePosition) -> bool {
--- a/packet/src/store_feed.rs
+++ b/packet/src/store_feed.rs
@@ -220,6 +220,7 @@
             through,
             whole: true,
             after: StorePosition::UNREAD,
+            until: StorePosition::UNREAD,
         }))
     }
 
@@ -239,6 +240,7 @@
             through,
             whole: false,
             after,
+            until: through,
         })
     }
 
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -165,6 +165,7 @@
         through: at(through),
         whole: true,
         after: StorePosition::UNREAD,
+        until: StorePosition::UNREAD,
     }
 }
 
@@ -175,6 +176,27 @@
         through: at(through),
         whole: false,
         after: at(after),
+        until: at(through),
+    }
+}
+
+/// Puts updates of the first era into another.
+pub trait MoveToEra {
+    /// The same in this era.
+    fn moved_to(self, era: StoreEra) -> Self;
+}
+
+impl MoveToEra for StateUpdate {
+    fn moved_to(mut self, era: StoreEra) -> Self {
+        for item in &mut self.items {
+            item.position.era = era;
+        }
+        self.through.era = era;
+        if !self.whole {
+            self.after.era = era;
+            self.until.era = era;
+        }
+        self
     }
 }
 
@@ -209,6 +231,8 @@
     pub events: Vec<DecisionEvent>,
     /// The store's revision.
     pub revision: Revision,
+    /// How often the store has come back from a copy.
+    pub era: StoreEra,
     /// The store answers nobody.
     pub store_away: bool,
 }
@@ -238,6 +262,7 @@
             resets: Vec::new(),
             events: Vec::new(),
             revision: 0,
+            era: 0,
             store_away: false,
         }
     }
@@ -269,7 +294,14 @@
         let after = self.revision;
         self.revision += 1;
         let update = changes(after, self.revision, vec![item(self.revision)]);
-        self.merge(&update);
+        self.merge(&update.moved_to(self.era));
+    }
+
+    /// Joins the list of a store that has come back from a copy with these items, at this revision.
+    pub fn restore(&mut self, revision: Revision, items: Vec<PublishedItem>) {
+        self.era += 1;
+        self.revision = revision;
+        self.merge(&whole(revision, items).moved_to(self.era));
     }
 
     /// Hands a packet in.
--- a/packet/tests/fleet_store.rs
+++ b/packet/tests/fleet_store.rs
@@ -105,6 +105,14 @@
         }
     }
 
+    /// Ends every waiting watch without an answer.
+    pub fn cut_watches(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            let fault = StoreFault::TimedOut;
+            self.push(watch.host, STORE_DELAY, FleetEvent::Watched(Err(fault)));
+        }
+    }
+
     /// Drops the store's history: watches that are behind need the list again, and waiting ones are cut.
     pub fn drop_history(&mut self) {
         self.dropped = self.revision;
--- a/packet/tests/test_state_snapshot.rs
+++ b/packet/tests/test_state_snapshot.rs
@@ -381,3 +381,25 @@
     peer.merge(&update);
     assert_eq!(content(&peer), content(&reader));
 }
+
+#[test]
+fn test_delta_is_rejected_by_a_state_that_it_was_not_made_for() {
+    // Guards against an upstream that stays registered because it came and went while the sender read the list again.
+    let mut reader = StateSnapshot::default();
+    let mut peer = StateSnapshot::default();
+    for view in [&mut reader, &mut peer] {
+        view.merge(&first_state());
+    }
+    let query = peer.query();
+    peer.merge(&changes(
+        10,
+        11,
+        vec![upstream_item(11, entry(3, "ledger"))],
+    ));
+    reader.merge(&whole(12, first_state().items));
+    let delta = reader.update_since(&query);
+    assert!(!delta.whole);
+    assert!(peer.merge(&delta).is_stale, "it is at 11, not at 10");
+    peer.merge(&reader.update_since(&peer.query()));
+    assert_eq!(content(&peer), content(&reader));
+}
--- a/packet/tests/test_store_feed.rs
+++ b/packet/tests/test_store_feed.rs
@@ -11,6 +11,7 @@
 use lagoonproxy_packet::store_feed::StoreFeed;
 use lagoonproxy_packet::store_feed::WATCH_WAIT;
 use lagoonproxy_packet::store_feed::WatchBatch;
+use lagoonproxy_packet::store_position::StorePosition;
 
 use crate::core_rig::*;
 
@@ -297,3 +298,161 @@
     .expect("it continues");
     assert_eq!(feed.next_step(now), watch(10, WATCH_WAIT));
 }
+
+fn page_at(position: StorePosition, next_after: Option<&str>) -> ListPage {
+    ListPage {
+        position,
+        ..list_page(position.revision, &[1], next_after)
+    }
+}
+
+fn batch_at(position: StorePosition) -> WatchBatch {
+    WatchBatch {
+        items: Vec::new(),
+        changed: true,
+        position,
+    }
+}
+
+#[test]
+fn test_watch_answered_from_another_history_is_not_continued() {
+    // Guards against a watch that goes on from a revision that a restored store has given out again.
+    struct Case {
+        name: &'static str,
+        watched: StorePosition,
+        answered: StorePosition,
+        expected: Result<(), StoreFault>,
+        lists: bool,
+    }
+    let regressed = |answered, known| StoreFault::Regressed { answered, known };
+    let cases = [
+        Case {
+            name: "the same era",
+            watched: in_era(2, 10),
+            answered: in_era(2, 12),
+            expected: Ok(()),
+            lists: false,
+        },
+        Case {
+            name: "a later era at a smaller revision",
+            watched: in_era(2, 10),
+            answered: in_era(3, 4),
+            expected: Err(StoreFault::EraChanged { era: 3 }),
+            lists: true,
+        },
+        Case {
+            name: "a later era at a larger revision: a watch that waited through the return",
+            watched: in_era(2, 10),
+            answered: in_era(3, 14),
+            expected: Err(StoreFault::EraChanged { era: 3 }),
+            lists: true,
+        },
+        Case {
+            name: "some eras later",
+            watched: in_era(2, 10),
+            answered: in_era(9, 10),
+            expected: Err(StoreFault::EraChanged { era: 9 }),
+            lists: true,
+        },
+        Case {
+            name: "an earlier era",
+            watched: in_era(2, 10),
+            answered: in_era(1, 40),
+            expected: Err(regressed(in_era(1, 40), in_era(2, 10))),
+            lists: false,
+        },
+        Case {
+            name: "no era, after one was stated",
+            watched: in_era(2, 10),
+            answered: in_era(0, 11),
+            expected: Err(regressed(in_era(0, 11), in_era(2, 10))),
+            lists: false,
+        },
+        Case {
+            name: "a smaller revision in the same era",
+            watched: in_era(2, 10),
+            answered: in_era(2, 9),
+            expected: Err(regressed(in_era(2, 9), in_era(2, 10))),
+            lists: false,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut feed = StoreFeed::default();
+        feed.skip_to(case.watched);
+        let answer = feed.changed(now, batch_at(case.answered));
+        if let Err(fault) = &answer {
+            feed.failed(now, fault);
+        }
+        assert_eq!(answer.map(drop), case.expected, "{}", case.name);
+        let lists = feed.next_step(now) == first_page();
+        assert_eq!(lists, case.lists, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_list_that_mixes_eras_is_begun_anew() {
+    // Guards against a list whose pages are from before and after a return of the store.
+    let now = Instant::now();
+    let mut feed = StoreFeed::default();
+    let first = feed.listed(page_at(in_era(1, 50), Some("servers/i-01")));
+    assert_eq!(first, Ok(None));
+    let second = feed.listed(page_at(in_era(2, 20), None));
+    assert_eq!(second, Err(StoreFault::EraChanged { era: 2 }));
+    feed.failed(now, &StoreFault::EraChanged { era: 2 });
+    assert_eq!(feed.next_step(now), first_page());
+    let whole = feed.listed(page_at(in_era(2, 20), None));
+    let update = whole.expect("one era").expect("one page is all");
+    assert_eq!((update.items.len(), update.through), (1, in_era(2, 20)));
+}
+
+#[test]
+fn test_store_that_goes_back_without_an_era_is_not_pressed() {
+    // Guards against listings and refused watches in turn, without a pause.
+    let start = Instant::now();
+    let mut now = start;
+    let mut feed = listed_feed();
+    let mut calls = 0;
+    while now < start + Duration::from_secs(20) {
+        let fault = match feed.next_step(now) {
+            FeedStep::Wait { until } => {
+                now = until;
+                continue;
+            }
+            FeedStep::Watch { .. } => StoreFault::HistoryDropped,
+            FeedStep::List { .. } => match feed.listed(page_at(at(4), None)) {
+                Ok(_update) => panic!("an older list was accepted"),
+                Err(fault) => fault,
+            },
+        };
+        calls += 1;
+        now += Duration::from_millis(8);
+        feed.failed(now, &fault);
+    }
+    assert!(calls <= 25, "{calls} calls in 20 s");
+}
+
+#[test]
+fn test_store_that_refuses_each_watch_from_its_own_list_is_not_pressed() {
+    // Guards against listings and refused watches in turn, without a pause, from a store that keeps no history.
+    let start = Instant::now();
+    let mut now = start;
+    let mut feed = listed_feed();
+    let mut calls = 0;
+    while now < start + Duration::from_secs(20) {
+        match feed.next_step(now) {
+            FeedStep::Wait { until } => {
+                now = until;
+                continue;
+            }
+            FeedStep::Watch { .. } => feed.failed(now, &StoreFault::HistoryDropped),
+            FeedStep::List { .. } => {
+                let update = feed.listed(page_at(at(10), None));
+                assert!(update.is_ok_and(|update| update.is_some()));
+            }
+        }
+        calls += 1;
+        now += Duration::from_millis(8);
+    }
+    assert!(calls <= 50, "{calls} calls in 20 s");
+}
--- a/packetd/tests/test_state_faults.rs
+++ b/packetd/tests/test_state_faults.rs
@@ -35,6 +35,10 @@
         },
         whole: false,
         after: StorePosition::UNREAD,
+        until: StorePosition {
+            era: 0,
+            revision: through,
+        },
     };
     state_bytes(encode_state(&update).unwrap())
 }
