--- a/packetd/tests/test_restored_store.rs
+++ b/packetd/tests/test_restored_store.rs
@@ -30,3 +30,33 @@
     }
     assert_eq!(cell.upstreams[0].tally().openings, before);
 }
+
+#[tokio::test]
+async fn test_flows_go_on_while_the_store_comes_back_from_a_copy() {
+    // Guards against a program that resets the flows of an upstream whose registration the store has lost.
+    let mut cell = PacketCell::ready(program(), 2, 1).await;
+    let copy = cell.store.copy();
+    let late = cell.start_upstream(2, 2).await;
+    cell.register(&late, "certs", "ready");
+    for host in &cell.hosts {
+        host.wait_for_metric("lagoon_packet_through", |through| through >= 103.0)
+            .await;
+    }
+    let mut caller = cell.caller().await;
+    let mut flow = caller.open(certs()).await.expect("a flow");
+    let lost = cell.store.restore(&copy);
+    for host in &cell.hosts {
+        host.wait_for_metric("lagoon_packet_store_era", |era| era == 1.0)
+            .await;
+    }
+    caller
+        .request(&mut flow, b"goes on", REQUEST_LIMIT)
+        .await
+        .expect("an answer");
+    caller.open(certs()).await.expect("a flow to the lost one");
+    cell.store.write_again(lost);
+    caller
+        .request(&mut flow, b"goes on", REQUEST_LIMIT)
+        .await
+        .expect("an answer");
+}
--- a/standin/src/packet_cell.rs
+++ b/standin/src/packet_cell.rs
@@ -11,6 +11,7 @@
 use std::process::ExitStatus;
 use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -76,6 +77,8 @@
     /// Numbers of the upstreams in the other zone; none of the hosts is there.
     remote_upstreams: BTreeSet<u64>,
     next_caller: u8,
+    /// Registrations written so far.
+    writes: AtomicU64,
 }
 
 /// The zone of all hosts, and the other one.
@@ -104,6 +107,7 @@
             upstreams: Vec::new(),
             remote_upstreams: BTreeSet::new(),
             next_caller: 0,
+            writes: AtomicU64::new(1),
         };
         cell.publish_routes(1, &[(ledger(), "ledger"), (certs(), "certs")]);
         for index in 0..count {
@@ -154,7 +158,7 @@
         let zone = if is_remote { REMOTE_ZONE } else { LOCAL_ZONE };
         let entry = json!({
             "Service": service, "Address": upstream.address.to_string(), "Zone": zone, "Version": "v1",
-            "Slots": 2, "State": state, "WarmupLeftMs": 0, "Sequence": 4, "born": 1_772_323_200_000_u64,
+            "Slots": 2, "State": state, "WarmupLeftMs": 0, "Sequence": self.writes.fetch_add(1, Ordering::Relaxed), "born": 1_772_323_200_000_u64,
         });
         self.store.put(&registration_key(upstream), &entry);
     }
--- a/standin/src/packet_soak.rs
+++ b/standin/src/packet_soak.rs
@@ -32,6 +32,7 @@
 use crate::packet_cell::certs;
 use crate::packet_cell::ledger;
 use crate::packet_cell::registration_key;
+use crate::packet_store::StoreCopy;
 use crate::packet_store::StoreMood;
 use crate::packet_upstream::PacketUpstream;
 use crate::packet_upstream::answer_to;
@@ -42,8 +43,12 @@
 /// Places of the ledger's upstreams that are in the zone without hosts.
 const REMOTE_UPSTREAMS: Range<usize> = 4..6;
 const CALLERS: usize = 8;
-/// Tells the random numbers of evacuations from those of other faults.
+/// Tells the random numbers of evacuations, and of returns of the store from a copy, from those of other faults.
 const EVACUATION_STREAM: u64 = 0x6576_6163;
+const RESTORE_STREAM: u64 = 0x7265_7374;
+
+/// How long after a return of the store its writers write again.
+const WRITE_AGAIN_PAUSE: Duration = Duration::from_millis(300);
 
 /// How long after a disturbance of an upstream a reset of its flows is allowed.
 const STABLE_WINDOW: Duration = Duration::from_secs(4);
@@ -101,6 +106,12 @@
         self.report().faults.push(line);
     }
 
+    fn note_restore(&self, lost: usize) {
+        let second = self.started.elapsed().as_secs_f64();
+        let line = format!("{second:.1} s: the store comes back from a copy, {lost} writes lost");
+        self.report().faults.push(line);
+    }
+
     fn disturb(&self, upstream: u64) {
         let mut disturbed = self
             .disturbed
@@ -225,6 +236,8 @@
     let mut rng = StdRng::seed_from_u64(settings.seed);
     // Apart from the other faults, so that those of a seed stay the same.
     let mut evacuation_rng = StdRng::seed_from_u64(settings.seed ^ EVACUATION_STREAM);
+    let mut restore_rng = StdRng::seed_from_u64(settings.seed ^ RESTORE_STREAM);
+    let mut copy: Option<(Instant, StoreCopy)> = None;
     let end = Instant::now() + settings.faults;
     let mut undo: Vec<(Instant, SoakFault)> = Vec::new();
     while Instant::now() < end || !undo.is_empty() {
@@ -246,6 +259,13 @@
             state.note_fault(SoakFault::Evacuate, held);
             undo.push((now + held, SoakFault::Evacuate));
         }
+        if let Some((_at, copy)) = copy.take_if(|(at, _copy)| *at <= now) {
+            restore_store(cell, state, &copy).await;
+        }
+        if now < end && copy.is_none() && restore_rng.random_bool(0.2) {
+            let age = Duration::from_millis(restore_rng.random_range(200..4000));
+            copy = Some((now + age, cell.store.copy()));
+        }
         if now < end {
             let fault = SoakFault::draw(&mut rng);
             let held = Duration::from_millis(rng.random_range(500..3500));
@@ -259,6 +279,14 @@
     }
 }
 
+/// Lets the store come back from a copy, and its writers write again what it lost.
+async fn restore_store(cell: &PacketCell, state: &SoakState, copy: &StoreCopy) {
+    let lost = cell.store.restore(copy);
+    state.note_restore(lost.len());
+    sleep(WRITE_AGAIN_PAUSE).await;
+    cell.store.write_again(lost);
+}
+
 /// One fault, and whom it strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum SoakFault {
--- a/standin/src/packet_store.rs
+++ b/standin/src/packet_store.rs
@@ -74,6 +74,14 @@
     content: Content,
 }
 
+/// A write that the store has lost.
+#[derive(Clone, Debug)]
+pub struct LostWrite {
+    key: String,
+    /// In base64; `None` if the key was removed.
+    value: Option<String>,
+}
+
 /// The store as one host meets it.
 #[derive(Clone, Debug)]
 pub struct StorePort {
@@ -155,24 +163,28 @@
 
     /// Writes a value that may be anything.
     pub fn put_bytes(&self, key: &str, value: &[u8]) {
-        let text = base64_text(value);
-        let mut content = self.shared.content();
-        content.revision += 1;
-        let revision = content.revision;
-        content
-            .items
-            .insert(key.to_owned(), (text.clone(), revision));
-        content.history.push((key.to_owned(), Some(text), revision));
-        self.shared.changed.send_replace(revision);
+        self.write(key, Some(base64_text(value)));
     }
 
     /// Removes a key.
     pub fn remove(&self, key: &str) {
+        self.write(key, None);
+    }
+
+    /// Writes a value in base64, or removes the key.
+    fn write(&self, key: &str, value: Option<String>) {
         let mut content = self.shared.content();
         content.revision += 1;
         let revision = content.revision;
-        content.items.remove(key);
-        content.history.push((key.to_owned(), None, revision));
+        match &value {
+            Some(value) => drop(
+                content
+                    .items
+                    .insert(key.to_owned(), (value.clone(), revision)),
+            ),
+            None => drop(content.items.remove(key)),
+        }
+        content.history.push((key.to_owned(), value, revision));
         self.shared.changed.send_replace(revision);
     }
 
@@ -189,15 +201,32 @@
         StoreCopy { content }
     }
 
-    /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
-    pub fn restore(&self, copy: &StoreCopy) {
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out again. Returns the lost
+    /// writes, in their order.
+    pub fn restore(&self, copy: &StoreCopy) -> Vec<LostWrite> {
         let mut content = self.shared.content();
+        let history = content.history.iter();
+        let lost = history
+            .filter(|(_key, _value, revision)| *revision > copy.content.revision)
+            .map(|(key, value, _revision)| LostWrite {
+                key: key.clone(),
+                value: value.clone(),
+            })
+            .collect();
         *content = Content {
             era: content.era + 1,
             calls: content.calls,
             ..copy.content.clone()
         };
         self.shared.changed.send_replace(content.revision);
+        lost
+    }
+
+    /// Makes lost writes again, as their writers do.
+    pub fn write_again(&self, lost: Vec<LostWrite>) {
+        for write in lost {
+            self.write(&write.key, write.value);
+        }
     }
 
     /// Calls of all hosts, refused ones included.
