--- a/cli/src/commands/forwarders.rs
+++ b/cli/src/commands/forwarders.rs
@@ -106,7 +106,7 @@
         status
             .version
             .map_or("-".to_owned(), |version| version.to_string()),
-        status.through.to_string(),
+        status.position().to_string(),
         status.peers.to_string(),
         reader_text(status),
         status.flows.to_string(),
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -66,8 +66,8 @@
         self.view.through() > before || !outcome.changes.is_empty()
     }
 
-    /// What the hosts of the zone are sent of an update that this host has just merged into the state of `before`: the state
-    /// of a later era as a delta, as most of them hold that state too.
+    /// What the hosts of the zone are sent of an update that this host has just merged into the state of
+    /// `before`: the whole state of a later era as a delta, as most of them hold the state before it too.
     pub fn forwarded_update(&self, update: StateUpdate, before: &StateQuery) -> StateUpdate {
         let crosses = !before.after.is_unread() && update.through.era > before.after.era;
         if update.whole && crosses {
--- a/packet/src/packet_status.rs
+++ b/packet/src/packet_status.rs
@@ -17,6 +17,7 @@
 use crate::ids::StoreEra;
 use crate::ids::UpstreamName;
 use crate::packet_core::PacketCore;
+use crate::store_position::StorePosition;
 use crate::upstream_record::RegistrationState;
 use crate::upstream_record::UpstreamRecord;
 
@@ -100,6 +101,14 @@
 }
 
 impl PacketStatus {
+    /// The position of the store up to which it knows every change.
+    pub fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.through,
+        }
+    }
+
     /// The state of a core; what the shell knows is left to it.
     pub fn of(core: &PacketCore, now: Instant) -> Self {
         let mut upstreams: Vec<UpstreamStatus> = core
--- a/packet/src/peer_heartbeat.rs
+++ b/packet/src/peer_heartbeat.rs
@@ -1,7 +1,7 @@
 //! Heartbeats between entry hosts, one datagram each.
 //!
-//! A heartbeat holds the sender's zone and the position of its state, some peers, and reports on the upstreams of its zone. Its
-//! content expires, and no packet depends on it.
+//! A heartbeat holds the sender's zone and the position of its state, some peers, and reports on the upstreams of
+//! its zone. Its content expires, and no packet depends on it.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- a/packet/src/peer_record.rs
+++ b/packet/src/peer_record.rs
@@ -105,8 +105,8 @@
         self.reads && ago.is_some_and(|ago| ago < READER_SILENCE)
     }
 
-    /// Whether it has what is missing in a state. Hosts at one position may have different configurations: one that the store
-    /// has lost stays in force where it was.
+    /// Whether it has what is missing in a state. Hosts at one position may have different configurations: one
+    /// that the store has lost stays in force where it was.
     pub(crate) fn is_ahead_of(&self, held: &StateQuery) -> bool {
         let newer_routes = self.version > held.version && self.through >= held.after;
         self.through > held.after || newer_routes
--- a/packet/src/state_snapshot.rs
+++ b/packet/src/state_snapshot.rs
@@ -1,8 +1,8 @@
 //! A snapshot of the store, merged from its lists and watches and from peers; it never regresses.
 //!
-//! A state at a position of the store supersedes any at a smaller one, from whichever source and in whichever order
-//! updates arrive. A state of a later era replaces one of an earlier era: what the store has lost is dropped. Only the
-//! configuration is ordered by its own version, across eras as well.
+//! A state at a position of the store supersedes any at a smaller one, from whichever source and in whichever
+//! order updates arrive. A state of a later era replaces one of an earlier era: what the store has lost is
+//! dropped. Only the configuration is ordered by its own version, across eras as well.
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
@@ -65,7 +65,7 @@
 impl PublishedItem {
     /// The item, without its content for a receiver that holds every change up to `known`.
     fn named_if_known(mut self, known: StorePosition) -> Self {
-        if self.key != ItemKey::Routes && self.position <= known {
+        if self.position <= known {
             self.content = ItemContent::Unchanged;
         }
         self
@@ -84,8 +84,8 @@
     pub whole: bool,
     /// The first position that the items continue; unread when `whole`.
     pub after: StorePosition,
-    /// The last position that the items continue, unread when `whole`. If it is before `through`, what came and went
-    /// in between is not known.
+    /// The last position that the items continue, unread when `whole`. If it is before `through`, what came
+    /// and went in between is not known.
     pub until: StorePosition,
 }
 
@@ -124,8 +124,8 @@
     pub regressed: Option<Version>,
     /// The update was rejected: it is older than the snapshot, or does not continue it.
     pub is_stale: bool,
-    /// The update is of a later era than the snapshot was. What it removes may have been lost by the store, and what
-    /// it contains may be older than what was lost.
+    /// The update is of a later era than the snapshot was. What it removes may have been lost by the store,
+    /// and what it contains may be older than what was lost.
     pub crosses_era: bool,
 }
 
@@ -151,9 +151,9 @@
     removals: VecDeque<(StorePosition, ItemKey)>,
     /// Tombstones up to this position may have been dropped.
     removals_from: StorePosition,
-    /// Between these two positions the state was replaced whole, or by that of a later era: what came and went there is
-    /// not known, and for a peer that stands there no difference can be made. Of several such gaps the last is kept,
-    /// and what lies before it counts as forgotten.
+    /// Between these two positions the state was replaced whole, or by that of a later era: what came and
+    /// went there is not known, and for a peer that stands there no difference can be made. Of several such
+    /// gaps the last is kept, and what lies before it counts as forgotten.
     gap: Option<(StorePosition, StorePosition)>,
 }
 
@@ -225,8 +225,8 @@
         self.gap = Some((self.through, through));
     }
 
-    /// The delta for a peer that holds this; the whole state where tombstones may be missing, without the content
-    /// that the peer must hold already.
+    /// The delta for a peer that holds this; the whole state where tombstones may be missing, without the
+    /// content that the peer must hold already.
     pub fn update_since(&self, query: &StateQuery) -> StateUpdate {
         let after = query.after;
         let in_gap = self
@@ -480,8 +480,8 @@
     }
 }
 
-/// Whether two positions of an item with the same content may be the same write, that a copy of the store contains. The item
-/// then keeps the earlier position, so that peers of the earlier era need not be sent it again.
+/// Whether two positions of an item with the same content may be the same write, which a copy of the store
+/// contains. The item then keeps the earlier position, so that peers of the earlier era are not sent it again.
 fn is_same_write(held: StorePosition, position: StorePosition) -> bool {
     held.revision == position.revision && held.era <= position.era
 }
--- a/packet/src/store_feed.rs
+++ b/packet/src/store_feed.rs
@@ -5,6 +5,7 @@
 //! ended, over any number of failures; only when the store has dropped that part of its history, or has come back
 //! from a copy, is the list read again. What was learned is never forgotten meanwhile.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -203,7 +204,13 @@
     /// from.
     pub fn listed(&mut self, page: ListPage) -> Result<Option<StateUpdate>, StoreFault> {
         let through = self.listed_from.unwrap_or(page.position);
-        check_position(page.position, through.max(self.refused), through.era)?;
+        check_era(page.position, through)?;
+        if through < self.refused {
+            return Err(StoreFault::Regressed {
+                answered: through,
+                known: self.refused,
+            });
+        }
         self.answered = true;
         self.not_before = None;
         self.listed_from = Some(through);
@@ -226,11 +233,12 @@
 
     /// Accepts the events of a watch.
     ///
-    /// Fails if they do not continue the position that was watched from.
+    /// Fails if they are of another era than the position that was watched from.
     pub fn changed(&mut self, now: Instant, batch: WatchBatch) -> Result<StateUpdate, StoreFault> {
         let after = self.watched.unwrap_or_default();
-        let through = batch.position;
-        check_position(through, after, after.era)?;
+        check_era(batch.position, after)?;
+        // A smaller revision of the same era is a read that lags behind.
+        let through = batch.position.max(after);
         self.failures = 0;
         self.answered = true;
         self.watched = Some(through);
@@ -277,17 +285,11 @@
     }
 }
 
-/// Checks that an answer is of this era, and not of an earlier state than is known.
-fn check_position(
-    answered: StorePosition,
-    known: StorePosition,
-    era: StoreEra,
-) -> Result<(), StoreFault> {
-    if answered < known {
-        return Err(StoreFault::Regressed { answered, known });
-    }
-    if answered.era != era {
-        return Err(StoreFault::EraChanged { era: answered.era });
+/// Checks that an answer is of the era of a known position.
+fn check_era(answered: StorePosition, known: StorePosition) -> Result<(), StoreFault> {
+    match answered.era.cmp(&known.era) {
+        Ordering::Less => Err(StoreFault::Regressed { answered, known }),
+        Ordering::Equal => Ok(()),
+        Ordering::Greater => Err(StoreFault::EraChanged { era: answered.era }),
     }
-    Ok(())
 }
--- a/packet/src/store_position.rs
+++ b/packet/src/store_position.rs
@@ -1,7 +1,7 @@
 //! Positions in the history of the store.
 //!
-//! The store counts its changes by revision. When it comes back from a copy, it loses the changes since, gives out their
-//! revisions again, and counts its era up. Revisions are therefore comparable within an era only.
+//! The store counts its changes by revision. When it comes back from a copy, it loses the changes since, gives
+//! out their revisions again, and counts its era up. Revisions are therefore comparable within an era only.
 
 use std::fmt::Display;
 use std::fmt::Formatter;
--- a/packet/src/upstream_record.rs
+++ b/packet/src/upstream_record.rs
@@ -38,8 +38,8 @@
     },
 }
 
-/// A registration that is applied only if its upstream does not write again before the deadline. The store removes that of an
-/// upstream that is gone within this time.
+/// A registration that is applied only if its upstream does not write again before the deadline. Within this
+/// time the store removes that of an upstream that is gone.
 #[derive(Clone, Debug)]
 pub struct HeldRegistration {
     /// The registration.
--- a/packet/src/upstream_table.rs
+++ b/packet/src/upstream_table.rs
@@ -198,8 +198,8 @@
         index
     }
 
-    /// Registers an upstream that a restored store lists, unless it has written something newer that the store lost: until it
-    /// writes again, or for the grace time, that stands.
+    /// Registers an upstream that a restored store lists, unless it has written something newer that the store
+    /// lost: that stands until it writes again, or for the grace time.
     pub fn register_restored(&mut self, now: Instant, entry: &UpstreamEntry) -> RestoredEntry {
         let known = self.by_name(&entry.name);
         match known.filter(|index| self.get(*index).supersedes(entry)) {
@@ -213,8 +213,8 @@
         }
     }
 
-    /// Lets a registration that a restored store does not list stand for the grace time, in which its upstream writes it again;
-    /// `None` if it was gone before.
+    /// Lets a registration that a restored store does not list stand for the grace time, in which its upstream
+    /// writes it again; `None` if it was gone before.
     pub fn lapse_unlisted(&mut self, now: Instant, name: &UpstreamName) -> Option<UpstreamIndex> {
         let until = now + self.config.lapse.restored_grace;
         let index = self.by_name(name)?;
@@ -230,8 +230,8 @@
         Some(index)
     }
 
-    /// Gives upstreams whose registration is missing or held the whole grace time from now: the store has come back
-    /// from a copy once more, and may have lost again what they wrote.
+    /// Gives everything that waits to be written again its whole grace time from now: the store has come back
+    /// from a copy once more, and may have lost it again.
     pub fn extend_lapses(&mut self, now: Instant) {
         let deadline = now + self.config.lapse.restored_grace;
         for record in &mut self.records {
@@ -283,8 +283,8 @@
         self.reassign_zone(zone);
     }
 
-    /// Lets an evacuation that a restored store does not list stand for the grace time, in which operators request it
-    /// again.
+    /// Lets an evacuation that a restored store does not list stand for the grace time, in which operators
+    /// request it again.
     pub fn hold_evacuation(&mut self, now: Instant, zone: &ZoneName) {
         let expires_at = now + self.config.lapse.evacuation_grace;
         if let Some(evacuation) = self.evacuated.get_mut(zone) {
@@ -416,8 +416,8 @@
         Some(index)
     }
 
-    /// Expires lapsed and deregistered upstreams, and applies registrations that were held; returns those whose grace has
-    /// ended.
+    /// Expires lapsed and deregistered upstreams, and applies registrations that were held; returns those whose
+    /// grace time has ended.
     pub fn tick(&mut self, now: Instant) -> ExpiredUpstreams {
         let mut expired = ExpiredUpstreams::default();
         let mut forgotten = Vec::new();
