--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use lagoonproxy::host_status::HostStatus;
+use lagoonproxy::key_version::format_version;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::unit_text::format_duration;
 use serde_json::json;
@@ -60,11 +61,9 @@
     vec![
         status.host.to_string(),
         address,
-        status
-            .config_version
-            .map_or("-".to_owned(), |version| version.to_string()),
+        status.config_version.map_or("-".to_owned(), format_version),
         status.config_age.map_or("-".to_owned(), format_duration),
-        status.host_list_version.to_string(),
+        format_version(status.host_list_version),
         status.hosts_alive.to_string(),
         status.flows.to_string(),
         status.requests.to_string(),
--- a/cli/src/commands/watch.rs
+++ b/cli/src/commands/watch.rs
@@ -7,6 +7,7 @@
 use argh::FromArgs;
 use lagoonproxy::host_status::HostStatus;
 use lagoonproxy::ids::Version;
+use lagoonproxy::key_version::parse_version;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::unit_text::UnitError;
 use lagoonproxy::unit_text::parse_duration;
@@ -28,8 +29,8 @@
     /// admin address of a host; may stand several times
     #[argh(option)]
     pub host: Vec<SocketAddr>,
-    /// the version
-    #[argh(option)]
+    /// the version; with its era before it, such as 1.105, if the platform has come back from a copy
+    #[argh(option, from_str_fn(version_from_text))]
     pub version: Version,
     /// how long to wait, such as 30s
     #[argh(
@@ -86,6 +87,10 @@
     }
 }
 
+fn version_from_text(text: &str) -> Result<Version, String> {
+    parse_version(text).map_err(|fault| fault.to_string())
+}
+
 /// Reads a duration from the command line.
 pub fn wait_from_text(text: &str) -> Result<Duration, String> {
     parse_duration(text).map_err(|error: UnitError| error.to_string())
--- a/daemon/src/platform_client.rs
+++ b/daemon/src/platform_client.rs
@@ -7,7 +7,10 @@
 use lagoonproxy::control_event::PlatformRequest;
 use lagoonproxy::control_event::PublishedKey;
 use lagoonproxy::ids::ConfigKey;
+use lagoonproxy::ids::PlatformEra;
 use lagoonproxy::ids::Version;
+use lagoonproxy::key_version::compose_version;
+use lagoonproxy::key_version::split_version;
 use lagoonproxy::platform_feed::CALL_PATIENCE;
 use reqwest::StatusCode;
 use reqwest::Url;
@@ -35,6 +38,8 @@
 
 #[derive(Deserialize)]
 struct KeyList {
+    #[serde(default)]
+    era: PlatformEra,
     revision: Version,
     keys: Vec<ListedKey>,
 }
@@ -45,6 +50,14 @@
     version: Version,
 }
 
+#[derive(Deserialize)]
+struct ValueAnswer {
+    #[serde(default)]
+    era: PlatformEra,
+    #[serde(flatten)]
+    change: KeyChange,
+}
+
 #[derive(Deserialize)]
 struct KeyChange {
     key: ConfigKey,
@@ -54,6 +67,8 @@
 
 #[derive(Deserialize)]
 struct WatchAnswer {
+    #[serde(default)]
+    era: PlatformEra,
     revision: Version,
     changes: Vec<KeyChange>,
 }
@@ -104,7 +119,7 @@
                 url.set_path("v1/watch");
                 url.query_pairs_mut()
                     .append_pair("prefix", prefix)
-                    .append_pair("after", &after.to_string())
+                    .append_pair("after", &split_version(*after).1.to_string())
                     .append_pair("wait_ms", &wait.as_millis().to_string());
             }
         }
@@ -127,25 +142,31 @@
     match (request, status) {
         (PlatformRequest::List { .. }, StatusCode::OK) => {
             let list: KeyList = read_json(body)?;
-            let keys = list
-                .keys
-                .into_iter()
-                .map(|listed| (listed.key, listed.version));
+            let keys = list.keys.into_iter().map(|listed| {
+                let version = compose_version(list.era, listed.version)?;
+                Some((listed.key, version))
+            });
             Some(PlatformAnswer::Keys {
-                revision: list.revision,
-                keys: keys.collect(),
+                revision: compose_version(list.era, list.revision)?,
+                keys: keys.collect::<Option<_>>()?,
             })
         }
         (PlatformRequest::Value { .. }, StatusCode::OK) => {
-            let change: KeyChange = read_json(body)?;
-            Some(PlatformAnswer::Value(Some(published(change))))
+            let ValueAnswer { era, change } = read_json(body)?;
+            Some(PlatformAnswer::Value(Some(published(era, change)?)))
         }
         (PlatformRequest::Value { .. }, StatusCode::NOT_FOUND) => Some(PlatformAnswer::Value(None)),
-        (PlatformRequest::Watch { .. }, StatusCode::OK) => {
+        (PlatformRequest::Watch { after, .. }, StatusCode::OK) => {
             let answer: WatchAnswer = read_json(body)?;
+            let (watched_era, _revision) = split_version(*after);
+            if answer.era > watched_era {
+                return Some(PlatformAnswer::HistoryGone);
+            }
+            let changes = answer.changes.into_iter();
+            let changes = changes.map(|change| published(answer.era, change));
             Some(PlatformAnswer::Changes {
-                revision: answer.revision,
-                changes: answer.changes.into_iter().map(published).collect(),
+                revision: compose_version(answer.era, answer.revision)?,
+                changes: changes.collect::<Option<_>>()?,
             })
         }
         (PlatformRequest::Watch { .. }, StatusCode::GONE) => Some(PlatformAnswer::HistoryGone),
@@ -157,10 +178,10 @@
     serde_json::from_slice(body).ok()
 }
 
-fn published(change: KeyChange) -> PublishedKey {
-    PublishedKey {
+fn published(era: PlatformEra, change: KeyChange) -> Option<PublishedKey> {
+    Some(PublishedKey {
         key: change.key,
-        version: change.version,
+        version: compose_version(era, change.version)?,
         value: change.value,
-    }
+    })
 }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -25,6 +25,9 @@
 /// Version of a published value; a larger one replaces a smaller one, never the reverse.
 pub type Version = u64;
 
+/// How often the platform has come back from a copy; 0 if it does not say.
+pub type PlatformEra = u64;
+
 /// Key of a value published on the platform.
 pub type ConfigKey = SmolStr;
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod ids;
 pub mod job_table;
 pub mod key_fetch;
+pub mod key_version;
 pub mod label_selector;
 pub mod label_syntax;
 pub mod least_busy_policy;
--- a/lib/src/platform_feed.rs
+++ b/lib/src/platform_feed.rs
@@ -461,8 +461,8 @@
     }
 }
 
-/// A platform that restarted with an older copy answers with a smaller revision. Nothing it says is
-/// joined until it has caught up: its later changes may belong to another history.
+/// An answer of an earlier era, or one that lags behind. Nothing it says is joined. A platform that comes back from an
+/// older copy is in a later era, so that its versions are larger although its revisions are smaller.
 fn is_older(answer: &PlatformAnswer, held: Version) -> bool {
     match answer {
         PlatformAnswer::Keys { revision, .. } | PlatformAnswer::Changes { revision, .. } => {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_host_core;
 mod test_host_status;
 mod test_invariants;
+mod test_key_version;
 mod test_label_selector;
 mod test_load_parts;
 mod test_load_stories;
--- a/standin/src/key_store.rs
+++ b/standin/src/key_store.rs
@@ -38,8 +38,10 @@
     /// The value is longer than allowed.
     #[snafu(display("a value has at most {MAX_VALUE} bytes"))]
     ValueTooLong,
-    /// The revision lies before the history that is kept.
-    #[snafu(display("the history begins after revision {floor}"))]
+    /// The revision lies before the history that is kept, or after it: in a history that was lost.
+    #[snafu(display(
+        "the history begins after revision {floor} and does not reach further than the store"
+    ))]
     HistoryGone {
         /// The oldest revision that can be asked for.
         floor: Version,
@@ -119,7 +121,7 @@
         prefix: &str,
         after: Version,
     ) -> Result<Vec<KeyChange>, StoreError> {
-        if after < self.floor {
+        if after < self.floor || after > self.revision {
             return Err(StoreError::HistoryGone { floor: self.floor });
         }
         let mut newest = BTreeMap::new();
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -18,6 +18,7 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::get;
+use lagoonproxy::ids::PlatformEra;
 use lagoonproxy::ids::Version;
 use serde::Deserialize;
 use serde::Serialize;
@@ -83,6 +84,8 @@
 #[derive(Default)]
 struct PlatformState {
     store: KeyStore,
+    /// How often the platform has come back from a copy.
+    era: PlatformEra,
     /// What readers see in place of `store` while the platform is stale.
     copy: Option<KeyStore>,
     faults: PlatformFaults,
@@ -174,6 +177,16 @@
         Ok(())
     }
 
+    /// Comes back from the copy of a revision: later changes are lost, and their revisions given out again.
+    pub fn restore(&self, revision: Version) -> Result<(), StoreError> {
+        let mut state = self.lock();
+        state.store = state.store.copy_at(revision)?;
+        state.era += 1;
+        drop(state);
+        self.wake();
+        Ok(())
+    }
+
     /// The faults in force.
     pub fn faults(&self) -> PlatformFaults {
         self.lock().faults
@@ -209,9 +222,12 @@
     }
 
     /// Calls `read` on what readers see at present.
-    pub(crate) fn read<T>(&self, read: impl FnOnce(&KeyStore) -> T) -> T {
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&KeyStore) -> T) -> EraAnswer<T> {
         let state = self.lock();
-        read(state.copy.as_ref().unwrap_or(&state.store))
+        EraAnswer {
+            era: state.era,
+            answer: read(state.copy.as_ref().unwrap_or(&state.store)),
+        }
     }
 
     /// Counts a call and waits out the faults that concern it.
@@ -272,6 +288,14 @@
     }
 }
 
+/// An answer and the era in which it was given.
+#[derive(Serialize)]
+pub(crate) struct EraAnswer<T> {
+    era: PlatformEra,
+    #[serde(flatten)]
+    answer: T,
+}
+
 #[derive(Deserialize)]
 struct ListQuery {
     #[serde(default)]
@@ -322,8 +346,9 @@
 
 async fn read_value(State(platform): State<Platform>, Path(key): Path<String>) -> Response {
     platform.admit(CallKind::Read).await;
-    match platform.read(|store| store.get(&key).cloned()) {
-        Some(change) => Json(change).into_response(),
+    let EraAnswer { era, answer } = platform.read(|store| store.get(&key).cloned());
+    match answer {
+        Some(answer) => Json(EraAnswer { era, answer }).into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
@@ -337,7 +362,7 @@
     loop {
         platform.wait_until_alive().await;
         let in_time = tokio::time::Instant::now() < deadline;
-        let answer = platform.read(|store| {
+        let EraAnswer { era, answer } = platform.read(|store| {
             let changes = store.changes_after(&query.prefix, query.after)?;
             Ok::<_, StoreError>(WatchAnswer {
                 revision: store.revision(),
@@ -347,7 +372,7 @@
         match answer {
             Err(_gone) => return StatusCode::GONE.into_response(),
             Ok(answer) if !answer.changes.is_empty() || !in_time => {
-                return Json(answer).into_response();
+                return Json(EraAnswer { era, answer }).into_response();
             }
             Ok(_nothing) => {}
         }
--- a/standin/tests/test_control_plane.rs
+++ b/standin/tests/test_control_plane.rs
@@ -7,6 +7,7 @@
 use lagoonproxy::daemon_settings::ControlSettings;
 use lagoonproxy::daemon_settings::DEFAULT_REGION;
 use lagoonproxy::ids::HostId;
+use lagoonproxy::key_version::compose_version;
 use lagoonproxy::published_config::ServiceDoc;
 use lagoonproxy::shared_key::SharedKey;
 use lagoonproxy_daemon::control_daemon::ControlDaemon;
@@ -152,3 +153,27 @@
         assert_eq!(daemon.status().await["version"], 3);
     }
 }
+
+/// The platform comes back from a copy that lacks the last changes, and gives out their revisions again.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_changes_of_a_restored_platform_are_applied() {
+    // Guards against a reader that goes on from a revision that the platform has given out twice.
+    let platform = Platform::default();
+    let address = platform.start().await.unwrap();
+    let first = TestDaemon::start(1, address, KEY, &[]).await;
+    platform.publish("hosts/zig-a", &vec![first.entry.clone()]);
+    publish_service(&platform, "service=ledger");
+    for tier in 3..=6 {
+        publish_service(&platform, &format!("service=ledger,tier={tier}"));
+    }
+    first
+        .wait_for("reads the platform", |status| status["version"] == 6)
+        .await;
+    platform.restore(2).unwrap();
+    publish_service(&platform, "service=ledger,tier=again");
+    first
+        .wait_for("reads what came after the return", |status| {
+            status["version"] == compose_version(1, 3).unwrap()
+        })
+        .await;
+}
