--- a/packet/src/upstream_record.rs
+++ b/packet/src/upstream_record.rs
@@ -73,7 +73,7 @@
     /// Which of its process's writes was applied last.
     pub write_count: WriteCount,
     /// A registration that a restored store lists and that is older than the one applied last.
-    pub held: Option<HeldRegistration>,
+    pub held: Option<Box<HeldRegistration>>,
     /// Until when it is slow after its start.
     pub warm_at: Instant,
     /// How it gets new flows until then, if its service has a limit.
@@ -112,14 +112,12 @@
 
     /// Whether a registration of it is older than the one applied last: a copy of the store may contain it.
     pub fn supersedes(&self, entry: &UpstreamEntry) -> bool {
-        let same_process = match (self.born, entry.born) {
-            (Some(applied), Some(listed)) if applied != listed => return listed < applied,
-            _ => true,
-        };
         let is_gone = matches!(self.registration, RegistrationState::Deregistered { .. });
-        let is_older = entry.write_count < self.write_count;
-        let is_last = entry.write_count == self.write_count;
-        same_process && (is_older || is_gone && is_last)
+        match (self.born, entry.born) {
+            (Some(applied), Some(listed)) if applied != listed => listed < applied,
+            _ if is_gone => entry.write_count <= self.write_count,
+            _ => entry.write_count < self.write_count,
+        }
     }
 
     /// Requests that it has in progress, as far as can be told: those through this host and, in its own
--- a/packet/src/upstream_table.rs
+++ b/packet/src/upstream_table.rs
@@ -206,7 +206,8 @@
             Some(index) => {
                 let until = now + self.config.lapse.restored_grace;
                 let entry = entry.clone();
-                self.get_mut(index).held = Some(HeldRegistration { entry, until });
+                let held = Box::new(HeldRegistration { entry, until });
+                self.get_mut(index).held = Some(held);
                 RestoredEntry::Held(index)
             }
             None => RestoredEntry::Registered(self.register(now, entry)),
--- a/packet/tests/test_restored_store.rs
+++ b/packet/tests/test_restored_store.rs
@@ -207,6 +207,18 @@
             upstream: 1,
             expected: [false, true, true],
         },
+        Case {
+            name: "drain of a later process of the upstream lost",
+            lost: vec![UpstreamEntry {
+                born: Some(2),
+                ..written(1, 1, draining)
+            }],
+            removed: None,
+            again: None,
+            is_removed_again: false,
+            upstream: 1,
+            expected: [false, false, true],
+        },
         Case {
             name: "registration lost and written again",
             lost: vec![written(3, 1, ready)],
