--- a/packet/tests/test_restored_store.rs
+++ b/packet/tests/test_restored_store.rs
@@ -160,6 +160,37 @@
     (1000..1060).any(|flow| rig.open(flow, 0).contains(&number))
 }
 
+#[test]
+fn test_few_hosts_list_a_store_that_came_back_after_an_outage() {
+    // Guards against a listing by each host of a fleet in which all tried to read while the store was away.
+    let zones = 5;
+    let mut rig = settled_fleet(zones, 60, 2);
+    let copy = rig.copy_store();
+    rig.pass_with_changes(2000, 500);
+    for host in &mut rig.hosts {
+        host.served = false;
+    }
+    rig.cut_watches();
+    rig.pass(3000);
+    rig.restore_store(&copy);
+    for host in &mut rig.hosts {
+        host.served = true;
+    }
+    let before = rig.now;
+    rig.pass(STABLE_MILLIS);
+    let position = rig.position();
+    let behind = rig
+        .hosts
+        .iter()
+        .filter(|host| host.core.view().through() != position);
+    assert_eq!(behind.count(), 0, "hosts in the earlier era");
+    let lists = rig.calls_since(before, StoreCall::List);
+    assert!(
+        lists <= usize::from(zones) * 9,
+        "{lists} lists of {zones} zones"
+    );
+}
+
 #[test]
 fn test_what_a_restored_store_lost_stands_until_it_is_written_again() {
     // Guards against a draining or former upstream that gets flows again from an older copy, and against the loss of an upstream
