--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -291,11 +291,17 @@
 /// An answer and the era in which it was given.
 #[derive(Serialize)]
 pub(crate) struct EraAnswer<T> {
+    #[serde(skip_serializing_if = "is_first")]
     era: PlatformEra,
     #[serde(flatten)]
     answer: T,
 }
 
+/// A platform that has never come back from a copy states no era.
+fn is_first(era: &PlatformEra) -> bool {
+    *era == 0
+}
+
 #[derive(Deserialize)]
 struct ListQuery {
     #[serde(default)]
