--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -8,6 +8,7 @@
 use crate::packet_action::PacketOutput;
 use crate::packet_action::UpstreamChange;
 use crate::packet_core::PacketCore;
+use crate::restored_upstreams::RestoredEntry;
 use crate::route_table::RouteTable;
 use crate::state_snapshot::StateChange;
 use crate::state_snapshot::StateQuery;
@@ -18,7 +19,6 @@
 use crate::store_feed::StoreFault;
 use crate::store_feed::WatchBatch;
 use crate::upstream_record::RegistrationState;
-use crate::upstream_table::RestoredEntry;
 
 /// Interval at which a host that does not watch the store looks at its role.
 const ROLE_INTERVAL: Duration = Duration::from_millis(100);
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer_table;
 pub mod policy_config;
 pub mod read_role;
+pub mod restored_upstreams;
 pub mod route_config;
 pub mod route_habit;
 pub mod route_table;
--- a/standin/src/packet_soak.rs
+++ b/standin/src/packet_soak.rs
@@ -43,7 +43,7 @@
 /// Places of the ledger's upstreams that are in the zone without hosts.
 const REMOTE_UPSTREAMS: Range<usize> = 4..6;
 const CALLERS: usize = 8;
-/// Tells the random numbers of evacuations, and of returns of the store from a copy, from those of other faults.
+/// Separate the random numbers of evacuations, and of returns of the store, from those of other faults.
 const EVACUATION_STREAM: u64 = 0x6576_6163;
 const RESTORE_STREAM: u64 = 0x7265_7374;
 
