stand-in store: an answer states the era of the content that it was made from

The header was set after the body, from the content of that moment: a list that was made just before a return of the store could state the era after it, and a host would then have taken lost items for present ones. Refusals state the present era as before.

--- a/standin/src/packet_store.rs
+++ b/standin/src/packet_store.rs
@@ -237,13 +237,22 @@
 
 type Words = Query<HashMap<String, String>>;
 
-/// Every answer says which copy the store runs on, refusals included.
+/// Header with the era, in every answer.
+const ERA_HEADER: &str = "store-era";
+
+/// States the present era in an answer that has none yet: a refusal.
 async fn add_era(State(shared): State<Arc<Shared>>, mut response: Response) -> Response {
     let era = HeaderValue::from(shared.content().era);
-    response.headers_mut().insert("Store-Era", era);
+    response.headers_mut().entry(ERA_HEADER).or_insert(era);
     response
 }
 
+/// An answer from this content, in its era.
+fn answer(content: &Content, body: Value) -> Response {
+    let era = HeaderValue::from(content.era);
+    ([(ERA_HEADER, era)], axum::Json(body)).into_response()
+}
+
 /// Waits out the mood; `Some` if the call ends with that.
 async fn moody(state: &PortState) -> Option<Response> {
     state.shared.content().calls += 1;
@@ -281,8 +290,8 @@
         .map(|(key, (value, revision))| item(key, value, *revision))
         .collect();
     let truncated = matching.count() > PAGE_ITEMS;
-    axum::Json(json!({"items": items, "Truncated": truncated, "CurrentRev": content.revision}))
-        .into_response()
+    let body = json!({"items": items, "Truncated": truncated, "CurrentRev": content.revision});
+    answer(&content, body)
 }
 
 async fn watch_changes(State(state): State<PortState>, Query(words): Words) -> Response {
@@ -297,10 +306,13 @@
     };
     let after = number("after");
     let wait = Duration::from_millis(number("WaitMs"));
-    if state.shared.content().lacks(after) {
-        return refusal(410);
-    }
-    let era = state.shared.content().era;
+    let era = {
+        let content = state.shared.content();
+        if content.lacks(after) {
+            return refusal(410);
+        }
+        content.era
+    };
     let mut changed = state.shared.changed.subscribe();
     let mut mood = state.mood.clone();
     tokio::select! {
@@ -324,7 +336,8 @@
             None => json!({"Key": key, "Revision": revision, "Deleted": true}),
         })
         .collect();
-    axum::Json(json!({"events": events, "CurrentRev": content.revision})).into_response()
+    let body = json!({"events": events, "CurrentRev": content.revision});
+    answer(&content, body)
 }
 
 fn item(key: &str, value: &str, revision: u64) -> Value {
