--- a/packet/src/core_events.rs
+++ b/packet/src/core_events.rs
@@ -13,6 +13,7 @@
 use crate::packet_core::PacketCore;
 use crate::packet_head::PacketHead;
 use crate::state_snapshot::MergeOutcome;
+use crate::state_snapshot::StateUpdate;
 use crate::store_position::StorePosition;
 
 impl PacketCore {
@@ -29,6 +30,14 @@
         }
     }
 
+    pub(crate) fn record_rejected(&self, update: &StateUpdate, output: &mut PacketOutput) {
+        output.events.push(DecisionEvent::UpdateRejected {
+            whole: update.whole,
+            offered: update.through,
+            through: self.view.through(),
+        });
+    }
+
     pub(crate) fn record_era(&self, before: StorePosition, whole: bool, output: &mut PacketOutput) {
         output.events.push(DecisionEvent::EraChanged {
             before,
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -30,11 +30,7 @@
         let had_state = !before.is_unread();
         let outcome = self.view.merge(update);
         if outcome.is_stale {
-            output.events.push(DecisionEvent::UpdateRejected {
-                whole: update.whole,
-                offered: update.through,
-                through: before,
-            });
+            self.record_rejected(update, output);
             return false;
         }
         self.record_outcome(&outcome, output);
@@ -69,8 +65,7 @@
     /// What the hosts of the zone are sent of an update that this host has just merged into the state of
     /// `before`: the whole state of a later era as a delta, as most of them hold the state before it too.
     pub fn forwarded_update(&self, update: StateUpdate, before: &StateQuery) -> StateUpdate {
-        let crosses = !before.after.is_unread() && update.through.era > before.after.era;
-        if update.whole && crosses {
+        if update.whole && before.after.is_before_era_of(update.through) {
             self.view.update_since(before)
         } else {
             update
--- a/packet/src/state_snapshot.rs
+++ b/packet/src/state_snapshot.rs
@@ -183,9 +183,8 @@
 
     /// Merges an update.
     pub fn merge(&mut self, update: &StateUpdate) -> MergeOutcome {
-        let has_state = !self.through.is_unread();
         let mut outcome = MergeOutcome {
-            crosses_era: has_state && update.through.era > self.through.era,
+            crosses_era: self.through.is_before_era_of(update.through),
             ..MergeOutcome::default()
         };
         if update.through < self.through || !self.is_continued_by(update) {
--- a/packet/src/store_position.rs
+++ b/packet/src/store_position.rs
@@ -36,6 +36,11 @@
     pub fn is_unread(self) -> bool {
         self == Self::UNREAD
     }
+
+    /// Whether something has been read, in an earlier era than that of the other position.
+    pub fn is_before_era_of(self, other: Self) -> bool {
+        !self.is_unread() && self.era < other.era
+    }
 }
 
 impl Display for StorePosition {
