--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_packet_core;
 mod test_peer_table;
 mod test_read_role;
+mod test_restored_fleet;
 mod test_restored_store;
 mod test_start_plan;
 mod test_state_snapshot;
