--- a/packet/src/flows/flow_evidence.rs
+++ b/packet/src/flows/flow_evidence.rs
@@ -15,8 +15,10 @@
 use crate::flows::flow_table::MOST_FLOWS;
 use crate::flows::flow_table::MOST_TRIED;
 use crate::flows::flow_table::OpeningAttempt;
+use crate::flows::flow_table::RequestJudgement;
 use crate::flows::route_habit::RouteHabit;
 use crate::ids::UpstreamIndex;
+use crate::load::shed_detection::is_shed;
 use crate::packet_head::PacketHead;
 use crate::packet_head::PacketKind;
 use crate::packet_head::is_after;
@@ -67,6 +69,8 @@
     pub avoided: bool,
     /// The response before was an error of an upstream that had no room for its request.
     pub shed: bool,
+    /// The response before was an error of an upstream that failed its request.
+    pub failed: bool,
     /// The upstream was avoided and has answered.
     pub returned: bool,
 }
@@ -189,7 +193,7 @@
         record.last_seen = now;
         flow_load::become_active(record, upstreams);
         let mut habit = self.habits.get_mut(&key.service);
-        let next_turn = head.data_len > 0 && record.waiting_since.is_none() && record.unjudged;
+        let next_turn = head.data_len > 0 && record.waiting_since.is_none() && record.is_unjudged();
         if let (Some(habit), true) = (&mut habit, next_turn) {
             habit.silence.learn(pause);
         }
@@ -199,10 +203,11 @@
         }
         let goes_on = head.data_len > 0 || head.last;
         if pause > ANSWER_MEMORY {
-            record.unjudged = false;
+            record.judgement = RequestJudgement::Done;
         }
-        if goes_on && record.waiting_since.is_none() && record.unjudged {
-            self.failures += judge_answered(now, record, habit, upstreams);
+        if goes_on && record.waiting_since.is_none() && record.is_unjudged() {
+            judge_answered(now, record, habit, upstreams, &mut seen);
+            self.failures += u64::from(seen.failed);
         }
         observe_data(now, record, head, upstreams, &mut seen);
         if let (Some(waited), false) = (seen.repeated, blind) {
@@ -346,7 +351,7 @@
             sent: head.seq,
             waiting_since: None,
             answer_bytes: 0,
-            unjudged: false,
+            judgement: RequestJudgement::Done,
             last_seen: now,
             usage: FlowUsage::Active,
         };
@@ -380,6 +385,10 @@
     seen.answered = record
         .waiting_since
         .map(|since| now.saturating_duration_since(since));
+    let prompt = upstreams.config().exchange.shed_wait;
+    if record.is_unjudged() && seen.answered.is_some_and(|took| took <= prompt) {
+        record.judgement = RequestJudgement::PendingPrompt;
+    }
     flow_load::stop_waiting(record, upstreams);
 }
 
@@ -401,7 +410,7 @@
     let Some(since) = record.waiting_since else {
         record.waiting_since = Some(now);
         record.answer_bytes = 0;
-        record.unjudged = true;
+        record.judgement = RequestJudgement::Pending;
         flow_load::begin_waiting(record, upstreams);
         return;
     };
@@ -413,23 +422,34 @@
 }
 
 /// Judges a request whose answer is complete: its caller goes on to the next, or ends its stream.
-/// Returns 1 if it failed.
 fn judge_answered(
     now: Instant,
     record: &mut FlowRecord,
     habit: Option<&mut RouteHabit>,
     upstreams: &mut UpstreamTable,
-) -> u64 {
-    record.unjudged = false;
+    seen: &mut PacketSeen,
+) {
+    let prompt = record.judgement == RequestJudgement::PendingPrompt;
+    record.judgement = RequestJudgement::Done;
     let config = &upstreams.config().outlier;
-    let short = habit.is_some_and(|habit| habit.answers.learn(config, record.answer_bytes));
+    let bytes = record.answer_bytes;
+    let short = habit
+        .as_ref()
+        .is_some_and(|habit| habit.answers.is_short(config, bytes));
+    if short && prompt && is_shed(upstreams, record.upstream) {
+        seen.shed = true;
+        return;
+    }
+    if let Some(habit) = habit {
+        habit.answers.learn(config, bytes);
+    }
+    seen.failed = short;
     let answers = &mut upstreams.get_mut(record.upstream).answers;
     if short {
         answers.erred(now);
     } else {
         answers.served(now);
     }
-    u64::from(short)
 }
 
 /// Judges a request that has waited too long for its answer, each once; returns 1 if it failed. On a
@@ -440,13 +460,13 @@
     blind: bool,
     upstreams: &mut UpstreamTable,
 ) -> u64 {
-    let Some(sent) = record.waiting_since.filter(|_sent| record.unjudged) else {
+    let Some(sent) = record.waiting_since.filter(|_sent| record.is_unjudged()) else {
         return 0;
     };
     if blind || now.saturating_duration_since(sent) < upstreams.config().outlier.failed_wait {
         return 0;
     }
-    record.unjudged = false;
+    record.judgement = RequestJudgement::Done;
     let upstream = upstreams.get_mut(record.upstream);
     upstream.answers.unanswered(now, sent);
     1
--- a/packet/src/flows/flow_table.rs
+++ b/packet/src/flows/flow_table.rs
@@ -55,6 +55,17 @@
     Closing,
 }
 
+/// How far a flow's last request has been judged as served, failed or shed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestJudgement {
+    /// It has been, or there was none.
+    Done,
+    /// It has not.
+    Pending,
+    /// It has not, and its answer began so soon that it may be a shed.
+    PendingPrompt,
+}
+
 /// An open flow.
 #[derive(Clone, Copy, Debug)]
 pub struct FlowRecord {
@@ -68,14 +79,21 @@
     pub waiting_since: Option<Instant>,
     /// Bytes of the answer to the last request that the caller has acknowledged, as far as they count.
     pub answer_bytes: u16,
-    /// There is a request on this flow that has not been judged as served or failed.
-    pub unjudged: bool,
+    /// Whether there is a request on this flow that has not been judged as served, failed or shed.
+    pub judgement: RequestJudgement,
     /// When the last packet came.
     pub last_seen: Instant,
     /// Whether it counts at its upstream.
     pub usage: FlowUsage,
 }
 
+impl FlowRecord {
+    /// Whether there is a request that has not been judged.
+    pub fn is_unjudged(&self) -> bool {
+        self.judgement != RequestJudgement::Done
+    }
+}
+
 /// The flows that are being opened, and those that are open.
 #[derive(Debug, Default)]
 pub struct FlowTable {
--- a/packet/src/health/answer_record.rs
+++ b/packet/src/health/answer_record.rs
@@ -154,13 +154,19 @@
 }
 
 impl AnswerSize {
+    /// Whether a response of this size is so short that it is taken for an error.
+    pub fn is_short(&self, config: &OutlierConfig, bytes: u16) -> bool {
+        let usual = self.shifted >> SIZE_SHIFT;
+        let (share, of) = config.short_share;
+        self.seen >= config.fewest_answers && u64::from(bytes) * of < usual * share
+    }
+
     /// Records the size of a response, clamped to the largest that can be stored;
     /// true if it is so short that it is taken for an error.
     pub fn learn(&mut self, config: &OutlierConfig, bytes: u16) -> bool {
+        let short = self.is_short(config, bytes);
         let bytes = u64::from(bytes);
         let usual = self.shifted >> SIZE_SHIFT;
-        let (share, of) = config.short_share;
-        let short = self.seen >= config.fewest_answers && bytes * of < usual * share;
         self.seen += 1;
         if self.seen <= config.fewest_answers {
             let others = usual * (self.seen - 1);
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -102,7 +102,7 @@
             upstreams: UpstreamTable::new(settings.zone.clone(), settings.flow_age, config),
             routes: RouteTable::default(),
             evidence: FlowEvidence::default(),
-            load: LoadView::new(config.exchange),
+            load: LoadView::new(config.exchange).with_capacity(settings.capacity),
             spill: ZoneSpill::default(),
             callers: CallerShares::default(),
             peers: PeerTable::new(
@@ -389,6 +389,9 @@
         if seen.shed {
             self.record_request(now, head, index, RequestEnd::Shed);
         }
+        if seen.failed {
+            self.record_request(now, head, index, RequestEnd::Failed);
+        }
         if let Some(waited) = seen.repeated {
             self.record_repeated(now, head, index, waited, output);
         }
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -47,6 +47,9 @@
     pub warmup: Option<WarmupLimit>,
     /// Whether its load exceeds what decisions in calm are made for; see [`crate::load`].
     pub is_contended: bool,
+    /// Requests in progress for each slot in this host's zone, in parts of [`crate::load::service_room::REQUEST_LOAD`],
+    /// raised while upstreams shed.
+    pub pressure: u32,
     /// The most connections that one upstream holds; `None` if it is not published.
     pub connection_limit: Option<u32>,
 }
@@ -138,6 +141,7 @@
             evacuated: Vec::new(),
             warmup: None,
             is_contended: false,
+            pressure: 0,
             connection_limit: None,
         });
         self.pool_by_name.insert(name.clone(), index);
@@ -275,6 +279,11 @@
         self.pools[service as usize].is_contended = is_contended;
     }
 
+    /// Sets the pressure of a service; see [`ServicePool::pressure`].
+    pub fn set_pressure(&mut self, service: ServiceIndex, pressure: u32) {
+        self.pools[service as usize].pressure = pressure;
+    }
+
     /// Every service's pool, in the order of its place.
     pub fn pools(&self) -> &[ServicePool] {
         &self.pools
