dispatch: new flows of a contended service are placed by the host that counts its requests

Change: hosts report begin and end of each request of a contended service to its dispatcher, ask it for each SYN (at most 10 ms, then alone), and it places at the least loaded upstream or refuses less urgent classes. Result: compiled only.

--- /dev/null
+++ b/packet/src/core_dispatch.rs
@@ -0,0 +1,393 @@
+//! How a core asks the dispatcher of a contended service where a flow goes, and acts as one.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::flow_hash::rendezvous_weight;
+use lagoonproxy::result_code::ResultCode;
+
+use crate::core_load::SelectedSyn;
+use crate::dispatch::dispatch_client::DispatchClient;
+use crate::dispatch::dispatch_client::QueryState;
+use crate::dispatch::dispatch_message::DispatchQuery;
+use crate::dispatch::dispatch_message::DispatchReply;
+use crate::dispatch::dispatch_message::DispatchVerdict;
+use crate::dispatch::dispatch_message::MOST_EXCLUDED;
+use crate::dispatch::dispatch_message::RequestEvent;
+use crate::dispatch::dispatch_policy::DispatchCandidate;
+use crate::dispatch::dispatch_policy::DispatchClass;
+use crate::dispatch::dispatch_policy::least_loaded;
+use crate::dispatch::dispatch_policy::refuses;
+use crate::dispatch::dispatcher_choice::DispatcherChoice;
+use crate::dispatch::request_ledger::RequestLedger;
+use crate::flows::flow_table::FlowKey;
+use crate::ids::FlowDigest;
+use crate::ids::ServiceIndex;
+use crate::ids::ServiceTag;
+use crate::ids::UpstreamIndex;
+use crate::load::load_report::service_tag;
+use crate::load::load_view::AddressedDatagram;
+use crate::load::service_room::REQUEST_LOAD;
+use crate::packet_action::DecisionEvent;
+use crate::packet_action::PacketAction;
+use crate::packet_action::PacketOutput;
+use crate::packet_core::PacketCore;
+use crate::peers::peer_datagram::PeerDatagram;
+use crate::policy_config::FLOW_LOAD;
+use crate::selection::upstream_selection::sample;
+
+/// How long a dispatcher hears of requests before it places flows: requests that began before are not counted.
+const LEARNING_TIME: Duration = Duration::from_millis(300);
+
+/// Time without an event after which a dispatcher starts anew.
+const EVENT_SILENCE: Duration = Duration::from_secs(1);
+
+/// What a dispatcher holds, and what a host holds of dispatchers.
+#[derive(Debug, Default)]
+pub(crate) struct DispatchState {
+    pub(crate) choice: DispatcherChoice,
+    pub(crate) client: DispatchClient,
+    pub(crate) ledger: RequestLedger,
+    /// Since when other hosts or this one report requests here without a break; `None` if none does.
+    reported_since: Option<Instant>,
+    /// When the last report came.
+    last_report: Option<Instant>,
+    /// By service, its dispatcher as of the last tick; `None` for services that are not contended.
+    dispatchers: Vec<Option<SocketAddrV4>>,
+    /// Queries to send.
+    queries: Vec<(SocketAddrV4, DispatchQuery)>,
+}
+
+/// What becomes of a SYN that a dispatcher may place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DispatchStep {
+    /// This host decides.
+    Alone,
+    /// The SYN waits for the reply.
+    Wait,
+    /// It goes to this upstream.
+    Place(UpstreamIndex),
+    /// It is refused.
+    Refuse,
+}
+
+impl DispatchState {
+    fn dispatcher(&self, service: ServiceIndex) -> Option<SocketAddrV4> {
+        self.dispatchers.get(service as usize).copied().flatten()
+    }
+
+    fn heard_events(&mut self, now: Instant) {
+        self.last_report = Some(now);
+        self.reported_since.get_or_insert(now);
+    }
+
+    fn knows_requests(&self, now: Instant) -> bool {
+        self.reported_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= LEARNING_TIME)
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.client.expire(now);
+        self.ledger.expire_requests(now);
+        let silent = self
+            .last_report
+            .is_some_and(|last| now.saturating_duration_since(last) >= EVENT_SILENCE);
+        if silent {
+            self.last_report = None;
+            self.reported_since = None;
+        }
+    }
+}
+
+impl PacketCore {
+    /// Chooses the dispatchers of contended services anew, and expires what has lasted its time.
+    pub(crate) fn tick_dispatch(&mut self, now: Instant) {
+        self.dispatch.tick(now);
+        if !self.upstreams.config().dispatch.is_enabled {
+            return;
+        }
+        let pools = self.upstreams.pools();
+        self.dispatch.dispatchers.resize(pools.len(), None);
+        for (place, pool) in pools.iter().enumerate() {
+            let dispatcher = pool.is_contended.then(|| {
+                let tag = service_tag(&pool.name);
+                self.dispatch
+                    .choice
+                    .choose(now, &self.peers, self.capacity, tag)
+            });
+            self.dispatch.dispatchers[place] = dispatcher;
+        }
+    }
+
+    /// What becomes of a SYN of a contended service, by its dispatcher.
+    pub(crate) fn dispatch_syn(
+        &mut self,
+        now: Instant,
+        syn: SelectedSyn<'_>,
+        output: &mut PacketOutput,
+    ) -> DispatchStep {
+        let Some(dispatcher) = self.dispatch.dispatcher(syn.service) else {
+            return DispatchStep::Alone;
+        };
+        let flow = flow_digest(syn.flow_hash);
+        match self.dispatch.client.take(now, flow) {
+            QueryState::Waiting => return DispatchStep::Alone,
+            QueryState::Replied(verdict) => return self.follow_verdict(syn, verdict),
+            QueryState::TimedOut(address) => {
+                if self.dispatch.choice.missed(now, address) {
+                    output.events.push(DecisionEvent::DispatcherSilent {
+                        dispatcher: address,
+                    });
+                }
+                return DispatchStep::Alone;
+            }
+            QueryState::Absent => {}
+        }
+        let query = self.dispatch_query(now, syn, flow);
+        if dispatcher == self.peers.own {
+            let verdict = self.dispatch_verdict(now, &query);
+            return self.follow_verdict(syn, verdict);
+        }
+        let key = FlowKey {
+            caller: syn.head.caller,
+            service: syn.head.service,
+        };
+        if !self.dispatch.client.ask(now, key, flow, dispatcher) {
+            return DispatchStep::Alone;
+        }
+        self.dispatch.queries.push((dispatcher, query));
+        output.actions.push(PacketAction::Park);
+        DispatchStep::Wait
+    }
+
+    /// Reports to the dispatcher that a flow's request began or ended with a packet.
+    pub(crate) fn report_request(
+        &mut self,
+        now: Instant,
+        key: &FlowKey,
+        flow_hash: u64,
+        before: Option<UpstreamIndex>,
+    ) {
+        let after = self.waiting_upstream(key);
+        if before == after {
+            return;
+        }
+        let flow = flow_digest(flow_hash);
+        let event = match after {
+            Some(index) => RequestEvent::Began {
+                flow,
+                upstream: self.upstreams.get(index).tag.unwrap_or_default(),
+            },
+            None => RequestEvent::Ended { flow },
+        };
+        let Some(index) = after.or(before) else {
+            return;
+        };
+        let service = self.upstreams.get(index).service;
+        match self.dispatch.dispatcher(service) {
+            Some(dispatcher) if dispatcher == self.peers.own => {
+                self.heard_requests(now, &[event]);
+            }
+            Some(dispatcher) => self.dispatch.client.report(dispatcher, event),
+            None => {}
+        }
+    }
+
+    /// The upstream at which a flow has a request in progress.
+    pub(crate) fn waiting_upstream(&self, key: &FlowKey) -> Option<UpstreamIndex> {
+        let record = self.evidence.flow(key)?;
+        record.waiting_since.map(|_since| record.upstream)
+    }
+
+    /// Whether datagrams for dispatchers wait to be sent.
+    pub fn has_dispatch_datagrams(&self) -> bool {
+        self.dispatch.client.has_events() || !self.dispatch.queries.is_empty()
+    }
+
+    /// The datagrams for dispatchers.
+    pub fn take_dispatch_datagrams(&mut self) -> Vec<AddressedDatagram> {
+        let batches = self.dispatch.client.take_events().into_iter();
+        let events = batches.map(|(target, events)| (target, PeerDatagram::Requests(events)));
+        let queries = std::mem::take(&mut self.dispatch.queries).into_iter();
+        let queries = queries.map(|(target, query)| (target, PeerDatagram::Query(query)));
+        let datagrams = events.chain(queries);
+        datagrams
+            .map(|(target, datagram)| AddressedDatagram {
+                datagram,
+                targets: vec![target],
+            })
+            .collect()
+    }
+
+    /// Counts the requests that a host reports: this host dispatches for it.
+    pub fn heard_requests(&mut self, now: Instant, events: &[RequestEvent]) {
+        self.dispatch.heard_events(now);
+        for event in events {
+            match *event {
+                RequestEvent::Began { flow, upstream } => {
+                    if let Some(index) = self.upstreams.by_tag(upstream) {
+                        self.dispatch.ledger.begin(now, flow, index);
+                    }
+                }
+                RequestEvent::Ended { flow } => self.dispatch.ledger.end(flow),
+            }
+        }
+    }
+
+    /// Replies to a host's query.
+    pub fn heard_query(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        query: &DispatchQuery,
+    ) -> AddressedDatagram {
+        let verdict = self.dispatch_verdict(now, query);
+        let flow = query.flow;
+        AddressedDatagram {
+            datagram: PeerDatagram::Reply(DispatchReply { flow, verdict }),
+            targets: vec![from],
+        }
+    }
+
+    /// Merges a dispatcher's reply; the flow whose SYN waits for it.
+    pub fn heard_reply(&mut self, from: SocketAddrV4, reply: DispatchReply) -> Option<FlowKey> {
+        self.dispatch.choice.replied(from);
+        self.dispatch.client.reply(from, reply.flow, reply.verdict)
+    }
+
+    fn dispatch_query(
+        &self,
+        now: Instant,
+        syn: SelectedSyn<'_>,
+        flow: FlowDigest,
+    ) -> DispatchQuery {
+        let class = self.routes.class(syn.head.service, syn.service);
+        let class = class.map(|class| self.load.active_class(now, syn.service, class));
+        let tried = syn.copy.tried.iter();
+        let tags = tried.filter_map(|index| self.upstreams.get(*index).tag);
+        DispatchQuery {
+            flow,
+            service: service_tag(&self.upstreams.pool(syn.service).name),
+            rank: class.map_or(0, |class| class.rank),
+            classes: class.map_or(1, |class| class.classes),
+            may_refuse: syn.head.ack == 0,
+            excluded: tags.take(MOST_EXCLUDED).collect(),
+        }
+    }
+
+    /// Carries a verdict out as far as this host's own view of the upstream allows it.
+    fn follow_verdict(&self, syn: SelectedSyn<'_>, verdict: DispatchVerdict) -> DispatchStep {
+        match verdict {
+            DispatchVerdict::Place(tag) => {
+                let index = self.upstreams.by_tag(tag);
+                let usable = index.filter(|index| self.is_dispatchable(*index, syn.service));
+                usable.map_or(DispatchStep::Alone, DispatchStep::Place)
+            }
+            DispatchVerdict::Refuse if syn.head.ack == 0 => DispatchStep::Refuse,
+            DispatchVerdict::Refuse | DispatchVerdict::Unknown => DispatchStep::Alone,
+        }
+    }
+
+    fn is_dispatchable(&self, index: UpstreamIndex, service: ServiceIndex) -> bool {
+        let record = self.upstreams.get(index);
+        let usable = record.takes_flows() && !record.is_degraded();
+        usable
+            && record.service == service
+            && !self.upstreams.evacuated().contains_key(&record.zone)
+    }
+
+    /// Decides as a dispatcher.
+    fn dispatch_verdict(&mut self, now: Instant, query: &DispatchQuery) -> DispatchVerdict {
+        if !self.dispatch.knows_requests(now) {
+            return DispatchVerdict::Unknown;
+        }
+        let Some(service) = self.service_by_tag(query.service) else {
+            return DispatchVerdict::Unknown;
+        };
+        self.dispatch.ledger.expire_placements(now);
+        let config = &self.upstreams.config();
+        let most = config.selection.max_sampled;
+        let Some(mut best) = self.least_loaded(now, service, query, most) else {
+            return DispatchVerdict::Unknown;
+        };
+        let class = DispatchClass {
+            rank: query.rank,
+            classes: query.classes,
+        };
+        if query.may_refuse && refuses(&config.dispatch, class, &best) {
+            best = self
+                .least_loaded(now, service, query, usize::MAX)
+                .unwrap_or(best);
+            if refuses(&config.dispatch, class, &best) {
+                return DispatchVerdict::Refuse;
+            }
+        }
+        self.dispatch.ledger.place(now, query.flow, best.index);
+        let tag = self.upstreams.get(best.index).tag;
+        tag.map_or(DispatchVerdict::Unknown, DispatchVerdict::Place)
+    }
+
+    /// The least loaded of so many of the zone's upstreams.
+    fn least_loaded(
+        &self,
+        now: Instant,
+        service: ServiceIndex,
+        query: &DispatchQuery,
+        most: usize,
+    ) -> Option<DispatchCandidate> {
+        let local = &self.upstreams.pool(service).local;
+        let sampled = sample(local, u64::from(query.flow), most);
+        let usable = sampled.filter(|index| {
+            let warming = self.upstreams.is_warming(now, self.upstreams.get(*index));
+            !warming && self.is_dispatchable(*index, service)
+        });
+        least_loaded(usable.map(|index| self.dispatch_candidate(now, index, query)))
+    }
+
+    fn dispatch_candidate(
+        &self,
+        now: Instant,
+        index: UpstreamIndex,
+        query: &DispatchQuery,
+    ) -> DispatchCandidate {
+        let record = self.upstreams.get(index);
+        let tag = record.tag.unwrap_or_default();
+        let cold_load = self.upstreams.config().selection.cold_load;
+        let cold = u64::from(REQUEST_LOAD) * cold_load / FLOW_LOAD;
+        DispatchCandidate {
+            index,
+            in_progress: self.dispatch.ledger.in_progress(index),
+            slots: record.slots,
+            request_load: match record.warm_at > now {
+                true => u32::try_from(cold).unwrap_or(u32::MAX),
+                false => REQUEST_LOAD,
+            },
+            is_excluded: query.excluded.contains(&tag),
+            weight: rendezvous_weight(u64::from(query.flow), u64::from(tag)),
+        }
+    }
+
+    fn service_by_tag(&self, tag: ServiceTag) -> Option<ServiceIndex> {
+        let mut pools = self.upstreams.pools().iter();
+        let place = pools.position(|pool| service_tag(&pool.name) == tag)?;
+        ServiceIndex::try_from(place).ok()
+    }
+
+    /// Refuses a SYN whose class has no room.
+    pub(crate) fn refuse_class(
+        &mut self,
+        now: Instant,
+        syn: SelectedSyn<'_>,
+        output: &mut PacketOutput,
+    ) {
+        let code = ResultCode::PriorityRefused;
+        output.actions.push(PacketAction::Reset { acked: 0, code });
+        self.record_dispatch_refusal(now, syn, code, output);
+    }
+}
+
+/// The short form of a flow's hash in what hosts and dispatchers send each other.
+fn flow_digest(flow_hash: u64) -> FlowDigest {
+    (flow_hash ^ (flow_hash >> 32)) as FlowDigest
+}
--- a/packet/src/core_events.rs
+++ b/packet/src/core_events.rs
@@ -52,6 +52,7 @@
         head: &PacketHead,
         index: UpstreamIndex,
         hedged: bool,
+        dispatched: bool,
         output: &mut PacketOutput,
     ) {
         let record = self.upstreams.get(index);
@@ -64,6 +65,7 @@
             flows: record.flows,
             heard_ago: heard_ago(now, record.silence.last_response()),
             hedged,
+            dispatched,
             version: self.version,
         });
     }
--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -38,6 +38,8 @@
     pub(crate) copy: &'a CopySeen,
     pub(crate) upstream: UpstreamIndex,
     pub(crate) has_free_slot: bool,
+    /// The dispatcher of the service has selected the upstream, and admitted its class.
+    pub(crate) is_dispatched: bool,
 }
 
 impl PacketCore {
@@ -66,7 +68,7 @@
         let Some(class) = self.routes.class(head.service, service) else {
             return true;
         };
-        if !syn.room.is_contended {
+        if !syn.room.is_contended || syn.is_dispatched {
             self.load
                 .record_syn(now, service, class, head.ack, SynOutcome::Placed);
             return true;
@@ -100,10 +102,27 @@
             SynVerdict::Refuse(code) => (PacketAction::Reset { acked: 0, code }, code),
         };
         output.actions.push(action);
-        self.record_class_limit(now, syn, &query, code, output);
+        self.record_class_limit(now, syn, class, code, output);
         false
     }
 
+    /// Counts and records that the dispatcher has refused a SYN.
+    pub(crate) fn record_dispatch_refusal(
+        &mut self,
+        now: Instant,
+        syn: SelectedSyn<'_>,
+        code: ResultCode,
+        output: &mut PacketOutput,
+    ) {
+        let (head, service) = (syn.head, syn.service);
+        let Some(class) = self.routes.class(head.service, service) else {
+            return;
+        };
+        self.load
+            .record_syn(now, service, class, head.ack, SynOutcome::Refused);
+        self.record_class_limit(now, syn, class, code, output);
+    }
+
     /// Records the end of a request on a flow.
     pub(crate) fn record_request(
         &mut self,
@@ -158,18 +177,17 @@
         &self,
         now: Instant,
         syn: SelectedSyn<'_>,
-        query: &SynQuery,
+        class: RequestClass,
         code: ResultCode,
         output: &mut PacketOutput,
     ) {
         let deferred = matches!(output.actions.last(), Some(PacketAction::Drop { .. }));
-        let class: RequestClass = query.class;
         let updated_at = syn.room.updated_at;
         let record = self.upstreams.get(syn.upstream);
         output.events.push(DecisionEvent::ClassLimited {
             caller: syn.head.caller,
             service: syn.head.service,
-            copy: query.copy,
+            copy: syn.head.ack,
             class,
             code,
             deferred,
--- a/packet/src/ids.rs
+++ b/packet/src/ids.rs
@@ -35,5 +35,8 @@
 /// Short form of a service's name in what hosts send each other.
 pub type ServiceTag = u32;
 
+/// Short form of a flow's hash in what hosts send each other; flows that share one are counted as one.
+pub type FlowDigest = u32;
+
 /// Rank of a class of requests among those of its service: 0 is the most urgent.
 pub type ClassRank = u8;
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -4,11 +4,13 @@
 //! [`packet_core`] is the public interface: packets, published state and ticks in, actions and events out.
 
 pub mod admission;
+mod core_dispatch;
 mod core_events;
 mod core_load;
 pub mod core_peers;
 mod core_reading;
 mod core_warmup;
+pub mod dispatch;
 pub mod flows;
 pub mod health;
 pub mod host_settings;
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -36,6 +36,8 @@
         /// Why.
         code: ResultCode,
     },
+    /// Keep the packet and hand it in again when the reply to its query has come, or is late.
+    Park,
     /// Do nothing.
     Drop {
         /// Why.
@@ -98,6 +100,8 @@
         heard_ago: Option<Duration>,
         /// Whether another one got the packet as well.
         hedged: bool,
+        /// Whether the dispatcher of its service selected it.
+        dispatched: bool,
         /// The version of the routes in force.
         version: Version,
     },
@@ -165,6 +169,11 @@
         /// Pressure there, in thousandths.
         remote_pressure: u32,
     },
+    /// A dispatcher left several queries without a reply and is skipped for some time.
+    DispatcherSilent {
+        /// The dispatcher.
+        dispatcher: SocketAddrV4,
+    },
     /// A peer's report on load was invalid.
     LoadRejected {
         /// The sender.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -15,6 +15,8 @@
 use crate::admission::opening_admission::OpeningQuery;
 use crate::admission::opening_admission::is_deferred;
 use crate::admission::warmup_admission::WarmupTolerance;
+use crate::core_dispatch::DispatchState;
+use crate::core_dispatch::DispatchStep;
 use crate::core_load::SelectedSyn;
 use crate::flows::flow_evidence::FlowEvidence;
 use crate::flows::flow_table::FlowKey;
@@ -69,6 +71,7 @@
     pub(crate) evidence: FlowEvidence,
     pub(crate) peers: PeerTable,
     pub(crate) load: LoadView,
+    pub(crate) dispatch: DispatchState,
     pub(crate) spill: ZoneSpill,
     pub(crate) callers: CallerShares,
     pub(crate) zone: ZoneName,
@@ -103,6 +106,7 @@
             routes: RouteTable::default(),
             evidence: FlowEvidence::default(),
             load: LoadView::new(config.exchange).with_capacity(settings.capacity),
+            dispatch: DispatchState::default(),
             spill: ZoneSpill::default(),
             callers: CallerShares::default(),
             peers: PeerTable::new(
@@ -177,6 +181,7 @@
     pub fn woke_up(&mut self, now: Instant) {
         self.upstreams.reset_detectors();
         self.load.reset();
+        self.dispatch = DispatchState::default();
         self.evidence.restart_waits(now);
     }
 
@@ -208,6 +213,7 @@
             self.record_upstream(now, index, change, output);
         }
         self.tick_load(now, output);
+        self.tick_dispatch(now);
         self.decide_role(now, output);
         self.follow_reader(now);
         self.end_lost_flows(now, output);
@@ -291,26 +297,12 @@
             room,
             leaves_for: self.spill.target(service, flow_hash),
         };
-        let Some(selection) = select_upstream(&self.upstreams, query) else {
+        let Some(mut selection) = select_upstream(&self.upstreams, query) else {
             let code = self.placement_fault(now, service);
             self.refuse(head, None, code, output);
             return;
         };
-        let best = self.upstreams.get(selection.first);
-        let opening = OpeningQuery {
-            copy: head.ack,
-            target: self.routes.target(head.service),
-            placed_before: !copy.tried.is_empty(),
-            requests: best.requests(local_hosts),
-            slots: best.slots,
-        };
-        if !room.is_contended && is_deferred(&self.upstreams.config().admission, &opening) {
-            let code = ResultCode::QueueFull;
-            output.actions.push(PacketAction::Drop { code });
-            self.record_deferred(head, selection.first, opening, output);
-            return;
-        }
-        let syn = SelectedSyn {
+        let mut syn = SelectedSyn {
             head,
             flow_hash,
             service,
@@ -318,7 +310,27 @@
             copy: &copy,
             upstream: selection.first,
             has_free_slot: selection.has_free_slot,
+            is_dispatched: false,
         };
+        if room.is_contended && query.leaves_for.is_none() {
+            match self.dispatch_syn(now, syn, output) {
+                DispatchStep::Wait => return,
+                DispatchStep::Refuse => {
+                    self.refuse_class(now, syn, output);
+                    return;
+                }
+                DispatchStep::Place(index) => {
+                    selection.first = index;
+                    selection.second = selection.second.filter(|second| *second != index);
+                    syn.upstream = index;
+                    syn.is_dispatched = true;
+                }
+                DispatchStep::Alone => {}
+            }
+        }
+        if !room.is_contended && self.defers_late_copy(now, syn, output) {
+            return;
+        }
         if !self.admits_class(now, syn, output) {
             return;
         }
@@ -327,6 +339,7 @@
             head,
             selection.first,
             selection.second.is_some(),
+            syn.is_dispatched,
             output,
         );
         for index in std::iter::once(selection.first).chain(selection.second) {
@@ -343,6 +356,31 @@
         }
     }
 
+    /// Whether a late retransmission is left to its caller's next one, since no slot is free.
+    fn defers_late_copy(
+        &self,
+        now: Instant,
+        syn: SelectedSyn<'_>,
+        output: &mut PacketOutput,
+    ) -> bool {
+        let head = syn.head;
+        let best = self.upstreams.get(syn.upstream);
+        let opening = OpeningQuery {
+            copy: head.ack,
+            target: self.routes.target(head.service),
+            placed_before: !syn.copy.tried.is_empty(),
+            requests: best.requests(self.peers.local_hosts(now) as u32),
+            slots: best.slots,
+        };
+        if !is_deferred(&self.upstreams.config().admission, &opening) {
+            return false;
+        }
+        let code = ResultCode::QueueFull;
+        output.actions.push(PacketAction::Drop { code });
+        self.record_deferred(head, syn.upstream, opening, output);
+        true
+    }
+
     /// A SYN that was under way longer than its flow took to open. The flow needs it no more, so that it
     /// does not enter an evacuated zone.
     fn carry_late_syn(&self, head: &PacketHead, index: UpstreamIndex, output: &mut PacketOutput) {
@@ -379,9 +417,17 @@
             self.carry_unknown(now, head, output);
             return;
         };
+        let is_contended = {
+            let service = self.upstreams.get(index).service;
+            self.upstreams.pool(service).is_contended
+        };
+        let before = is_contended.then(|| self.waiting_upstream(&key)).flatten();
         let seen = self
             .evidence
             .packet(now, key, head, index, &mut self.upstreams);
+        if is_contended {
+            self.report_request(now, &key, flow_hash(&key), before);
+        }
         if let Some(took) = seen.answered {
             output.events.push(DecisionEvent::Answered { took });
             self.record_request(now, head, index, RequestEnd::Answered(took));
--- a/packet/src/peers/peer_datagram.rs
+++ b/packet/src/peers/peer_datagram.rs
@@ -5,6 +5,9 @@
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
+use crate::dispatch::dispatch_message::DispatchQuery;
+use crate::dispatch::dispatch_message::DispatchReply;
+use crate::dispatch::dispatch_message::RequestEvent;
 use crate::load::load_report::LoadDigest;
 use crate::load::load_report::LoadReport;
 use crate::load::zone_load::ZoneLoadReport;
@@ -33,6 +36,12 @@
     Digest(LoadDigest),
     /// The load of its zone, for another zone.
     ZoneLoad(ZoneLoadReport),
+    /// Which requests of contended services have begun or ended through it, for their dispatcher.
+    Requests(Vec<RequestEvent>),
+    /// Where a new flow of a contended service is to be placed.
+    Query(DispatchQuery),
+    /// The reply to a query.
+    Reply(DispatchReply),
 }
 
 /// Why a datagram is not a peer's.
--- a/packet/src/policy_config.rs
+++ b/packet/src/policy_config.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::admission::class_admission::ClassAdmissionConfig;
+use crate::dispatch::dispatch_policy::DispatchConfig;
 use crate::flows::flow_cost::FlowCostConfig;
 use crate::load::load_view::LoadExchangeConfig;
 use crate::selection::room_weight::RoomWeightConfig;
@@ -31,6 +32,8 @@
     pub admission: AdmissionConfig,
     /// Load exchange among hosts.
     pub exchange: LoadExchangeConfig,
+    /// Placement by dispatchers.
+    pub dispatch: DispatchConfig,
     /// Admission by priority class.
     pub classes: ClassAdmissionConfig,
     /// Selection by room.
--- a/packet/src/selection/upstream_selection.rs
+++ b/packet/src/selection/upstream_selection.rs
@@ -144,7 +144,7 @@
 }
 
 /// Part of a list of upstreams, from a place that follows from the flow's hash.
-fn sample(
+pub(crate) fn sample(
     members: &[UpstreamIndex],
     flow_hash: u64,
     most: usize,
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -398,6 +398,7 @@
 pub fn describe(action: &PacketAction) -> String {
     match action {
         PacketAction::Forward { .. } => "forward".to_owned(),
+        PacketAction::Park => "park".to_owned(),
         PacketAction::Reset { code, .. } => format!("reset {}", code.number()),
         PacketAction::Drop { code } => format!("drop {}", code.number()),
     }
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -477,6 +477,12 @@
             PeerDatagram::Failures(reports) => core.heard_failures(from, &reports),
             PeerDatagram::Load(report) => core.heard_load(now, from, &report),
             PeerDatagram::Digest(digest) => core.heard_digest(now, from, &digest),
+            PeerDatagram::Requests(events) => core.heard_requests(now, &events),
+            PeerDatagram::Query(query) => {
+                let reply = core.heard_query(now, from, &query);
+                self.send_due(place, [reply]);
+            }
+            PeerDatagram::Reply(reply) => _ = core.heard_reply(from, reply),
             PeerDatagram::ZoneLoad(report) => {
                 let reply = core.heard_zone_load(now, from, &report);
                 self.send_due(place, reply);
--- a/packetd/src/event_log.rs
+++ b/packetd/src/event_log.rs
@@ -27,6 +27,7 @@
             flows,
             heard_ago,
             hedged,
+            dispatched,
             version,
         } => {
             metrics.placed.inc();
@@ -34,7 +35,7 @@
                 metrics.hedged.inc();
             }
             let heard_ms = millis(*heard_ago);
-            log::info!(caller:% = caller, service:% = service, copy, upstream:% = upstream, zone:% = zone, flows, heard_ms, hedged, version; "flow placed");
+            log::info!(caller:% = caller, service:% = service, copy, upstream:% = upstream, zone:% = zone, flows, heard_ms, hedged, dispatched, version; "flow placed");
         }
         DecisionEvent::Deferred {
             caller,
@@ -82,6 +83,9 @@
         } => {
             log::info!(service:% = service, zone:% = zone, share, local_pressure, remote_pressure; "spill to another zone");
         }
+        DecisionEvent::DispatcherSilent { dispatcher } => {
+            log::warn!(dispatcher:%; "dispatcher does not reply");
+        }
         DecisionEvent::LoadRejected { peer } => {
             let code = ResultCode::LoadReportInvalid;
             metrics.count_result(code);
--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -16,6 +16,7 @@
 use crate::host_state::HostState;
 use crate::log_lines::LogLines;
 use crate::packet_socket::forward_packets;
+use crate::packet_socket::resume_packets;
 use crate::packet_socket::send_reset;
 use crate::peer_socket;
 use crate::process_signals::ProcessSignals;
@@ -54,6 +55,7 @@
     peer_socket::start(&state, peer_address).await;
     spawn_local(read_store(state.clone()));
     spawn_local(forward_packets(state.clone(), socket.clone()));
+    spawn_local(resume_packets(state.clone(), socket.clone()));
     let Some(listener) = web_server::listen(ready_address).await else {
         return exit_code(ResultCode::AddressUnavailable);
     };
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -16,6 +16,7 @@
 
 use crate::event_log::log_events;
 use crate::host_metrics::HostMetrics;
+use crate::parked_packets::ParkedPackets;
 
 /// What the tasks share. No borrow is held over a wait.
 pub struct HostState {
@@ -39,6 +40,10 @@
     pub to_forward: RefCell<Vec<StateUpdate>>,
     /// Wakes who passes it on.
     pub read_something: Notify,
+    /// SYNs that wait for the reply of a dispatcher.
+    pub parked: ParkedPackets,
+    /// Wakes who sends queries and events to dispatchers.
+    pub dispatch_due: Notify,
     /// Wakes who asks peers for state: a host without one has heard of a peer.
     pub heard_peer: Notify,
 }
@@ -57,6 +62,8 @@
             became_ready: Notify::new(),
             to_forward: RefCell::new(Vec::new()),
             read_something: Notify::new(),
+            parked: ParkedPackets::default(),
+            dispatch_due: Notify::new(),
             heard_peer: Notify::new(),
         }
     }
--- a/packetd/src/main.rs
+++ b/packetd/src/main.rs
@@ -8,6 +8,7 @@
 mod line_layout;
 mod log_lines;
 mod packet_socket;
+mod parked_packets;
 mod peer_socket;
 mod process_signals;
 mod settings_file;
--- a/packetd/src/packet_socket.rs
+++ b/packetd/src/packet_socket.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use lagoonproxy_packet::flows::flow_table::FlowKey;
 use lagoonproxy_packet::packet_action::FlowReset;
 use lagoonproxy_packet::packet_action::PacketAction;
 use lagoonproxy_packet::packet_action::PacketOutput;
@@ -48,12 +49,25 @@
                 break;
             };
             let datagram = &mut buffer[..INTENDED_BYTES + length];
+            state.metrics.received.inc();
             handle_packet(&state, &socket, datagram, &mut output);
         }
+        if state.core.borrow().has_dispatch_datagrams() {
+            state.dispatch_due.notify_one();
+        }
         tokio::task::yield_now().await;
     }
 }
 
+/// Hands parked packets in again for as long as the process lives.
+pub async fn resume_packets(state: Rc<HostState>, socket: Rc<UdpSocket>) {
+    let mut output = PacketOutput::default();
+    loop {
+        let mut datagram = state.parked.next_due().await;
+        handle_packet(&state, &socket, &mut datagram, &mut output);
+    }
+}
+
 /// Handles one datagram: room for the number in front, then the packet.
 fn handle_packet(
     state: &HostState,
@@ -61,7 +75,6 @@
     datagram: &mut [u8],
     output: &mut PacketOutput,
 ) {
-    state.metrics.received.inc();
     let now = Instant::now();
     state.last_packet.set(now);
     let head = match decode_head(&datagram[INTENDED_BYTES..]) {
@@ -112,6 +125,13 @@
             };
             send_reset(state, socket, &reset);
         }
+        PacketAction::Park => {
+            let key = FlowKey {
+                caller: head.caller,
+                service: head.service,
+            };
+            state.parked.park(Instant::now(), key, datagram);
+        }
         PacketAction::Drop { code } => state.metrics.count_result(*code),
     }
 }
--- a/packetd/src/peer_socket.rs
+++ b/packetd/src/peer_socket.rs
@@ -30,6 +30,7 @@
         Ok(socket) => {
             let socket = Rc::new(socket);
             tokio::task::spawn_local(receive_datagrams(state.clone(), socket.clone()));
+            tokio::task::spawn_local(send_dispatch(state.clone(), socket.clone()));
             tokio::task::spawn_local(update_peers(state.clone(), socket));
         }
         Err(error) => {
@@ -91,6 +92,22 @@
             drop(core);
             send_due(state, socket, reply);
         }
+        Ok(PeerDatagram::Requests(events)) => {
+            let mut core = state.core.borrow_mut();
+            core.heard_requests(Instant::now(), &events);
+        }
+        Ok(PeerDatagram::Query(query)) => {
+            let mut core = state.core.borrow_mut();
+            let reply = core.heard_query(Instant::now(), source, &query);
+            drop(core);
+            send_due(state, socket, [reply]);
+        }
+        Ok(PeerDatagram::Reply(reply)) => {
+            let key = state.core.borrow_mut().heard_reply(source, reply);
+            if let Some(key) = key {
+                state.parked.release(key);
+            }
+        }
         Err(fault) => {
             let code = ResultCode::FrameMalformed;
             state.metrics.count_result(code);
@@ -141,6 +158,15 @@
     }
 }
 
+/// Sends queries and events for dispatchers as soon as packets have brought them about.
+async fn send_dispatch(state: Rc<HostState>, socket: Rc<UdpSocket>) {
+    loop {
+        state.dispatch_due.notified().await;
+        let due = state.core.borrow_mut().take_dispatch_datagrams();
+        send_due(&state, &socket, due);
+    }
+}
+
 /// Asks a peer for what is missing, one at a time.
 fn ask_for_state(state: &Rc<HostState>, now: Instant) {
     if state.asking.get() {
