--- a/bench/src/packet_cost.rs
+++ b/bench/src/packet_cost.rs
@@ -211,6 +211,7 @@
         flow_idle: Duration::from_secs(15),
         warmups: Vec::new(),
         connection_limits: Vec::new(),
+        field_faults: Vec::new(),
     };
     PublishedItem {
         key: ItemKey::Routes,
--- a/cli/src/commands/forwarders.rs
+++ b/cli/src/commands/forwarders.rs
@@ -1,12 +1,15 @@
 //! `lagoonctl forwarders`: the state of hosts that forward packets.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use argh::FromArgs;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::unit_text::format_duration;
 use lagoonproxy_packet::packet_status::PacketStatus;
+use lagoonproxy_packet::packet_status::RouteStatus;
 use lagoonproxy_packet::packet_status::UpstreamStatus;
+use lagoonproxy_packet::routes::route_config::RequestKind;
 use serde_json::json;
 
 use crate::admin_client::HostReply;
@@ -39,6 +42,16 @@
     "heard",
 ];
 
+const ROUTE_HEAD: [&str; 7] = [
+    "host",
+    "address",
+    "priority",
+    "kind",
+    "timeout",
+    "objective",
+    "services",
+];
+
 /// Show the state of hosts that forward packets, and of upstreams as they see them.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "forwarders")]
@@ -49,30 +62,37 @@
     /// show each host's upstreams as well
     #[argh(switch)]
     pub upstreams: bool,
+    /// show each host's routes as well
+    #[argh(switch)]
+    pub routes: bool,
 }
 
 /// Asks every host and lays out what they say.
 pub async fn cmd_forwarders(args: &ForwardersArgs) -> Result<CommandReport, CommandError> {
     let replies = read_hosts::<PacketStatus>(&args.host).await?;
-    Ok(forwarders_report(&replies, args.upstreams))
+    Ok(forwarders_report(&replies, args))
 }
 
 /// A report of all replies; hosts that did not answer are named and decide the code.
-pub fn forwarders_report(replies: &[HostReply<PacketStatus>], upstreams: bool) -> CommandReport {
+pub fn forwarders_report(
+    replies: &[HostReply<PacketStatus>],
+    args: &ForwardersArgs,
+) -> CommandReport {
     let mut rows = vec![HOST_HEAD.map(str::to_owned).to_vec()];
     rows.extend(replies.iter().map(host_row));
     let mut lines = layout_table(&rows);
-    if upstreams {
-        let mut rows = vec![UPSTREAM_HEAD.map(str::to_owned).to_vec()];
-        for status in replies
-            .iter()
-            .filter_map(|reply| reply.status.as_ref().ok())
-        {
-            let of_host = status.upstreams.iter();
-            rows.extend(of_host.map(|upstream| upstream_row(status, upstream)));
-        }
-        lines.push(String::new());
-        lines.extend(layout_table(&rows));
+    if args.upstreams {
+        lines.extend(host_table(replies, &UPSTREAM_HEAD, |status| {
+            let upstreams = status.upstreams.iter();
+            let rows = upstreams.map(|upstream| upstream_row(status, upstream));
+            rows.collect()
+        }));
+    }
+    if args.routes {
+        lines.extend(host_table(replies, &ROUTE_HEAD, |status| {
+            let routes = status.routes.iter();
+            routes.map(|route| route_row(status, route)).collect()
+        }));
     }
     let silent = replies.iter().any(|reply| reply.status.is_err());
     let code = if silent {
@@ -88,6 +108,23 @@
     }
 }
 
+/// A table of what each host says, with an empty line before it.
+fn host_table(
+    replies: &[HostReply<PacketStatus>],
+    head: &[&str],
+    rows_of: impl Fn(&PacketStatus) -> Vec<Vec<String>>,
+) -> Vec<String> {
+    let head = head.iter().map(|cell| (*cell).to_owned());
+    let mut rows = vec![head.collect()];
+    let statuses = replies
+        .iter()
+        .filter_map(|reply| reply.status.as_ref().ok());
+    rows.extend(statuses.flat_map(rows_of));
+    let mut lines = vec![String::new()];
+    lines.extend(layout_table(&rows));
+    lines
+}
+
 fn host_row(reply: &HostReply<PacketStatus>) -> Vec<String> {
     let address = reply.address.to_string();
     let status = match &reply.status {
@@ -159,3 +196,31 @@
         }),
     ]
 }
+
+fn route_row(status: &PacketStatus, route: &RouteStatus) -> Vec<String> {
+    let kind = match route.kind {
+        RequestKind::Unknown => "-",
+        RequestKind::Idempotent => "idempotent",
+        RequestKind::Download => "download",
+        RequestKind::NonIdempotent => "non-idempotent",
+    };
+    let services = route.services.iter();
+    let services: Vec<String> = services
+        .map(|share| format!("{}={}", share.service, share.weight))
+        .collect();
+    vec![
+        status.host.to_string(),
+        route.address.to_string(),
+        route
+            .priority
+            .map_or("-".to_owned(), |priority| priority.to_string()),
+        kind.to_owned(),
+        duration_text(route.timeout),
+        duration_text(route.target),
+        services.join(","),
+    ]
+}
+
+fn duration_text(duration: Option<Duration>) -> String {
+    duration.map_or("-".to_owned(), format_duration)
+}
--- a/cli/tests/test_hosts.rs
+++ b/cli/tests/test_hosts.rs
@@ -16,7 +16,10 @@
 use lagoonproxy_daemon::admin_server::serve_admin;
 use lagoonproxy_packet::packet_status::EvacuationStatus;
 use lagoonproxy_packet::packet_status::PacketStatus;
+use lagoonproxy_packet::packet_status::RouteStatus;
 use lagoonproxy_packet::packet_status::UpstreamStatus;
+use lagoonproxy_packet::routes::route_config::RequestKind;
+use lagoonproxy_packet::routes::route_config::ServiceShare;
 use serde_json::Value;
 use tokio::net::TcpSocket;
 
@@ -45,6 +48,26 @@
             waiting: 2,
             heard_ago: Some(Duration::from_millis(1500)),
         };
+        let share = |service: &str, weight| ServiceShare {
+            service: service.into(),
+            weight,
+        };
+        let route = RouteStatus {
+            address: "198.18.0.1:8443".parse().unwrap(),
+            priority: Some(2),
+            kind: RequestKind::Idempotent,
+            timeout: Some(Duration::from_millis(1500)),
+            target: Some(Duration::from_millis(250)),
+            services: vec![share("huvo11a", 90), share("wuno96b", 10)],
+        };
+        let plain_route = RouteStatus {
+            address: "198.18.0.2:80".parse().unwrap(),
+            priority: None,
+            kind: RequestKind::Unknown,
+            timeout: None,
+            target: None,
+            services: vec![share("wuno96b", 1)],
+        };
         let status = PacketStatus {
             host: "entry-1".into(),
             zone: "a".into(),
@@ -58,6 +81,7 @@
                 applied_ago: Duration::from_millis(2500),
                 flows: 3,
             }],
+            routes: vec![route, plain_route],
             upstreams: vec![upstream],
             ..PacketStatus::default()
         };
@@ -161,6 +185,34 @@
     assert!(upstream.ends_with("1500ms ago"), "{upstream}");
 }
 
+/// A line of a table, by its cells.
+fn cells(line: &str) -> Vec<&str> {
+    line.split_whitespace().collect()
+}
+
+#[tokio::test]
+async fn test_forwarders_show_the_routes_that_they_hold() {
+    let listener = bind_admin("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(serve_admin(listener, Arc::new(ForwardingHost)));
+    let report = ctl(&["forwarders", "--host", &address, "--routes"]).await;
+    assert_eq!(report.code, ResultCode::Success);
+    let lines: Vec<Vec<&str>> = report.lines.iter().map(|line| cells(line)).collect();
+    let expected = [
+        vec![
+            "entry-1",
+            "198.18.0.1:8443",
+            "2",
+            "idempotent",
+            "1500ms",
+            "250ms",
+            "huvo11a=90,wuno96b=10",
+        ],
+        vec!["entry-1", "198.18.0.2:80", "-", "-", "-", "-", "wuno96b=1"],
+    ];
+    assert_eq!(lines[lines.len() - 2..], expected);
+}
+
 #[tokio::test]
 async fn test_evacuation_ends_when_every_host_is_done() {
     struct Case {
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -231,6 +231,11 @@
                     routes: config.routes.len(),
                     through: self.view.through(),
                 });
+                let faults = config.field_faults.iter().cloned();
+                output.events.extend(faults.map(|fault| {
+                    let version = config.version;
+                    DecisionEvent::RouteField { version, fault }
+                }));
             }
             StateChange::Upstream(entry) => {
                 let index = self.upstreams.register(now, entry);
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -13,6 +13,7 @@
 use crate::ids::UpstreamName;
 use crate::ids::UpstreamNumber;
 use crate::load::service_room::ServiceRoom;
+use crate::routes::route_config::FieldFault;
 use crate::routes::route_table::RequestClass;
 use crate::state::read_role::RoleChange;
 use crate::state::store_position::StorePosition;
@@ -238,6 +239,13 @@
         /// The store's position up to which every change is contained.
         through: StorePosition,
     },
+    /// A field of the configuration that has come into force is not used.
+    RouteField {
+        /// The version of the configuration.
+        version: Version,
+        /// Which field, why, and where.
+        fault: FieldFault,
+    },
     /// Another configuration is in force.
     Routes {
         /// Its version.
--- a/packet/src/packet_status.rs
+++ b/packet/src/packet_status.rs
@@ -17,6 +17,10 @@
 use crate::ids::StoreEra;
 use crate::ids::UpstreamName;
 use crate::packet_core::PacketCore;
+use crate::routes::route_config::RequestKind;
+use crate::routes::route_config::RequestPriority;
+use crate::routes::route_config::ServiceRoute;
+use crate::routes::route_config::ServiceShare;
 use crate::state::store_position::StorePosition;
 use crate::upstreams::upstream_record::RegistrationState;
 use crate::upstreams::upstream_record::UpstreamRecord;
@@ -52,6 +56,9 @@
     /// The zones that it places no new flows in, by name.
     #[serde(default)]
     pub evacuated: Vec<EvacuationStatus>,
+    /// The routes in force, by address.
+    #[serde(default)]
+    pub routes: Vec<RouteStatus>,
     /// Every upstream that it knows, by name.
     pub upstreams: Vec<UpstreamStatus>,
 }
@@ -72,6 +79,26 @@
     pub flows: u32,
 }
 
+/// One route, as a host holds it.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteStatus {
+    /// The address that callers use.
+    pub address: SocketAddrV4,
+    /// How urgent its requests are, 0 the most; `None` if the operators do not say.
+    pub priority: Option<u32>,
+    /// Whether its requests may be repeated.
+    pub kind: RequestKind,
+    /// How long callers wait for a response; `None` if the operators do not say.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub timeout: Option<Duration>,
+    /// How soon a request should be answered; `None` if the operators do not say.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub target: Option<Duration>,
+    /// The services that share its new flows.
+    pub services: Vec<ServiceShare>,
+}
+
 /// One upstream, as a host sees it.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -126,12 +153,33 @@
             reader: core.zone_reader(now),
             flows: core.evidence().open_flows(),
             evacuated: evacuation_statuses(core, now),
+            routes: route_statuses(core),
             upstreams,
             ..Self::default()
         }
     }
 }
 
+fn route_statuses(core: &PacketCore) -> Vec<RouteStatus> {
+    let config = core.view().routes();
+    let routes = config.iter().flat_map(|config| &config.routes);
+    let mut statuses: Vec<RouteStatus> = routes.map(route_status).collect();
+    statuses.sort_by_key(|status| status.address);
+    statuses
+}
+
+fn route_status(route: &ServiceRoute) -> RouteStatus {
+    let is_stated = route.priority != RequestPriority::LEAST_URGENT;
+    RouteStatus {
+        address: route.address,
+        priority: is_stated.then_some(route.priority.0),
+        kind: route.kind,
+        timeout: route.timeout,
+        target: route.target,
+        services: route.shares.clone(),
+    }
+}
+
 fn evacuation_statuses(core: &PacketCore, now: Instant) -> Vec<EvacuationStatus> {
     let upstreams = core.upstreams();
     let flows = upstreams.evacuated_flows();
--- a/packet/src/routes/route_config.rs
+++ b/packet/src/routes/route_config.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
+use smol_str::SmolStr;
 
 use crate::ids::ServiceName;
 
@@ -26,6 +27,34 @@
     pub warmups: Vec<ServiceWarmup>,
     /// The services whose upstreams hold a limited number of connections; no two of the same name.
     pub connection_limits: Vec<ConnectionLimit>,
+    /// The fields of routes and services that were left unset because of their content; at most one entry for
+    /// each field and reason.
+    #[serde(default)]
+    pub field_faults: Vec<FieldFault>,
+}
+
+/// Why a published field is not used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum FieldFaultReason {
+    /// It is not there.
+    Missing,
+    /// It has another type, or is out of range.
+    Invalid,
+}
+
+/// A field that some routes or services of a configuration do not state, or state wrongly.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FieldFault {
+    /// The field, as published.
+    pub field: SmolStr,
+    /// Why it is not used.
+    pub reason: FieldFaultReason,
+    /// The first route or service concerned.
+    pub owner: SmolStr,
+    /// The beginning of the text that stands there; empty if it is missing.
+    pub value: SmolStr,
+    /// Routes or services concerned.
+    pub count: u32,
 }
 
 /// How the upstreams of a service warm up after their start.
--- a/packet/src/routes/route_table.rs
+++ b/packet/src/routes/route_table.rs
@@ -121,7 +121,7 @@
 ) -> BTreeMap<ServiceIndex, BTreeSet<RequestPriority>> {
     let mut priorities: BTreeMap<ServiceIndex, BTreeSet<RequestPriority>> = BTreeMap::new();
     for route in &config.routes {
-        for share in &route.shares {
+        for share in route.shares.iter().filter(|share| share.weight > 0) {
             let service = upstreams.service(&share.service);
             priorities
                 .entry(service)
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -112,6 +112,7 @@
         flow_idle: Duration::from_secs(15),
         warmups: Vec::new(),
         connection_limits: Vec::new(),
+        field_faults: Vec::new(),
     }
 }
 
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -19,6 +19,7 @@
 mod test_read_role;
 mod test_restored_fleet;
 mod test_restored_store;
+mod test_route_table;
 mod test_start_plan;
 mod test_state_snapshot;
 mod test_store_feed;
--- /dev/null
+++ b/packet/tests/test_route_table.rs
@@ -0,0 +1,225 @@
+//! Tests of the ranks of request classes, and of what hosts tell of their routes.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use lagoonproxy_packet::packet_action::DecisionEvent;
+use lagoonproxy_packet::packet_status::PacketStatus;
+use lagoonproxy_packet::packet_status::RouteStatus;
+use lagoonproxy_packet::policy_config::PolicyConfig;
+use lagoonproxy_packet::routes::route_config::FieldFault;
+use lagoonproxy_packet::routes::route_config::FieldFaultReason;
+use lagoonproxy_packet::routes::route_config::RequestKind;
+use lagoonproxy_packet::routes::route_config::RequestPriority;
+use lagoonproxy_packet::routes::route_config::RouteConfig;
+use lagoonproxy_packet::routes::route_config::ServiceShare;
+use lagoonproxy_packet::routes::route_table::MOST_CLASSES;
+use lagoonproxy_packet::routes::route_table::RouteTable;
+use lagoonproxy_packet::upstreams::upstream_table::UpstreamTable;
+
+use crate::core_rig::CoreRig;
+use crate::core_rig::ZONE;
+use crate::core_rig::routes;
+use crate::core_rig::routes_item;
+use crate::core_rig::settings;
+use crate::core_rig::usual_routes;
+
+/// A route: its priority, and its services with their weights.
+type RouteCase = (Option<u32>, &'static [(&'static str, u32)]);
+
+/// The rank and the number of classes; `None` if the route does not lead to the service.
+type ClassCase = Option<(u8, u8)>;
+
+fn address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8000 + index as u16)
+}
+
+fn config(cases: &[RouteCase]) -> RouteConfig {
+    let addresses: Vec<_> = (0..cases.len()).map(|index| (address(index), "")).collect();
+    let mut config = routes(1, &addresses);
+    for (route, (priority, shares)) in config.routes.iter_mut().zip(cases) {
+        route.priority = priority.map_or(RequestPriority::LEAST_URGENT, RequestPriority);
+        let shares = shares.iter().map(|(service, weight)| ServiceShare {
+            service: (*service).into(),
+            weight: *weight,
+        });
+        route.shares = shares.collect();
+    }
+    config
+}
+
+fn upstream_table() -> UpstreamTable {
+    UpstreamTable::new(ZONE.into(), settings().flow_age, PolicyConfig::default())
+}
+
+/// The rank and the number of classes of a route at a service; `None` if it does not lead there.
+fn class_of(
+    table: &RouteTable,
+    upstreams: &mut UpstreamTable,
+    index: usize,
+    service: &str,
+) -> Option<(u8, u8)> {
+    let service = upstreams.service(&service.into());
+    let class = table.class(address(index), service)?;
+    Some((class.rank, class.classes))
+}
+
+#[test]
+fn test_classes_are_ranked_by_service() {
+    struct Case {
+        name: &'static str,
+        routes: &'static [RouteCase],
+        /// The route, the service, and the class there.
+        classes: &'static [(usize, &'static str, ClassCase)],
+    }
+    let cases = [
+        Case {
+            name: "two priorities",
+            routes: &[(Some(7), &[("s", 1)]), (Some(2), &[("s", 1)])],
+            classes: &[(0, "s", Some((1, 2))), (1, "s", Some((0, 2)))],
+        },
+        Case {
+            name: "one priority, however urgent",
+            routes: &[(Some(5), &[("s", 1)]), (Some(5), &[("s", 1)])],
+            classes: &[(0, "s", Some((0, 1))), (1, "s", Some((0, 1)))],
+        },
+        Case {
+            name: "no priority",
+            routes: &[(None, &[("s", 1)])],
+            classes: &[(0, "s", Some((0, 1)))],
+        },
+        Case {
+            name: "no priority is less urgent than any",
+            routes: &[(None, &[("s", 1)]), (Some(9), &[("s", 1)])],
+            classes: &[(0, "s", Some((1, 2))), (1, "s", Some((0, 2)))],
+        },
+        Case {
+            name: "five priorities share the last rank",
+            routes: &[
+                (Some(0), &[("s", 1)]),
+                (Some(1), &[("s", 1)]),
+                (Some(2), &[("s", 1)]),
+                (Some(3), &[("s", 1)]),
+                (Some(4), &[("s", 1)]),
+            ],
+            classes: &[
+                (0, "s", Some((0, 4))),
+                (1, "s", Some((1, 4))),
+                (2, "s", Some((2, 4))),
+                (3, "s", Some((3, 4))),
+                (4, "s", Some((3, 4))),
+            ],
+        },
+        Case {
+            name: "an idle route has a rank, used or not",
+            routes: &[(Some(3), &[("s", 1)]), (Some(0), &[("s", 1)])],
+            classes: &[(0, "s", Some((1, 2)))],
+        },
+        Case {
+            name: "a split route has another rank at each service",
+            routes: &[
+                (Some(1), &[("s", 90), ("t", 10)]),
+                (Some(0), &[("s", 1)]),
+                (Some(2), &[("t", 1)]),
+            ],
+            classes: &[
+                (0, "s", Some((1, 2))),
+                (0, "t", Some((0, 2))),
+                (1, "t", None),
+                (2, "t", Some((1, 2))),
+            ],
+        },
+        Case {
+            name: "a share without weight gets no requests, and is no class",
+            routes: &[(Some(0), &[("s", 0), ("t", 1)]), (Some(1), &[("s", 1)])],
+            classes: &[
+                (0, "s", None),
+                (0, "t", Some((0, 1))),
+                (1, "s", Some((0, 1))),
+            ],
+        },
+    ];
+    for case in cases {
+        let mut upstreams = upstream_table();
+        let table = RouteTable::new(&config(case.routes), &mut upstreams);
+        for (index, service, expected) in case.classes {
+            let class = class_of(&table, &mut upstreams, *index, service);
+            assert_eq!(class, *expected, "{}: {index} at {service}", case.name);
+            let ranks = class.map_or(0, |(rank, _classes)| usize::from(rank));
+            assert!(ranks < MOST_CLASSES, "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn test_another_configuration_changes_ranks() {
+    // Guards against ranks of an earlier configuration that stay in force.
+    let mut upstreams = upstream_table();
+    let before: &[RouteCase] = &[(Some(0), &[("s", 1)]), (Some(1), &[("s", 1)])];
+    let after: &[RouteCase] = &[(Some(4), &[("s", 1)]), (Some(1), &[("s", 1)])];
+    let table = RouteTable::new(&config(before), &mut upstreams);
+    assert_eq!(class_of(&table, &mut upstreams, 0, "s"), Some((0, 2)));
+    let table = RouteTable::new(&config(after), &mut upstreams);
+    assert_eq!(class_of(&table, &mut upstreams, 0, "s"), Some((1, 2)));
+    assert_eq!(class_of(&table, &mut upstreams, 1, "s"), Some((0, 2)));
+}
+
+fn field_fault() -> FieldFault {
+    FieldFault {
+        field: "Priority".into(),
+        reason: FieldFaultReason::Invalid,
+        owner: "r-1".into(),
+        value: "-1".into(),
+        count: 2,
+    }
+}
+
+#[test]
+fn test_invalid_fields_are_told_once_per_configuration() {
+    // Guards against a fault that nobody hears of, and against one that fills the log at each list.
+    let faulty = |version| RouteConfig {
+        field_faults: vec![field_fault()],
+        ..usual_routes(version)
+    };
+    let mut rig = CoreRig::with_ledger(&[1]);
+    rig.publish(|revision| routes_item(revision, faulty(2)));
+    rig.publish(|revision| routes_item(revision, faulty(2)));
+    rig.publish(|revision| routes_item(revision, faulty(3)));
+    rig.publish(|revision| routes_item(revision, usual_routes(4)));
+    let told = rig.events.iter().filter_map(|event| match event {
+        DecisionEvent::RouteField { version, fault } => Some((*version, fault.clone())),
+        _ => None,
+    });
+    let told: Vec<(u64, FieldFault)> = told.collect();
+    assert_eq!(told, [(2, field_fault()), (3, field_fault())]);
+}
+
+#[test]
+fn test_status_shows_routes_as_they_are_held() {
+    let mut config = config(&[(Some(2), &[("s", 90), ("t", 10)]), (None, &[("t", 1)])]);
+    config.routes[0].kind = RequestKind::Idempotent;
+    config.routes[0].timeout = Some(Duration::from_secs(2));
+    config.routes[1].target = None;
+    config.version = 2;
+    let mut rig = CoreRig::with_ledger(&[1]);
+    rig.publish(|revision| routes_item(revision, config.clone()));
+    let status = PacketStatus::of(&rig.core, rig.now);
+    let first = RouteStatus {
+        address: address(0),
+        priority: Some(2),
+        kind: RequestKind::Idempotent,
+        timeout: Some(Duration::from_secs(2)),
+        target: Some(Duration::from_millis(150)),
+        services: config.routes[0].shares.clone(),
+    };
+    let second = RouteStatus {
+        address: address(1),
+        priority: None,
+        kind: RequestKind::Unknown,
+        timeout: None,
+        target: None,
+        services: config.routes[1].shares.clone(),
+    };
+    assert_eq!(status.routes, [first, second]);
+}
--- a/packetd/src/event_log.rs
+++ b/packetd/src/event_log.rs
@@ -142,6 +142,12 @@
         DecisionEvent::FirstState { upstreams, through } => {
             log::info!(upstreams, through:%; "first state");
         }
+        DecisionEvent::RouteField { version, fault } => {
+            metrics.invalid_fields.inc_by(fault.count.into());
+            let code = ResultCode::RouteFieldInvalid.number();
+            let (field, owner, value) = (&fault.field, &fault.owner, &fault.value);
+            log::warn!(code, version, field:% = field, reason:? = fault.reason, owner:% = owner, value:% = value, count = fault.count; "route field not used");
+        }
         DecisionEvent::Routes {
             version,
             routes,
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -51,6 +51,8 @@
     pub failing: Counter,
     /// Published items that could not be used.
     pub unreadable: Counter,
+    /// Fields of routes and services that could not be used.
+    pub invalid_fields: Counter,
     /// Updates that are older than the state, or do not continue it.
     pub rejected_updates: Counter,
     results: Family<ResultLabels, Counter>,
@@ -80,6 +82,7 @@
             avoided: Counter::default(),
             failing: Counter::default(),
             unreadable: Counter::default(),
+            invalid_fields: Counter::default(),
             rejected_updates: Counter::default(),
             results: Family::default(),
             store_calls: Family::default(),
@@ -119,6 +122,11 @@
                 &self.failing,
             ),
             ("unreadable", "Published items unusable", &self.unreadable),
+            (
+                "invalid_fields",
+                "Fields of routes and services unusable",
+                &self.invalid_fields,
+            ),
             (
                 "rejected_updates",
                 "Updates older than the state, or not continuing it",
