packetd: policy file

Cause: operators could not set the parameters of the decisions under load.

Unknown fields, wrong types and values out of range are told all at once, each with its line, and the program does not start (code 100); `--check` checks the policy beside the settings. It sets `overload.enabled`. `SettingsReader::optional_within` takes fields that have a range.

--- a/lib/src/settings_reader.rs
+++ b/lib/src/settings_reader.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
+use std::ops::RangeInclusive;
 
 use serde::de::DeserializeOwned;
 use serde_norway::Mapping;
@@ -128,6 +129,26 @@
         }
     }
 
+    /// Takes a field that has a default and must lie within a range, read through the adapter `A`.
+    pub fn optional_within<T, A>(
+        &mut self,
+        field: &'static str,
+        default: T,
+        range: RangeInclusive<T>,
+    ) -> T
+    where
+        T: PartialOrd + Clone + fmt::Debug,
+        A: for<'de> DeserializeAs<'de, T>,
+    {
+        let value = self.optional_as::<T, A>(field, default.clone());
+        if range.contains(&value) {
+            return value;
+        }
+        let (least, most) = (range.start(), range.end());
+        self.fault(field, &format!("must be from {least:?} to {most:?}"));
+        default
+    }
+
     /// Reads the fields of a section, all of which may be absent.
     pub fn section<T>(
         &mut self,
--- a/lib/tests/test_daemon_settings.rs
+++ b/lib/tests/test_daemon_settings.rs
@@ -4,6 +4,9 @@
 
 use lagoonproxy::daemon_settings::ControlSettings;
 use lagoonproxy::daemon_settings::EntrySettings;
+use lagoonproxy::settings_reader::SettingsReader;
+use lagoonproxy::unit_text::DurationText;
+use serde_with::Same;
 
 const ENTRY: &str = "\
 # an entry host
@@ -118,3 +121,60 @@
     assert!(printed.contains("SharedKey(..)"), "{printed}");
     assert!(!printed.contains("0a0b"), "{printed}");
 }
+
+#[test]
+fn test_fields_within_a_range() {
+    // Guards against a value out of range that is used, or whose fault hides those of other fields.
+    struct Case {
+        name: &'static str,
+        text: &'static str,
+        values: Option<(Duration, u32)>,
+        faults: &'static [(Option<usize>, &'static str, &'static str)],
+    }
+    let cases = [
+        Case {
+            name: "the ends of the ranges",
+            text: "pause: 1s\nshare: 1000\n",
+            values: Some((Duration::from_secs(1), 1000)),
+            faults: &[],
+        },
+        Case {
+            name: "the defaults",
+            text: "{}",
+            values: Some((Duration::from_millis(250), 100)),
+            faults: &[],
+        },
+        Case {
+            name: "both out of range",
+            text: "share: 1001\npause: 9ms\n",
+            values: None,
+            faults: &[
+                (Some(1), "share", "from 0 to 1000"),
+                (Some(2), "pause", "from 10ms to 1s"),
+            ],
+        },
+        Case {
+            name: "a unit is missing, and a type is wrong",
+            text: "pause: 250\nshare: -1\n",
+            values: None,
+            faults: &[(Some(1), "pause", "units ms"), (Some(2), "share", "u32")],
+        },
+    ];
+    for case in cases {
+        let mut reader = SettingsReader::new(case.text).expect(case.name);
+        let pauses = Duration::from_millis(10)..=Duration::from_secs(1);
+        let pause = Duration::from_millis(250);
+        let pause = reader.optional_within::<_, DurationText>("pause", pause, pauses);
+        let share = reader.optional_within::<u32, Same>("share", 100, 0..=1000);
+        let outcome = reader.finish(Some((pause, share)));
+        let faults = outcome.as_ref().err().map(|faults| faults.faults.clone());
+        assert_eq!(outcome.ok(), case.values, "{}", case.name);
+        let faults = faults.unwrap_or_default();
+        assert_eq!(faults.len(), case.faults.len(), "{}: {faults:?}", case.name);
+        for (fault, (line, field, message)) in faults.iter().zip(case.faults) {
+            let found = (fault.line, fault.field.as_str());
+            assert_eq!(found, (*line, *field), "{}", case.name);
+            assert!(fault.message.contains(message), "{}: {fault}", case.name);
+        }
+    }
+}
--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_packet::policy_config::PolicyConfig;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::Signal;
 use tokio::task::spawn_local;
@@ -35,7 +36,12 @@
 const METRICS_PORT: u16 = 9180;
 
 /// Runs the host until it is asked to stop.
-pub async fn run(path: &Path, signals: ProcessSignals, logs: LogLines) -> ExitCode {
+pub async fn run(
+    path: &Path,
+    policy: PolicyConfig,
+    signals: ProcessSignals,
+    logs: LogLines,
+) -> ExitCode {
     let Some((file, settings)) = SettingsFile::open(path).await else {
         return exit_code(ResultCode::SettingsInvalid);
     };
@@ -50,7 +56,7 @@
     let ready_address = settings.ready_address;
     let peer_address = settings.peer_address;
     let metrics_address = SocketAddrV4::new(*settings.peer_address.ip(), METRICS_PORT);
-    let state = Rc::new(HostState::new(settings));
+    let state = Rc::new(HostState::new(settings, policy));
     peer_socket::start(&state, peer_address).await;
     spawn_local(read_store(state.clone()));
     spawn_local(forward_packets(state.clone(), socket.clone()));
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -45,9 +45,9 @@
 
 impl HostState {
     /// The state of a process that has just started.
-    pub fn new(settings: HostSettings) -> Self {
+    pub fn new(settings: HostSettings, policy: PolicyConfig) -> Self {
         Self {
-            core: RefCell::new(PacketCore::new(&settings, PolicyConfig::default())),
+            core: RefCell::new(PacketCore::new(&settings, policy)),
             metrics: HostMetrics::default(),
             settings: RefCell::new(Rc::new(settings)),
             stopping: Cell::new(false),
--- a/packetd/src/main.rs
+++ b/packetd/src/main.rs
@@ -9,6 +9,7 @@
 mod log_lines;
 mod packet_socket;
 mod peer_socket;
+mod policy_file;
 mod process_signals;
 mod settings_file;
 mod state_transfer;
@@ -20,11 +21,14 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_platform::host_file::settings_path;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
+use crate::policy_file::read_policy;
 use crate::process_signals::ProcessSignals;
+use crate::settings_file::exit_code;
 
 /// Forward callers' packets to the upstreams of their services.
 #[derive(FromArgs)]
@@ -32,7 +36,10 @@
     /// settings file; the platform's variable names it otherwise
     #[argh(option)]
     settings: Option<PathBuf>,
-    /// check the settings and say what they hold, without starting
+    /// policy file in YAML; the defaults hold without one
+    #[argh(option)]
+    policy: Option<PathBuf>,
+    /// check the settings and the policy and say what they hold, without starting
     #[argh(switch)]
     check: bool,
 }
@@ -59,11 +66,21 @@
     };
     let arguments: Arguments = argh::from_env();
     let path = arguments.settings.unwrap_or_else(settings_path);
+    let policy = read_policy(arguments.policy.as_deref());
     if arguments.check {
-        return settings_file::check(&path);
+        return settings_file::check(&path, &policy);
     }
     let logs = log_lines::init();
-    let code = host_process::run(&path, signals, logs.clone()).await;
+    let code = match policy {
+        Ok(policy) => host_process::run(&path, policy, signals, logs.clone()).await,
+        Err(faults) => {
+            let code = ResultCode::SettingsInvalid;
+            for fault in faults {
+                log::error!(code = code.number(); "{fault}");
+            }
+            exit_code(code)
+        }
+    };
     logs.flush();
     code
 }
--- a/packetd/src/settings_file.rs
+++ b/packetd/src/settings_file.rs
@@ -8,6 +8,7 @@
 
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::host_settings::HostSettings;
+use lagoonproxy_packet::policy_config::PolicyConfig;
 use lagoonproxy_platform::host_file::decode_settings;
 
 /// How long a file that cannot be read is tried again at the start. Whoever writes it empties it
@@ -72,18 +73,19 @@
     }
 }
 
-/// Checks the settings for an operator.
-pub fn check(path: &Path) -> ExitCode {
-    match read(path) {
-        Ok((_text, settings)) => {
-            println!("{settings:#?}");
-            ExitCode::SUCCESS
-        }
-        Err(fault) => {
-            eprintln!("{}: {fault}", path.display());
-            exit_code(ResultCode::SettingsInvalid)
-        }
+/// Checks the settings, and the policy as it was read, for an operator.
+pub fn check(path: &Path, policy: &Result<PolicyConfig, Vec<String>>) -> ExitCode {
+    let settings = read(path).map_err(|fault| format!("{}: {fault}", path.display()));
+    if let (Ok((_text, settings)), Ok(policy)) = (&settings, policy) {
+        println!("{settings:#?}");
+        println!("{policy:#?}");
+        return ExitCode::SUCCESS;
+    }
+    let faults = settings.err().into_iter();
+    for fault in faults.chain(policy.clone().err().unwrap_or_default()) {
+        eprintln!("{fault}");
     }
+    exit_code(ResultCode::SettingsInvalid)
 }
 
 /// The number of a result as an exit code.
--- a/packetd/tests/runner.rs
+++ b/packetd/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_packet_changes;
 mod test_packet_failures;
 mod test_packet_soak;
+mod test_policy_file;
 mod test_restored_store;
 mod test_state_faults;
 
--- /dev/null
+++ b/packetd/tests/test_policy_file.rs
@@ -0,0 +1,130 @@
+//! Tests of the policy file: what `lagoon-packet` says of it, and with which exit code.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Output;
+
+use tokio::process::Command;
+
+use crate::program;
+
+const SETTINGS_INVALID: i32 = 100;
+
+/// Settings of a host that is never started.
+const SETTINGS: &str = r#"{"NodeName":"entry-1","IP":"127.0.0.1","Ip":"127.0.0.1","Zone":"a","Listen":{"DatagramAddr":"127.0.0.1:1","Ready":"127.0.0.1:2"},"InternalPorts":[3,4],"Bounds":{"GraceS":6,"FlowTimeoutS":60},"platform":{"Address":"127.0.0.1:5"}}"#;
+
+/// Files of one test, by its name.
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+fn example() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/lagoon-packet.yaml")
+}
+
+async fn run(words: &[&str], settings: &Path, policy: Option<&Path>) -> Output {
+    let mut command = Command::new(program());
+    command.args(words).arg("--settings").arg(settings);
+    if let Some(policy) = policy {
+        command.arg("--policy").arg(policy);
+    }
+    command.output().await.expect("the program runs")
+}
+
+#[tokio::test]
+async fn test_example_holds_the_defaults() {
+    // Guards against an example that no host takes, or that tells of other defaults.
+    let settings = file("policy-example.json", SETTINGS);
+    let without = run(&["--check"], &settings, None).await;
+    let with = run(&["--check"], &settings, Some(&example())).await;
+    assert!(without.status.success(), "{without:?}");
+    assert!(with.status.success(), "{with:?}");
+    let shown = String::from_utf8(without.stdout.clone()).expect("text");
+    assert!(shown.contains("is_enabled: true"), "{shown}");
+    assert_eq!(with.stdout, without.stdout);
+}
+
+#[tokio::test]
+async fn test_policy_that_switches_overload_off_is_read() {
+    let settings = file("policy-off.json", SETTINGS);
+    let policy = file("policy-off.yaml", "overload:\n  enabled: false\n");
+    let output = run(&["--check"], &settings, Some(&policy)).await;
+    assert!(output.status.success(), "{output:?}");
+    let shown = String::from_utf8(output.stdout).expect("text");
+    assert!(shown.contains("is_enabled: false"), "{shown}");
+}
+
+#[tokio::test]
+async fn test_every_fault_of_a_policy_is_told_with_its_line() {
+    // Guards against a host that starts with a policy other than its operators wrote.
+    struct Case {
+        name: &'static str,
+        text: &'static str,
+        /// The parts of one line of what the program says, for each fault.
+        faults: &'static [&'static [&'static str]],
+    }
+    let cases = [
+        Case {
+            name: "unknown fields and a wrong type at once",
+            text: "overlod: 1\noverload:\n  enabled: maybe\n  least: 0.1\n",
+            faults: &[
+                &["line 1: overlod: no such field; there are overload"],
+                &["line 3: overload.enabled: ", "expected a boolean"],
+                &["line 4: overload.least: no such field; there are enabled"],
+            ],
+        },
+        Case {
+            name: "a section that is none",
+            text: "# switched off\noverload: false\n",
+            faults: &[&["line 2: overload: expected a section"]],
+        },
+        Case {
+            name: "a field twice",
+            text: "overload:\n  enabled: true\n  enabled: false\n",
+            faults: &[&["duplicate"]],
+        },
+        Case {
+            name: "no YAML",
+            text: "overload:\n enabled: [\n",
+            faults: &[&["line 3: "]],
+        },
+        Case {
+            name: "empty",
+            text: "",
+            faults: &[&["expected `field: value` lines"]],
+        },
+    ];
+    let settings = file("policy-faults.json", SETTINGS);
+    for case in cases {
+        let policy = file("policy-faults.yaml", case.text);
+        for (words, is_check) in [(&["--check"][..], true), (&[], false)] {
+            let output = run(words, &settings, Some(&policy)).await;
+            let code = output.status.code();
+            assert_eq!(code, Some(SETTINGS_INVALID), "{}: {output:?}", case.name);
+            let shown = match is_check {
+                true => output.stderr,
+                false => output.stdout,
+            };
+            let shown = String::from_utf8(shown).expect("text");
+            let lines: Vec<&str> = shown.lines().collect();
+            assert_eq!(lines.len(), case.faults.len(), "{}: {shown}", case.name);
+            for (line, parts) in lines.iter().zip(case.faults) {
+                let holds_all = parts.iter().all(|part| line.contains(part));
+                assert!(holds_all, "{}: {line}", case.name);
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn test_policy_that_is_not_there_is_a_fault() {
+    // Guards against a host that takes the defaults because the path is misspelt.
+    let settings = file("policy-missing.json", SETTINGS);
+    for words in [&["--check"][..], &[]] {
+        let output = run(words, &settings, Some(Path::new("/nowhere.yaml"))).await;
+        let code = output.status.code();
+        assert_eq!(code, Some(SETTINGS_INVALID), "{output:?}");
+    }
+}
