packetd: metrics and status of services

Cause: operators could not see which services are contended, and what is deferred or refused by class.

Labels are those of services with routes; a scrape removes the rest. `ClassLimited` names the service. The stand-in reads any page of a host.

--- a/cli/src/commands/forwarders.rs
+++ b/cli/src/commands/forwarders.rs
@@ -6,8 +6,10 @@
 use argh::FromArgs;
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy::unit_text::format_duration;
+use lagoonproxy_packet::packet_status::ClassStatus;
 use lagoonproxy_packet::packet_status::PacketStatus;
 use lagoonproxy_packet::packet_status::RouteStatus;
+use lagoonproxy_packet::packet_status::ServiceStatus;
 use lagoonproxy_packet::packet_status::UpstreamStatus;
 use lagoonproxy_packet::routes::route_config::RequestKind;
 use serde_json::json;
@@ -52,6 +54,8 @@
     "services",
 ];
 
+const SERVICE_HEAD: [&str; 6] = ["host", "service", "contended", "pressure", "age", "classes"];
+
 /// Show the state of hosts that forward packets, and of upstreams as they see them.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "forwarders")]
@@ -65,6 +69,9 @@
     /// show each host's routes as well
     #[argh(switch)]
     pub routes: bool,
+    /// show each host's services as well: which are contended, and their classes
+    #[argh(switch)]
+    pub services: bool,
 }
 
 /// Asks every host and lays out what they say.
@@ -94,6 +101,13 @@
             routes.map(|route| route_row(status, route)).collect()
         }));
     }
+    if args.services {
+        lines.extend(host_table(replies, &SERVICE_HEAD, |status| {
+            let services = status.services.iter();
+            let rows = services.map(|service| service_row(status, service));
+            rows.collect()
+        }));
+    }
     let silent = replies.iter().any(|reply| reply.status.is_err());
     let code = if silent {
         ResultCode::SourceUnreachable
@@ -211,9 +225,7 @@
     vec![
         status.host.to_string(),
         route.address.to_string(),
-        route
-            .priority
-            .map_or("-".to_owned(), |priority| priority.to_string()),
+        priority_text(route.priority),
         kind.to_owned(),
         duration_text(route.timeout),
         duration_text(route.target),
@@ -221,6 +233,31 @@
     ]
 }
 
+fn service_row(status: &PacketStatus, service: &ServiceStatus) -> Vec<String> {
+    let measured = service.measured_ago;
+    let pressure = measured.map_or("-".to_owned(), |_ago| service.pressure.to_string());
+    let classes: Vec<String> = service.classes.iter().map(class_text).collect();
+    vec![
+        status.host.to_string(),
+        service.name.to_string(),
+        if service.contended { "yes" } else { "no" }.to_owned(),
+        pressure,
+        duration_text(measured),
+        classes.join(" "),
+    ]
+}
+
+/// The rank of a class and its priorities, such as `1:3,4`.
+fn class_text(class: &ClassStatus) -> String {
+    let priorities = class.priorities.iter().copied().map(priority_text);
+    let priorities: Vec<String> = priorities.collect();
+    format!("{}:{}", class.rank, priorities.join(","))
+}
+
+fn priority_text(priority: Option<u32>) -> String {
+    priority.map_or("-".to_owned(), |priority| priority.to_string())
+}
+
 fn duration_text(duration: Option<Duration>) -> String {
     duration.map_or("-".to_owned(), format_duration)
 }
--- a/cli/tests/test_hosts.rs
+++ b/cli/tests/test_hosts.rs
@@ -14,9 +14,11 @@
 use lagoonproxy_daemon::admin_server::AdminSource;
 use lagoonproxy_daemon::admin_server::bind_admin;
 use lagoonproxy_daemon::admin_server::serve_admin;
+use lagoonproxy_packet::packet_status::ClassStatus;
 use lagoonproxy_packet::packet_status::EvacuationStatus;
 use lagoonproxy_packet::packet_status::PacketStatus;
 use lagoonproxy_packet::packet_status::RouteStatus;
+use lagoonproxy_packet::packet_status::ServiceStatus;
 use lagoonproxy_packet::packet_status::UpstreamStatus;
 use lagoonproxy_packet::routes::route_config::RequestKind;
 use lagoonproxy_packet::routes::route_config::ServiceShare;
@@ -68,6 +70,24 @@
             target: None,
             services: vec![share("wuno96b", 1)],
         };
+        let class = |rank, priorities: &[Option<u32>]| ClassStatus {
+            rank,
+            priorities: priorities.to_vec(),
+        };
+        let service = ServiceStatus {
+            name: "huvo11a".into(),
+            contended: true,
+            pressure: 2750,
+            measured_ago: Some(Duration::from_millis(340)),
+            classes: vec![class(0, &[Some(2)]), class(1, &[Some(3), None])],
+        };
+        let calm_service = ServiceStatus {
+            name: "wuno96b".into(),
+            contended: false,
+            pressure: 0,
+            measured_ago: None,
+            classes: vec![class(0, &[None])],
+        };
         let status = PacketStatus {
             host: "entry-1".into(),
             zone: "a".into(),
@@ -82,6 +102,7 @@
                 flows: 3,
             }],
             routes: vec![route, plain_route],
+            services: vec![service, calm_service],
             upstreams: vec![upstream],
             ..PacketStatus::default()
         };
@@ -213,6 +234,30 @@
     assert_eq!(lines[lines.len() - 2..], expected);
 }
 
+#[tokio::test]
+async fn test_forwarders_show_which_services_are_contended() {
+    let listener = bind_admin("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(serve_admin(listener, Arc::new(ForwardingHost)));
+    let (_bound, silent) = silent_address();
+    let words = [
+        "forwarders",
+        "--host",
+        &address,
+        "--host",
+        &silent,
+        "--services",
+    ];
+    let report = ctl(&words).await;
+    assert_eq!(report.code, ResultCode::SourceUnreachable);
+    let lines: Vec<Vec<&str>> = report.lines.iter().map(|line| cells(line)).collect();
+    let expected = [
+        ["entry-1", "huvo11a", "yes", "2750", "340ms", "0:2", "1:3,-"].to_vec(),
+        ["entry-1", "wuno96b", "no", "-", "-", "0:-"].to_vec(),
+    ];
+    assert_eq!(lines[lines.len() - 2..], expected);
+}
+
 #[tokio::test]
 async fn test_evacuation_ends_when_every_host_is_done() {
     struct Case {
--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -169,6 +169,7 @@
         output.events.push(DecisionEvent::ClassLimited {
             caller: syn.head.caller,
             service: syn.head.service,
+            service_name: self.upstreams.pool(syn.service).name.clone(),
             copy: query.copy,
             class,
             code,
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -123,6 +123,8 @@
         caller: SocketAddrV4,
         /// The service's end.
         service: SocketAddrV4,
+        /// The service that it was for.
+        service_name: ServiceName,
         /// Which retransmission it was; 0 for the first SYN.
         copy: u32,
         /// The class of its request.
--- a/packet/src/packet_status.rs
+++ b/packet/src/packet_status.rs
@@ -1,5 +1,7 @@
 //! The status of an entry host that forwards packets, for operators.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,6 +14,7 @@
 use serde_with::serde_as;
 use smol_str::SmolStr;
 
+use crate::ids::ClassRank;
 use crate::ids::Revision;
 use crate::ids::ServiceName;
 use crate::ids::StoreEra;
@@ -21,6 +24,7 @@
 use crate::routes::route_config::RequestPriority;
 use crate::routes::route_config::ServiceRoute;
 use crate::routes::route_config::ServiceShare;
+use crate::routes::route_table::MOST_CLASSES;
 use crate::state::store_position::StorePosition;
 use crate::upstreams::upstream_record::RegistrationState;
 use crate::upstreams::upstream_record::UpstreamRecord;
@@ -59,6 +63,9 @@
     /// The routes in force, by address.
     #[serde(default)]
     pub routes: Vec<RouteStatus>,
+    /// The services that have routes, by name.
+    #[serde(default)]
+    pub services: Vec<ServiceStatus>,
     /// Every upstream that it knows, by name.
     pub upstreams: Vec<UpstreamStatus>,
 }
@@ -99,6 +106,32 @@
     pub services: Vec<ServiceShare>,
 }
 
+/// One service that has routes, as a host sees it.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// Its name.
+    pub name: ServiceName,
+    /// Whether decisions for it regard its load.
+    pub contended: bool,
+    /// Requests in progress for each slot of its upstreams in this zone, in thousandths.
+    pub pressure: u32,
+    /// Time since that was measured; `None` if nothing is known.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub measured_ago: Option<Duration>,
+    /// Its classes of requests, the most urgent first.
+    pub classes: Vec<ClassStatus>,
+}
+
+/// One class of a service's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassStatus {
+    /// Its rank; 0 is the most urgent.
+    pub rank: ClassRank,
+    /// The priorities of its routes, the most urgent first; `None` for routes that publish none.
+    pub priorities: Vec<Option<u32>>,
+}
+
 /// One upstream, as a host sees it.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -154,6 +187,7 @@
             flows: core.evidence().open_flows(),
             evacuated: evacuation_statuses(core, now),
             routes: route_statuses(core),
+            services: service_statuses(core, now),
             upstreams,
             ..Self::default()
         }
@@ -168,11 +202,61 @@
     statuses
 }
 
+/// The services that have routes, by name.
+pub fn service_statuses(core: &PacketCore, now: Instant) -> Vec<ServiceStatus> {
+    let config = core.view().routes();
+    let routes = config.iter().flat_map(|config| &config.routes);
+    let mut priorities: BTreeMap<&ServiceName, BTreeSet<RequestPriority>> = BTreeMap::new();
+    for route in routes {
+        for share in route.shares.iter().filter(|share| share.weight > 0) {
+            let of_service = priorities.entry(&share.service).or_default();
+            of_service.insert(route.priority);
+        }
+    }
+    let mut statuses: Vec<ServiceStatus> = Vec::with_capacity(priorities.len());
+    for (pool, service) in core.upstreams().pools().iter().zip(0..) {
+        let Some(priorities) = priorities.get(&pool.name) else {
+            continue;
+        };
+        let room = core.load().room(now, service);
+        let updated_at = room.updated_at;
+        statuses.push(ServiceStatus {
+            name: pool.name.clone(),
+            contended: room.is_contended,
+            pressure: room.pressure,
+            measured_ago: updated_at.map(|at| now.saturating_duration_since(at)),
+            classes: class_statuses(priorities),
+        });
+    }
+    statuses.sort_by(|left, right| left.name.cmp(&right.name));
+    statuses
+}
+
+fn class_statuses(priorities: &BTreeSet<RequestPriority>) -> Vec<ClassStatus> {
+    let mut statuses: Vec<ClassStatus> = Vec::with_capacity(MOST_CLASSES);
+    for priority in priorities {
+        let priority = stated_priority(*priority);
+        if statuses.len() < MOST_CLASSES {
+            statuses.push(ClassStatus {
+                rank: statuses.len() as ClassRank,
+                priorities: vec![priority],
+            });
+        } else if let Some(last) = statuses.last_mut() {
+            last.priorities.push(priority);
+        }
+    }
+    statuses
+}
+
+/// The priority of a route; `None` if its operators do not say.
+fn stated_priority(priority: RequestPriority) -> Option<u32> {
+    (priority != RequestPriority::LEAST_URGENT).then_some(priority.0)
+}
+
 fn route_status(route: &ServiceRoute) -> RouteStatus {
-    let is_stated = route.priority != RequestPriority::LEAST_URGENT;
     RouteStatus {
         address: route.address,
-        priority: is_stated.then_some(route.priority.0),
+        priority: stated_priority(route.priority),
         kind: route.kind,
         timeout: route.timeout,
         target: route.target,
--- a/packet/src/routes/route_config.rs
+++ b/packet/src/routes/route_config.rs
@@ -29,7 +29,6 @@
     pub connection_limits: Vec<ConnectionLimit>,
     /// The fields of routes and services that were left unset because of their content; at most one entry for
     /// each field and reason.
-    #[serde(default)]
     pub field_faults: Vec<FieldFault>,
 }
 
--- a/packet/tests/test_route_table.rs
+++ b/packet/tests/test_route_table.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use lagoonproxy_packet::packet_action::DecisionEvent;
+use lagoonproxy_packet::packet_status::ClassStatus;
 use lagoonproxy_packet::packet_status::PacketStatus;
 use lagoonproxy_packet::packet_status::RouteStatus;
+use lagoonproxy_packet::packet_status::ServiceStatus;
+use lagoonproxy_packet::packet_status::service_statuses;
 use lagoonproxy_packet::policy_config::PolicyConfig;
 use lagoonproxy_packet::routes::route_config::FieldFault;
 use lagoonproxy_packet::routes::route_config::FieldFaultReason;
@@ -20,6 +23,7 @@
 
 use crate::core_rig::CoreRig;
 use crate::core_rig::ZONE;
+use crate::core_rig::entry;
 use crate::core_rig::routes;
 use crate::core_rig::routes_item;
 use crate::core_rig::settings;
@@ -223,3 +227,47 @@
     };
     assert_eq!(status.routes, [first, second]);
 }
+
+#[test]
+fn test_status_has_the_services_that_have_routes() {
+    // Guards against labels of metrics that grow with services that nobody routes to, and against classes
+    // that differ from those that decisions use.
+    let mut config = config(&[
+        (Some(4), &[("t", 1), ("unused", 0)]),
+        (Some(1), &[("s", 90), ("t", 10)]),
+        (Some(2), &[("t", 1)]),
+        (Some(3), &[("t", 1)]),
+        (None, &[("t", 1)]),
+    ]);
+    config.version = 2;
+    let mut rig = CoreRig::with_entries(vec![entry(1, "s"), entry(2, "unrouted")]);
+    rig.publish(|revision| routes_item(revision, config.clone()));
+    let status = |name: &str, classes: &[&[Option<u32>]]| ServiceStatus {
+        name: name.into(),
+        contended: false,
+        pressure: 0,
+        measured_ago: None,
+        classes: classes
+            .iter()
+            .zip(0..)
+            .map(|(priorities, rank)| ClassStatus {
+                rank,
+                priorities: priorities.to_vec(),
+            })
+            .collect(),
+    };
+    let last: &[Option<u32>] = &[Some(4), None];
+    let expected = [
+        status("s", &[&[Some(1)]]),
+        status("t", &[&[Some(1)], &[Some(2)], &[Some(3)], last]),
+    ];
+    assert_eq!(service_statuses(&rig.core, rig.now), expected);
+    assert_eq!(PacketStatus::of(&rig.core, rig.now).services, expected);
+    let mut upstreams = upstream_table();
+    let table = RouteTable::new(&config, &mut upstreams);
+    let ranks: Vec<Option<(u8, u8)>> = (0..5)
+        .map(|index| class_of(&table, &mut upstreams, index, "t"))
+        .collect();
+    let expected = [3, 0, 1, 2, 3].map(|rank| Some((rank, 4)));
+    assert_eq!(ranks, expected);
+}
--- a/packetd/src/event_log.rs
+++ b/packetd/src/event_log.rs
@@ -17,6 +17,7 @@
 }
 
 fn log_event(event: &DecisionEvent, request: &str, metrics: &HostMetrics) {
+    metrics.services.record(event);
     match event {
         DecisionEvent::Placed {
             caller,
@@ -50,6 +51,7 @@
         DecisionEvent::ClassLimited {
             caller,
             service,
+            service_name,
             copy,
             class,
             code,
@@ -63,7 +65,7 @@
             let code = code.number();
             let (priority, rank, pressure) = (class.priority.0, class.rank, room.pressure);
             let age_ms = millis(*age);
-            log::info!(caller:% = caller, service:% = service, copy, priority, rank, code, deferred, upstream:% = upstream, in_progress, pressure, age_ms, version; "flow limited by class");
+            log::info!(caller:% = caller, service:% = service, service_name:% = service_name, copy, priority, rank, code, deferred, upstream:% = upstream, in_progress, pressure, age_ms, version; "flow limited by class");
         }
         DecisionEvent::Contention {
             service,
@@ -85,6 +87,7 @@
         DecisionEvent::LoadRejected { peer } => {
             let code = ResultCode::LoadReportInvalid;
             metrics.count_result(code);
+            metrics.rejected_load.inc();
             log::warn!(code = code.number(), peer:% = peer; "load report rejected");
         }
         DecisionEvent::Refused {
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -5,6 +5,7 @@
 
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::packet_core::PacketCore;
+use lagoonproxy_packet::packet_status::service_statuses;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -13,6 +14,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::service_metrics::ServiceMetrics;
+
 /// Upper ends of the latency classes, in seconds: around the time of a request, the pause before
 /// a caller sends again (0.2 s), and callers' deadlines.
 const LATENCY_CLASSES: [f64; 12] = [
@@ -53,6 +56,10 @@
     pub unreadable: Counter,
     /// Fields of routes and services that could not be used.
     pub invalid_fields: Counter,
+    /// Peers' reports on load that were invalid.
+    pub rejected_load: Counter,
+    /// The metrics of services.
+    pub services: ServiceMetrics,
     /// Updates that are older than the state, or do not continue it.
     pub rejected_updates: Counter,
     results: Family<ResultLabels, Counter>,
@@ -83,6 +90,8 @@
             failing: Counter::default(),
             unreadable: Counter::default(),
             invalid_fields: Counter::default(),
+            rejected_load: Counter::default(),
+            services: ServiceMetrics::default(),
             rejected_updates: Counter::default(),
             results: Family::default(),
             store_calls: Family::default(),
@@ -127,6 +136,11 @@
                 "Fields of routes and services unusable",
                 &self.invalid_fields,
             ),
+            (
+                "rejected_load_reports",
+                "Reports on load that held counts that cannot be",
+                &self.rejected_load,
+            ),
             (
                 "rejected_updates",
                 "Updates older than the state, or not continuing it",
@@ -176,6 +190,7 @@
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
+        self.services.register(registry);
         registry.register(
             "answer_seconds",
             "From a request to its answer's first acknowledgement",
@@ -207,6 +222,7 @@
         let flows = upstreams.evacuated_flows();
         self.evacuated_zones.set(flows.len() as u64);
         self.evacuated_flows.set(flows.values().sum::<u32>().into());
+        self.services.update(&service_statuses(core, now));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!("cannot encode metrics: {error}");
--- a/packetd/src/main.rs
+++ b/packetd/src/main.rs
@@ -11,6 +11,7 @@
 mod peer_socket;
 mod policy_file;
 mod process_signals;
+mod service_metrics;
 mod settings_file;
 mod state_transfer;
 mod stop_wait;
--- a/standin/src/packet_cell.rs
+++ b/standin/src/packet_cell.rs
@@ -316,16 +316,21 @@
 
     /// One metric, by the beginning of its line; 0 while the process does not listen yet.
     pub async fn metric(&self, name: &str) -> f64 {
-        let address = SocketAddr::from((*self.ready.ip(), 9180));
-        let Ok(response) = reqwest::get(format!("http://{address}/metrics")).await else {
-            return 0.0;
-        };
-        let text = response.text().await.unwrap();
+        let text = self.page("/metrics").await;
         let line = text.lines().find(|line| line.starts_with(name));
         let value = line.and_then(|line| line.rsplit(' ').next());
         value.map_or(0.0, |value| value.parse().unwrap())
     }
 
+    /// What the host serves to operators at a path; empty if it does not listen.
+    pub async fn page(&self, path: &str) -> String {
+        let address = SocketAddr::from((*self.ready.ip(), 9180));
+        let Ok(response) = reqwest::get(format!("http://{address}{path}")).await else {
+            return String::new();
+        };
+        response.text().await.unwrap()
+    }
+
     /// Waits until a metric has a value that is wanted.
     pub async fn wait_for_metric(&self, name: &str, wanted: impl Fn(f64) -> bool) {
         let came_true = comes_true(async || wanted(self.metric(name).await)).await;
