--- a/packet/tests/test_route_table.rs
+++ b/packet/tests/test_route_table.rs
@@ -240,7 +240,11 @@
         (None, &[("t", 1)]),
     ]);
     config.version = 2;
-    let mut rig = CoreRig::with_entries(vec![entry(1, "s"), entry(2, "unrouted")]);
+    let mut rig = CoreRig::with_entries(vec![
+        entry(1, "s"),
+        entry(2, "unrouted"),
+        entry(3, "unused"),
+    ]);
     rig.publish(|revision| routes_item(revision, config.clone()));
     let status = |name: &str, classes: &[&[Option<u32>]]| ServiceStatus {
         name: name.into(),
