--- a/cli/tests/test_hosts.rs
+++ b/cli/tests/test_hosts.rs
@@ -14,9 +14,14 @@
 use lagoonproxy_daemon::admin_server::AdminSource;
 use lagoonproxy_daemon::admin_server::bind_admin;
 use lagoonproxy_daemon::admin_server::serve_admin;
+use lagoonproxy_packet::packet_status::ClassStatus;
 use lagoonproxy_packet::packet_status::EvacuationStatus;
 use lagoonproxy_packet::packet_status::PacketStatus;
+use lagoonproxy_packet::packet_status::RouteStatus;
+use lagoonproxy_packet::packet_status::ServiceStatus;
 use lagoonproxy_packet::packet_status::UpstreamStatus;
+use lagoonproxy_packet::routes::route_config::RequestKind;
+use lagoonproxy_packet::routes::route_config::ServiceShare;
 use serde_json::Value;
 use tokio::net::TcpSocket;
 
@@ -45,6 +50,44 @@
             waiting: 2,
             heard_ago: Some(Duration::from_millis(1500)),
         };
+        let share = |service: &str, weight| ServiceShare {
+            service: service.into(),
+            weight,
+        };
+        let route = RouteStatus {
+            address: "198.18.0.1:8443".parse().unwrap(),
+            priority: Some(2),
+            kind: RequestKind::Idempotent,
+            timeout: Some(Duration::from_millis(1500)),
+            target: Some(Duration::from_millis(250)),
+            services: vec![share("huvo11a", 90), share("wuno96b", 10)],
+        };
+        let plain_route = RouteStatus {
+            address: "198.18.0.2:80".parse().unwrap(),
+            priority: None,
+            kind: RequestKind::Unknown,
+            timeout: None,
+            target: None,
+            services: vec![share("wuno96b", 1)],
+        };
+        let class = |rank, priorities: &[Option<u32>]| ClassStatus {
+            rank,
+            priorities: priorities.to_vec(),
+        };
+        let service = ServiceStatus {
+            name: "huvo11a".into(),
+            contended: true,
+            pressure: 2750,
+            measured_ago: Some(Duration::from_millis(340)),
+            classes: vec![class(0, &[Some(2)]), class(1, &[Some(3), None])],
+        };
+        let calm_service = ServiceStatus {
+            name: "wuno96b".into(),
+            contended: false,
+            pressure: 0,
+            measured_ago: None,
+            classes: vec![class(0, &[None])],
+        };
         let status = PacketStatus {
             host: "entry-1".into(),
             zone: "a".into(),
@@ -58,6 +101,8 @@
                 applied_ago: Duration::from_millis(2500),
                 flows: 3,
             }],
+            routes: vec![route, plain_route],
+            services: vec![service, calm_service],
             upstreams: vec![upstream],
             ..PacketStatus::default()
         };
@@ -161,6 +206,58 @@
     assert!(upstream.ends_with("1500ms ago"), "{upstream}");
 }
 
+/// A line of a table, by its cells.
+fn cells(line: &str) -> Vec<&str> {
+    line.split_whitespace().collect()
+}
+
+#[tokio::test]
+async fn test_forwarders_show_the_routes_that_they_hold() {
+    let listener = bind_admin("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(serve_admin(listener, Arc::new(ForwardingHost)));
+    let report = ctl(&["forwarders", "--host", &address, "--routes"]).await;
+    assert_eq!(report.code, ResultCode::Success);
+    let lines: Vec<Vec<&str>> = report.lines.iter().map(|line| cells(line)).collect();
+    let expected = [
+        vec![
+            "entry-1",
+            "198.18.0.1:8443",
+            "2",
+            "idempotent",
+            "1500ms",
+            "250ms",
+            "huvo11a=90,wuno96b=10",
+        ],
+        vec!["entry-1", "198.18.0.2:80", "-", "-", "-", "-", "wuno96b=1"],
+    ];
+    assert_eq!(lines[lines.len() - 2..], expected);
+}
+
+#[tokio::test]
+async fn test_forwarders_show_which_services_are_contended() {
+    let listener = bind_admin("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(serve_admin(listener, Arc::new(ForwardingHost)));
+    let (_bound, silent) = silent_address();
+    let words = [
+        "forwarders",
+        "--host",
+        &address,
+        "--host",
+        &silent,
+        "--services",
+    ];
+    let report = ctl(&words).await;
+    assert_eq!(report.code, ResultCode::SourceUnreachable);
+    let lines: Vec<Vec<&str>> = report.lines.iter().map(|line| cells(line)).collect();
+    let expected = [
+        ["entry-1", "huvo11a", "yes", "2750", "340ms", "0:2", "1:3,-"].to_vec(),
+        ["entry-1", "wuno96b", "no", "-", "-", "0:-"].to_vec(),
+    ];
+    assert_eq!(lines[lines.len() - 2..], expected);
+}
+
 #[tokio::test]
 async fn test_evacuation_ends_when_every_host_is_done() {
     struct Case {
