--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -7,6 +7,7 @@
 use lagoonproxy::flow_hash::rendezvous_weight;
 use lagoonproxy::result_code::ResultCode;
 
+use crate::admission::opening_admission::SYN_AGES;
 use crate::core_load::SelectedSyn;
 use crate::dispatch::dispatch_client::DispatchClient;
 use crate::dispatch::dispatch_client::QueryState;
@@ -17,8 +18,9 @@
 use crate::dispatch::dispatch_message::RequestEvent;
 use crate::dispatch::dispatch_policy::DispatchCandidate;
 use crate::dispatch::dispatch_policy::DispatchClass;
+use crate::dispatch::dispatch_policy::LimitedShare;
+use crate::dispatch::dispatch_policy::is_limited;
 use crate::dispatch::dispatch_policy::least_loaded;
-use crate::dispatch::dispatch_policy::refuses;
 use crate::dispatch::dispatcher_choice::DispatcherChoice;
 use crate::dispatch::request_ledger::RequestLedger;
 use crate::flows::flow_table::FlowKey;
@@ -28,11 +30,13 @@
 use crate::ids::UpstreamIndex;
 use crate::load::load_report::service_tag;
 use crate::load::load_view::AddressedDatagram;
+use crate::load::load_view::SynOutcome;
 use crate::load::service_room::REQUEST_LOAD;
 use crate::packet_action::DecisionEvent;
 use crate::packet_action::PacketAction;
 use crate::packet_action::PacketOutput;
 use crate::packet_core::PacketCore;
+use crate::packet_head::PacketHead;
 use crate::peers::peer_datagram::PeerDatagram;
 use crate::policy_config::FLOW_LOAD;
 use crate::selection::upstream_selection::sample;
@@ -55,6 +59,8 @@
     last_report: Option<Instant>,
     /// By service, its dispatcher as of the last tick; `None` for services that are not contended.
     dispatchers: Vec<Option<SocketAddrV4>>,
+    /// By service, the share of flows for which there was no room; kept by its dispatcher.
+    limited: Vec<LimitedShare>,
     /// Queries to send.
     queries: Vec<(SocketAddrV4, DispatchQuery)>,
 }
@@ -68,6 +74,8 @@
     Wait,
     /// It goes to this upstream.
     Place(UpstreamIndex),
+    /// It is left to its caller's next one.
+    Defer,
     /// It is refused.
     Refuse,
 }
@@ -284,11 +292,25 @@
                 let usable = index.filter(|index| self.is_dispatchable(*index, syn.service));
                 usable.map_or(DispatchStep::Alone, DispatchStep::Place)
             }
-            DispatchVerdict::Refuse if syn.head.ack == 0 => DispatchStep::Refuse,
-            DispatchVerdict::Refuse | DispatchVerdict::Unknown => DispatchStep::Alone,
+            DispatchVerdict::Defer if syn.head.ack == 0 && self.awaits_next_syn(syn.head) => {
+                DispatchStep::Defer
+            }
+            DispatchVerdict::Defer | DispatchVerdict::Refuse if syn.head.ack == 0 => {
+                DispatchStep::Refuse
+            }
+            DispatchVerdict::Defer | DispatchVerdict::Refuse | DispatchVerdict::Unknown => {
+                DispatchStep::Alone
+            }
         }
     }
 
+    /// Whether a request can still be answered in time if its next SYN is placed.
+    fn awaits_next_syn(&self, head: &PacketHead) -> bool {
+        let next = SYN_AGES.get(head.ack as usize + 1);
+        let target = self.routes.target(head.service);
+        next.is_some_and(|age| target.is_none_or(|target| *age < target))
+    }
+
     fn is_dispatchable(&self, index: UpstreamIndex, service: ServiceIndex) -> bool {
         let record = self.upstreams.get(index);
         let usable = record.takes_flows() && !record.is_degraded();
@@ -315,12 +337,24 @@
             rank: query.rank,
             classes: query.classes,
         };
-        if query.may_refuse && refuses(&config.dispatch, class, &best) {
-            best = self
-                .least_loaded(now, service, query, usize::MAX)
-                .unwrap_or(best);
-            if refuses(&config.dispatch, class, &best) {
-                return DispatchVerdict::Refuse;
+        let config = config.dispatch;
+        if is_limited(&config, class, &best) {
+            let all = self.least_loaded(now, service, query, usize::MAX);
+            best = all.unwrap_or(best);
+        }
+        let limited = is_limited(&config, class, &best);
+        if class.rank > 0 {
+            let limits = &mut self.dispatch.limited;
+            if limits.len() <= service as usize {
+                limits.resize(service as usize + 1, LimitedShare::default());
+            }
+            let share = &mut limits[service as usize];
+            share.record(limited);
+            if query.may_refuse && limited {
+                return match share.share() < config.most_deferred {
+                    true => DispatchVerdict::Defer,
+                    false => DispatchVerdict::Refuse,
+                };
             }
         }
         self.dispatch.ledger.place(now, query.flow, best.index);
@@ -374,16 +408,23 @@
         ServiceIndex::try_from(place).ok()
     }
 
-    /// Refuses a SYN whose class has no room.
-    pub(crate) fn refuse_class(
+    /// Defers or refuses a SYN whose class has no room.
+    pub(crate) fn limit_class(
         &mut self,
         now: Instant,
         syn: SelectedSyn<'_>,
+        deferred: bool,
         output: &mut PacketOutput,
     ) {
-        let code = ResultCode::PriorityRefused;
-        output.actions.push(PacketAction::Reset { acked: 0, code });
-        self.record_dispatch_refusal(now, syn, code, output);
+        let (code, outcome) = match deferred {
+            true => (ResultCode::QueueFull, SynOutcome::Deferred),
+            false => (ResultCode::PriorityRefused, SynOutcome::Refused),
+        };
+        output.actions.push(match deferred {
+            true => PacketAction::Drop { code },
+            false => PacketAction::Reset { acked: 0, code },
+        });
+        self.record_dispatch_limit(now, syn, code, outcome, output);
     }
 }
 
--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -106,20 +106,20 @@
         false
     }
 
-    /// Counts and records that the dispatcher has refused a SYN.
-    pub(crate) fn record_dispatch_refusal(
+    /// Counts and records that the dispatcher has deferred or refused a SYN.
+    pub(crate) fn record_dispatch_limit(
         &mut self,
         now: Instant,
         syn: SelectedSyn<'_>,
         code: ResultCode,
+        outcome: SynOutcome,
         output: &mut PacketOutput,
     ) {
         let (head, service) = (syn.head, syn.service);
         let Some(class) = self.routes.class(head.service, service) else {
             return;
         };
-        self.load
-            .record_syn(now, service, class, head.ack, SynOutcome::Refused);
+        self.load.record_syn(now, service, class, head.ack, outcome);
         self.record_class_limit(now, syn, class, code, output);
     }
 
--- a/packet/src/dispatch/dispatch_message.rs
+++ b/packet/src/dispatch/dispatch_message.rs
@@ -62,6 +62,8 @@
 pub enum DispatchVerdict {
     /// To this upstream.
     Place(FlowTag),
+    /// Nowhere now: no upstream has room for its class, and one may have when the SYN is sent again.
+    Defer,
     /// Nowhere: no upstream has room for its class.
     Refuse,
     /// The dispatcher does not know enough; the host that asked decides.
--- a/packet/src/dispatch/dispatch_policy.rs
+++ b/packet/src/dispatch/dispatch_policy.rs
@@ -4,7 +4,8 @@
 //! open flows keep their upstreams. Upstreams that get a new flow by chance or by counts of a second ago shed it as
 //! often as the mean, after it has waited in their queues, and its caller tries again. So the flow goes to the
 //! upstream with the fewest requests in progress for each slot at this moment. When even that one has a
-//! queue, the less urgent classes are refused at once: what is left of the queues is for the most urgent one.
+//! queue, the less urgent classes get no room: what is left of the queues is for the most urgent one. While that befalls
+//! few flows, their SYNs are deferred, since the queues will have drained by the next ones; else they are refused at once.
 
 use std::cmp::Reverse;
 
@@ -18,18 +19,22 @@
     /// Whether new flows of contended services are placed by a dispatcher.
     pub is_enabled: bool,
     /// Requests in progress for each slot, in parts of [`REQUEST_LOAD`], from which the least urgent class is
-    /// refused: its request would wait for two others at each slot, and upstreams shed not far above.
+    /// limited: its request would wait for three others at each slot, and upstreams shed not far above.
     pub least_urgent_limit: u32,
-    /// The same for a class just below the most urgent, which is never refused.
+    /// The same for a class just below the most urgent, which is never limited.
     pub urgent_limit: u32,
+    /// Thousandths of the limited classes' flows that may be limited before they are refused instead of deferred: a
+    /// rush that lasts is not over when the SYN is sent again.
+    pub most_deferred: u32,
 }
 
 impl Default for DispatchConfig {
     fn default() -> Self {
         Self {
             is_enabled: true,
-            least_urgent_limit: 3 * REQUEST_LOAD,
-            urgent_limit: 4 * REQUEST_LOAD,
+            least_urgent_limit: 4 * REQUEST_LOAD,
+            urgent_limit: 9 * REQUEST_LOAD / 2,
+            most_deferred: 300,
         }
     }
 }
@@ -84,12 +89,13 @@
     })
 }
 
-/// Whether a flow of this class is refused, though `best` is the least loaded of all upstreams.
-pub fn refuses(config: &DispatchConfig, class: DispatchClass, best: &DispatchCandidate) -> bool {
+/// Whether a flow of this class gets no room, though `best` is the least loaded of all upstreams.
+pub fn is_limited(config: &DispatchConfig, class: DispatchClass, best: &DispatchCandidate) -> bool {
     class_limit(config, class).is_some_and(|limit| best.load() >= limit)
 }
 
-/// Requests in progress for each slot from which a class is refused, in parts of [`REQUEST_LOAD`]; `None` for the most urgent.
+/// Requests in progress for each slot from which a class is limited, in parts of [`REQUEST_LOAD`]; `None` for the
+/// most urgent.
 fn class_limit(config: &DispatchConfig, class: DispatchClass) -> Option<u32> {
     let last = u32::from(class.classes.saturating_sub(1));
     let rank = u32::from(class.rank).min(last);
@@ -100,3 +106,26 @@
     let above = (last - rank) * spread;
     (rank > 0).then(|| config.least_urgent_limit + above.checked_div(steps).unwrap_or(0))
 }
+
+/// Flows over which the share of limited ones is a moving mean.
+const SHARE_FLOWS: u32 = 50;
+
+/// The share of a service's less urgent flows that were limited of late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitedShare {
+    /// Thousandths, times [`SHARE_FLOWS`].
+    scaled: u32,
+}
+
+impl LimitedShare {
+    /// Records a flow of a class that may be limited.
+    pub fn record(&mut self, is_limited: bool) {
+        self.scaled -= self.scaled / SHARE_FLOWS;
+        self.scaled += if is_limited { 1000 } else { 0 };
+    }
+
+    /// Thousandths of the flows.
+    pub fn share(self) -> u32 {
+        self.scaled / SHARE_FLOWS
+    }
+}
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -315,8 +315,9 @@
         if room.is_contended && query.leaves_for.is_none() {
             match self.dispatch_syn(now, syn, output) {
                 DispatchStep::Wait => return,
-                DispatchStep::Refuse => {
-                    self.refuse_class(now, syn, output);
+                step @ (DispatchStep::Defer | DispatchStep::Refuse) => {
+                    let deferred = step == DispatchStep::Defer;
+                    self.limit_class(now, syn, deferred, output);
                     return;
                 }
                 DispatchStep::Place(index) => {
