--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -17,8 +17,8 @@
 use crate::dispatch::dispatch_message::MOST_EXCLUDED;
 use crate::dispatch::dispatch_message::RequestEvent;
 use crate::dispatch::dispatch_policy::DispatchCandidate;
-use crate::dispatch::dispatch_policy::DispatchClass;
 use crate::dispatch::dispatch_policy::LimitedShare;
+use crate::dispatch::dispatch_policy::RecentDemand;
 use crate::dispatch::dispatch_policy::is_limited;
 use crate::dispatch::dispatch_policy::least_loaded;
 use crate::dispatch::dispatcher_choice::DispatcherChoice;
@@ -39,6 +39,7 @@
 use crate::packet_head::PacketHead;
 use crate::peers::peer_datagram::PeerDatagram;
 use crate::policy_config::FLOW_LOAD;
+use crate::routes::route_config::RequestPriority;
 use crate::selection::upstream_selection::sample;
 
 /// How long a dispatcher hears of requests before it places flows: requests that began before are not counted.
@@ -59,12 +60,19 @@
     last_report: Option<Instant>,
     /// By service, its dispatcher as of the last tick; `None` for services that are not contended.
     dispatchers: Vec<Option<SocketAddrV4>>,
-    /// By service, the share of flows for which there was no room; kept by its dispatcher.
-    limited: Vec<LimitedShare>,
+    /// By service, what its dispatcher was asked for.
+    demands: Vec<ServiceDemand>,
     /// Queries to send.
     queries: Vec<(SocketAddrV4, DispatchQuery)>,
 }
 
+/// What a dispatcher was asked for of late.
+#[derive(Clone, Debug, Default)]
+struct ServiceDemand {
+    recent: RecentDemand,
+    limited: LimitedShare,
+}
+
 /// What becomes of a SYN that a dispatcher may place.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DispatchStep {
@@ -85,6 +93,14 @@
         self.dispatchers.get(service as usize).copied().flatten()
     }
 
+    fn demand(&mut self, service: ServiceIndex) -> &mut ServiceDemand {
+        let place = service as usize;
+        if self.demands.len() <= place {
+            self.demands.resize(place + 1, ServiceDemand::default());
+        }
+        &mut self.demands[place]
+    }
+
     fn heard_events(&mut self, now: Instant) {
         self.last_report = Some(now);
         self.reported_since.get_or_insert(now);
@@ -152,7 +168,7 @@
             }
             QueryState::Absent => {}
         }
-        let query = self.dispatch_query(now, syn, flow);
+        let query = self.dispatch_query(syn, flow);
         if dispatcher == self.peers.own {
             let verdict = self.dispatch_verdict(now, &query);
             return self.follow_verdict(syn, verdict);
@@ -264,21 +280,14 @@
         self.dispatch.client.reply(from, reply.flow, reply.verdict)
     }
 
-    fn dispatch_query(
-        &self,
-        now: Instant,
-        syn: SelectedSyn<'_>,
-        flow: FlowDigest,
-    ) -> DispatchQuery {
+    fn dispatch_query(&self, syn: SelectedSyn<'_>, flow: FlowDigest) -> DispatchQuery {
         let class = self.routes.class(syn.head.service, syn.service);
-        let class = class.map(|class| self.load.active_class(now, syn.service, class));
         let tried = syn.copy.tried.iter();
         let tags = tried.filter_map(|index| self.upstreams.get(*index).tag);
         DispatchQuery {
             flow,
             service: service_tag(&self.upstreams.pool(syn.service).name),
-            rank: class.map_or(0, |class| class.rank),
-            classes: class.map_or(1, |class| class.classes),
+            priority: class.map_or(RequestPriority::LEAST_URGENT, |class| class.priority),
             may_refuse: syn.head.ack == 0,
             excluded: tags.take(MOST_EXCLUDED).collect(),
         }
@@ -333,25 +342,20 @@
         let Some(mut best) = self.least_loaded(now, service, query, most) else {
             return DispatchVerdict::Unknown;
         };
-        let class = DispatchClass {
-            rank: query.rank,
-            classes: query.classes,
-        };
         let config = config.dispatch;
-        if is_limited(&config, class, &best) {
+        let demand = self.dispatch.demand(service);
+        demand.recent.record(query.priority);
+        let more_urgent = demand.recent.more_urgent(query.priority);
+        if is_limited(&config, more_urgent, &best) {
             let all = self.least_loaded(now, service, query, usize::MAX);
             best = all.unwrap_or(best);
         }
-        let limited = is_limited(&config, class, &best);
-        if class.rank > 0 {
-            let limits = &mut self.dispatch.limited;
-            if limits.len() <= service as usize {
-                limits.resize(service as usize + 1, LimitedShare::default());
-            }
-            let share = &mut limits[service as usize];
-            share.record(limited);
-            if query.may_refuse && limited {
-                return match share.share() < config.most_deferred {
+        if more_urgent > 0 {
+            let is_limited = is_limited(&config, more_urgent, &best);
+            let limited = &mut self.dispatch.demand(service).limited;
+            limited.record(is_limited);
+            if query.may_refuse && is_limited {
+                return match limited.share() < config.most_deferred {
                     true => DispatchVerdict::Defer,
                     false => DispatchVerdict::Refuse,
                 };
--- a/packet/src/dispatch/dispatch_message.rs
+++ b/packet/src/dispatch/dispatch_message.rs
@@ -3,10 +3,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::ids::ClassRank;
 use crate::ids::FlowDigest;
 use crate::ids::FlowTag;
 use crate::ids::ServiceTag;
+use crate::routes::route_config::RequestPriority;
 
 /// Most events in a datagram: it stays below 1,400 bytes.
 pub const MOST_EVENTS: usize = 96;
@@ -38,10 +38,8 @@
     pub flow: FlowDigest,
     /// Its service.
     pub service: ServiceTag,
-    /// Rank of its class among those with demand; below `classes`.
-    pub rank: ClassRank,
-    /// Classes of the service that have demand; at least 1.
-    pub classes: u8,
+    /// How urgent its request is.
+    pub priority: RequestPriority,
     /// Whether the flow may be refused: none of its SYNs has gone to an upstream.
     pub may_refuse: bool,
     /// Upstreams that an earlier SYN of the flow went to; at most [`MOST_EXCLUDED`].
--- a/packet/src/dispatch/dispatch_policy.rs
+++ b/packet/src/dispatch/dispatch_policy.rs
@@ -9,20 +9,22 @@
 
 use std::cmp::Reverse;
 
-use crate::ids::ClassRank;
+use arrayvec::ArrayVec;
+
 use crate::ids::UpstreamIndex;
 use crate::load::service_room::REQUEST_LOAD;
+use crate::routes::route_config::RequestPriority;
 
 /// Parameters of dispatching.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DispatchConfig {
     /// Whether new flows of contended services are placed by a dispatcher.
     pub is_enabled: bool,
-    /// Requests in progress for each slot, in parts of [`REQUEST_LOAD`], from which the least urgent class is
-    /// limited: its request would wait for three others at each slot, and upstreams shed not far above.
-    pub least_urgent_limit: u32,
-    /// The same for a class just below the most urgent, which is never limited.
-    pub urgent_limit: u32,
+    /// Requests in progress for each slot, in parts of [`REQUEST_LOAD`], from which upstreams are taken to be full.
+    pub full_load: u32,
+    /// What of that is kept for more urgent flows if all flows asked for of late were more urgent; of a class of
+    /// which a part was, as large a part is kept.
+    pub urgent_reserve: u32,
     /// Thousandths of the limited classes' flows that may be limited before they are refused instead of deferred: a
     /// rush that lasts is not over when the SYN is sent again.
     pub most_deferred: u32,
@@ -32,8 +34,8 @@
     fn default() -> Self {
         Self {
             is_enabled: true,
-            least_urgent_limit: 4 * REQUEST_LOAD,
-            urgent_limit: 9 * REQUEST_LOAD / 2,
+            full_load: 5 * REQUEST_LOAD,
+            urgent_reserve: 3 * REQUEST_LOAD / 2,
             most_deferred: 300,
         }
     }
@@ -70,15 +72,6 @@
     }
 }
 
-/// The class of a new flow among those of its service that have demand.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DispatchClass {
-    /// 0 is the most urgent; below `classes`.
-    pub rank: ClassRank,
-    /// At least 1.
-    pub classes: u8,
-}
-
 /// The candidate with the least load once the flow is placed; `None` if there is none.
 pub fn least_loaded(
     candidates: impl Iterator<Item = DispatchCandidate>,
@@ -89,22 +82,63 @@
     })
 }
 
-/// Whether a flow of this class gets no room, though `best` is the least loaded of all upstreams.
-pub fn is_limited(config: &DispatchConfig, class: DispatchClass, best: &DispatchCandidate) -> bool {
-    class_limit(config, class).is_some_and(|limit| best.load() >= limit)
+/// Whether a flow gets no room, though `best` is the least loaded of all upstreams. `more_urgent` is the share of more
+/// urgent flows among those asked for of late, in thousandths. The most urgent flows always get room.
+pub fn is_limited(config: &DispatchConfig, more_urgent: u32, best: &DispatchCandidate) -> bool {
+    let reserve = config.urgent_reserve * more_urgent.min(1000) / 1000;
+    more_urgent > 0 && best.load() >= config.full_load.saturating_sub(reserve)
 }
 
-/// Requests in progress for each slot from which a class is limited, in parts of [`REQUEST_LOAD`]; `None` for the
-/// most urgent.
-fn class_limit(config: &DispatchConfig, class: DispatchClass) -> Option<u32> {
-    let last = u32::from(class.classes.saturating_sub(1));
-    let rank = u32::from(class.rank).min(last);
-    let steps = last.saturating_sub(1);
-    let spread = config
-        .urgent_limit
-        .saturating_sub(config.least_urgent_limit);
-    let above = (last - rank) * spread;
-    (rank > 0).then(|| config.least_urgent_limit + above.checked_div(steps).unwrap_or(0))
+/// Flows after which older ones count half in [`RecentDemand`].
+const DEMAND_FLOWS: u32 = 512;
+
+/// Most priorities of a service that are told apart; further ones count as the least urgent of them.
+const MOST_PRIORITIES: usize = 8;
+
+/// How urgent the flows were that a service was asked for of late.
+#[derive(Clone, Debug, Default)]
+pub struct RecentDemand {
+    /// Flows by priority.
+    flows: ArrayVec<(RequestPriority, u32), MOST_PRIORITIES>,
+    /// Their sum.
+    total: u32,
+}
+
+impl RecentDemand {
+    /// Records a flow that was asked for.
+    pub fn record(&mut self, priority: RequestPriority) {
+        if self.total >= DEMAND_FLOWS {
+            for (_priority, count) in &mut self.flows {
+                *count /= 2;
+            }
+            self.flows.retain(|(_priority, count)| *count > 0);
+            self.total = self.flows.iter().map(|(_priority, count)| count).sum();
+        }
+        self.total += 1;
+        let known = self
+            .flows
+            .iter()
+            .position(|(held, _count)| *held == priority);
+        let last = self.flows.iter().enumerate();
+        let last = last.max_by_key(|(_place, (held, _count))| *held);
+        let last = last.map(|(place, _flow)| place);
+        match known {
+            Some(place) => self.flows[place].1 += 1,
+            None if self.flows.try_push((priority, 1)).is_ok() => {}
+            None => {
+                if let Some(place) = last {
+                    self.flows[place].1 += 1;
+                }
+            }
+        }
+    }
+
+    /// Thousandths of the flows that were more urgent.
+    pub fn more_urgent(&self, priority: RequestPriority) -> u32 {
+        let more_urgent = self.flows.iter().filter(|(held, _count)| *held < priority);
+        let count: u32 = more_urgent.map(|(_priority, count)| count).sum();
+        (count * 1000).checked_div(self.total).unwrap_or(0)
+    }
 }
 
 /// Flows over which the share of limited ones is a moving mean.
--- /dev/null
+++ b/packet/tests/test_dispatch.rs
@@ -0,0 +1,439 @@
+//! Tests of the placement of a contended service's flows by a dispatcher.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy_packet::dispatch::dispatch_client::DispatchClient;
+use lagoonproxy_packet::dispatch::dispatch_client::QueryState;
+use lagoonproxy_packet::dispatch::dispatch_client::REPLY_TIMEOUT;
+use lagoonproxy_packet::dispatch::dispatch_message::DispatchVerdict;
+use lagoonproxy_packet::dispatch::dispatch_message::MOST_EVENTS;
+use lagoonproxy_packet::dispatch::dispatch_message::RequestEvent;
+use lagoonproxy_packet::dispatch::dispatch_policy::DispatchCandidate;
+use lagoonproxy_packet::dispatch::dispatch_policy::DispatchConfig;
+use lagoonproxy_packet::dispatch::dispatch_policy::LimitedShare;
+use lagoonproxy_packet::dispatch::dispatch_policy::RecentDemand;
+use lagoonproxy_packet::dispatch::dispatch_policy::is_limited;
+use lagoonproxy_packet::dispatch::dispatch_policy::least_loaded;
+use lagoonproxy_packet::dispatch::dispatcher_choice::DispatcherChoice;
+use lagoonproxy_packet::dispatch::request_ledger::RequestLedger;
+use lagoonproxy_packet::flows::flow_table::FlowKey;
+use lagoonproxy_packet::peers::peer_datagram::MOST_DATAGRAM;
+use lagoonproxy_packet::peers::peer_datagram::PeerDatagram;
+use lagoonproxy_packet::routes::route_config::RequestPriority;
+use proptest::prelude::*;
+
+use crate::core_rig::*;
+
+const URGENT: RequestPriority = RequestPriority(1);
+const NORMAL: RequestPriority = RequestPriority(2);
+
+fn candidate(index: u32, in_progress: u32) -> DispatchCandidate {
+    DispatchCandidate {
+        index,
+        in_progress,
+        slots: 2,
+        request_load: 1000,
+        is_excluded: false,
+        weight: u64::from(index),
+    }
+}
+
+fn host(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), 7720)
+}
+
+fn flow_key(number: u16) -> FlowKey {
+    FlowKey {
+        caller: caller(number),
+        service: ledger(),
+    }
+}
+
+#[test]
+fn test_flow_goes_to_the_least_loaded_upstream() {
+    struct Case {
+        name: &'static str,
+        candidates: Vec<DispatchCandidate>,
+        selected: Option<u32>,
+    }
+    let cases = [
+        Case {
+            name: "none",
+            candidates: Vec::new(),
+            selected: None,
+        },
+        Case {
+            name: "fewest requests in progress",
+            candidates: vec![candidate(1, 3), candidate(2, 1), candidate(3, 2)],
+            selected: Some(2),
+        },
+        Case {
+            name: "by slot",
+            candidates: vec![
+                candidate(1, 3),
+                DispatchCandidate {
+                    slots: 8,
+                    ..candidate(2, 6)
+                },
+            ],
+            selected: Some(2),
+        },
+        Case {
+            name: "a cold one costs more",
+            candidates: vec![
+                candidate(1, 1),
+                DispatchCandidate {
+                    request_load: 1600,
+                    ..candidate(2, 1)
+                },
+            ],
+            selected: Some(1),
+        },
+        Case {
+            name: "a cold one that is empty still gets some",
+            candidates: vec![
+                candidate(1, 2),
+                DispatchCandidate {
+                    request_load: 1600,
+                    ..candidate(2, 0)
+                },
+            ],
+            selected: Some(2),
+        },
+        Case {
+            name: "one that left an earlier SYN without a response comes last",
+            candidates: vec![
+                DispatchCandidate {
+                    is_excluded: true,
+                    ..candidate(1, 0)
+                },
+                candidate(2, 9),
+            ],
+            selected: Some(2),
+        },
+        Case {
+            name: "equals by weight",
+            candidates: vec![candidate(1, 1), candidate(7, 1), candidate(3, 1)],
+            selected: Some(7),
+        },
+        Case {
+            name: "a service with one slot",
+            candidates: vec![
+                DispatchCandidate {
+                    slots: 1,
+                    ..candidate(1, 1)
+                },
+                DispatchCandidate {
+                    slots: 1,
+                    ..candidate(2, 0)
+                },
+            ],
+            selected: Some(2),
+        },
+    ];
+    for case in cases {
+        let best = least_loaded(case.candidates.into_iter());
+        assert_eq!(best.map(|best| best.index), case.selected, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_slow_upstream_gets_less_and_not_nothing() {
+    // Guards against a slow upstream that gets as many new flows as the others, or none for good.
+    let mut ledger = RequestLedger::default();
+    let now = Instant::now();
+    let mut placed = [0_u32; 40];
+    // One flow a millisecond; a request takes 60 ms, and 300 ms at the first upstream.
+    let mut ends: Vec<(u64, u32)> = Vec::new();
+    for millis in 0..2000_u64 {
+        ends.retain(|(end, flow)| {
+            let keep = *end > millis;
+            if !keep {
+                ledger.end(*flow);
+            }
+            keep
+        });
+        let flow = millis as u32;
+        let candidates = (0..40).map(|index| DispatchCandidate {
+            weight: (u64::from(index) * 7919 + millis * 104_729) % 1009,
+            ..candidate(index, ledger.in_progress(index))
+        });
+        let best = least_loaded(candidates).unwrap();
+        ledger.begin(now, flow, best.index);
+        placed[best.index as usize] += 1;
+        let took = if best.index == 0 { 300 } else { 60 };
+        ends.push((millis + took, flow));
+    }
+    let equal: u32 = placed[1..].iter().sum::<u32>() / 39;
+    assert!(placed[0] * 100 < equal * 35, "{} of {equal}", placed[0]);
+    assert!(placed[0] > 0);
+}
+
+#[test]
+fn test_urgent_flows_keep_a_reserve() {
+    struct Case {
+        name: &'static str,
+        more_urgent: u32,
+        in_progress: u32,
+        limited: bool,
+    }
+    let cases = [
+        Case {
+            name: "a slot is free",
+            more_urgent: 1000,
+            in_progress: 1,
+            limited: false,
+        },
+        Case {
+            name: "a short queue",
+            more_urgent: 500,
+            in_progress: 6,
+            limited: false,
+        },
+        Case {
+            name: "half of the flows are more urgent, and the queue is long",
+            more_urgent: 500,
+            in_progress: 9,
+            limited: true,
+        },
+        Case {
+            name: "few flows are more urgent: little is kept",
+            more_urgent: 20,
+            in_progress: 9,
+            limited: false,
+        },
+        Case {
+            name: "nobody is more urgent",
+            more_urgent: 0,
+            in_progress: 200,
+            limited: false,
+        },
+    ];
+    for case in cases {
+        let best = candidate(1, case.in_progress);
+        let limited = is_limited(&DispatchConfig::default(), case.more_urgent, &best);
+        assert_eq!(limited, case.limited, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_demand_follows_what_was_asked_of_late() {
+    struct Case {
+        name: &'static str,
+        asked: Vec<(RequestPriority, usize)>,
+        priority: RequestPriority,
+        more_urgent: std::ops::RangeInclusive<u32>,
+    }
+    let cases = [
+        Case {
+            name: "nothing was asked",
+            asked: vec![],
+            priority: NORMAL,
+            more_urgent: 0..=0,
+        },
+        Case {
+            name: "all priorities equal",
+            asked: vec![(NORMAL, 100)],
+            priority: NORMAL,
+            more_urgent: 0..=0,
+        },
+        Case {
+            name: "a quarter is urgent",
+            asked: vec![(URGENT, 25), (NORMAL, 75)],
+            priority: NORMAL,
+            more_urgent: 250..=250,
+        },
+        Case {
+            name: "nobody is more urgent than the urgent",
+            asked: vec![(URGENT, 25), (NORMAL, 75)],
+            priority: URGENT,
+            more_urgent: 0..=0,
+        },
+        Case {
+            name: "a burst that is over is forgotten",
+            asked: vec![(URGENT, 400), (NORMAL, 4000)],
+            priority: NORMAL,
+            more_urgent: 0..=10,
+        },
+        Case {
+            name: "more priorities than are told apart",
+            asked: (0..100).map(|level| (RequestPriority(level), 1)).collect(),
+            priority: RequestPriority::LEAST_URGENT,
+            more_urgent: 1000..=1000,
+        },
+    ];
+    for case in cases {
+        let mut demand = RecentDemand::default();
+        for (priority, count) in case.asked {
+            (0..count).for_each(|_flow| demand.record(priority));
+        }
+        let more_urgent = demand.more_urgent(case.priority);
+        assert!(
+            case.more_urgent.contains(&more_urgent),
+            "{}: {more_urgent}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn test_limited_share_tells_a_short_rush_from_one_that_lasts() {
+    let most = DispatchConfig::default().most_deferred;
+    let mut share = LimitedShare::default();
+    (0..10).for_each(|_flow| share.record(true));
+    assert!(share.share() < most, "ten flows are no lasting rush");
+    (0..100).for_each(|_flow| share.record(true));
+    assert!(share.share() > most, "a hundred flows are");
+    (0..200).for_each(|_flow| share.record(false));
+    assert!(share.share() < most, "it is over");
+}
+
+#[test]
+fn test_ledger_counts_each_request_once() {
+    let now = Instant::now();
+    let mut ledger = RequestLedger::default();
+    ledger.place(now, 1, 0);
+    assert_eq!(ledger.in_progress(0), 1, "a placed flow counts at once");
+    ledger.begin(now, 1, 0);
+    assert_eq!(ledger.in_progress(0), 1, "its request is the same one");
+    ledger.begin(now, 1, 2);
+    assert_eq!((ledger.in_progress(0), ledger.in_progress(2)), (0, 1));
+    ledger.end(1);
+    ledger.end(1);
+    assert_eq!(ledger.in_progress(2), 0);
+    assert!(ledger.is_empty());
+}
+
+#[test]
+fn test_requests_whose_end_is_lost_expire() {
+    // Guards against upstreams that look full for good after the host that watched their requests has died.
+    let now = Instant::now();
+    let mut ledger = RequestLedger::default();
+    ledger.begin(now, 1, 0);
+    ledger.expire_requests(now + Duration::from_millis(1900));
+    assert_eq!(ledger.in_progress(0), 1);
+    ledger.expire_requests(now + Duration::from_millis(2100));
+    assert_eq!(ledger.in_progress(0), 0);
+}
+
+#[test]
+fn test_placed_flows_that_send_nothing_expire_soon() {
+    // Guards against upstreams that look full because callers opened flows and sent nothing.
+    let now = Instant::now();
+    let mut ledger = RequestLedger::default();
+    ledger.place(now, 1, 0);
+    ledger.place(now, 2, 0);
+    ledger.begin(now, 2, 0);
+    ledger.expire_placements(now + Duration::from_millis(40));
+    assert_eq!(ledger.in_progress(0), 1, "the one with a request stays");
+}
+
+#[test]
+fn test_silent_dispatcher_leaves_the_decision_to_the_host() {
+    // Guards against SYNs that wait for a dispatcher that has died.
+    let now = Instant::now();
+    let mut client = DispatchClient::default();
+    assert!(client.ask(now, flow_key(1), 7, host(9)));
+    assert_eq!(client.take(now, 7), QueryState::Waiting);
+    let late = now + REPLY_TIMEOUT;
+    assert_eq!(client.take(late, 7), QueryState::TimedOut(host(9)));
+    assert_eq!(client.take(late, 7), QueryState::Absent);
+}
+
+#[test]
+fn test_reply_of_somebody_else_is_ignored() {
+    // Guards against a former dispatcher that replies late for flows that another one places.
+    let now = Instant::now();
+    let mut client = DispatchClient::default();
+    client.ask(now, flow_key(1), 7, host(9));
+    let verdict = DispatchVerdict::Place(5);
+    assert_eq!(client.reply(host(8), 7, verdict), None);
+    assert_eq!(client.reply(host(9), 7, verdict), Some(flow_key(1)));
+    assert_eq!(client.take(now, 7), QueryState::Replied(verdict));
+}
+
+#[test]
+fn test_events_fit_into_datagrams() {
+    let mut client = DispatchClient::default();
+    for flow in 0..1000 {
+        let event = RequestEvent::Began {
+            flow: u32::MAX - flow,
+            upstream: u32::MAX,
+        };
+        client.report(host(9), event);
+    }
+    let batches = client.take_events();
+    assert_eq!(batches.iter().map(|(_to, batch)| batch.len()).sum::<usize>(), 1000);
+    for (_target, batch) in batches {
+        assert!(batch.len() <= MOST_EVENTS);
+        let bytes = PeerDatagram::Requests(batch).encode().unwrap();
+        assert!(bytes.len() <= MOST_DATAGRAM, "{}", bytes.len());
+    }
+    assert!(!client.has_events());
+}
+
+#[test]
+fn test_dispatcher_that_does_not_reply_is_skipped_for_some_time() {
+    // Guards against a zone whose every new flow waits for a dispatcher that is frozen or cut off.
+    let now = Instant::now();
+    let mut choice = DispatcherChoice::default();
+    assert!(!choice.missed(now, host(9)));
+    choice.replied(host(9));
+    assert!(!choice.missed(now, host(9)), "a reply between starts anew");
+    assert!(!choice.missed(now, host(9)));
+    assert!(choice.missed(now, host(9)), "the third one in a row");
+}
+
+proptest! {
+    #[test]
+    fn test_counts_equal_the_requests_in_progress(
+        steps in prop::collection::vec((0_u8..4, 0_u32..20, 0_u32..5, 0_u64..200), 0..200)
+    ) {
+        let mut ledger = RequestLedger::default();
+        let mut now = Instant::now();
+        for (step, flow, upstream, millis) in steps {
+            now += Duration::from_millis(millis);
+            match step {
+                0 => ledger.begin(now, flow, upstream),
+                1 => ledger.place(now, flow, upstream),
+                2 => ledger.end(flow),
+                _ => ledger.expire_requests(now),
+            }
+            let total: u32 = (0..5).map(|upstream| ledger.in_progress(upstream)).sum();
+            prop_assert!(total <= 20);
+            prop_assert_eq!(total == 0, ledger.is_empty());
+        }
+        ledger.expire_requests(now + Duration::from_secs(3));
+        prop_assert!(ledger.is_empty());
+    }
+
+    #[test]
+    fn test_nobody_is_limited_while_a_slot_is_free(
+        more_urgent in 0_u32..2000, slots in 1_u32..32, busy in 0_u32..32
+    ) {
+        let in_progress = busy % slots;
+        let best = DispatchCandidate { slots, in_progress, ..candidate(1, 0) };
+        prop_assert!(!is_limited(&DispatchConfig::default(), more_urgent, &best));
+    }
+
+    #[test]
+    fn test_a_less_urgent_flow_never_gets_more_room(
+        counts in prop::collection::vec(0_u32..50, 4), in_progress in 0_u32..20
+    ) {
+        let mut demand = RecentDemand::default();
+        for (level, count) in counts.iter().enumerate() {
+            (0..*count).for_each(|_flow| demand.record(RequestPriority(level as u32)));
+        }
+        let best = candidate(1, in_progress);
+        let limits: Vec<bool> = (0..4)
+            .map(|level| {
+                let more_urgent = demand.more_urgent(RequestPriority(level));
+                is_limited(&DispatchConfig::default(), more_urgent, &best)
+            })
+            .collect();
+        prop_assert!(limits.is_sorted());
+    }
+}
