--- a/packet/tests/test_dispatch.rs
+++ b/packet/tests/test_dispatch.rs
@@ -366,7 +366,13 @@
         client.report(host(9), event);
     }
     let batches = client.take_events();
-    assert_eq!(batches.iter().map(|(_to, batch)| batch.len()).sum::<usize>(), 1000);
+    assert_eq!(
+        batches
+            .iter()
+            .map(|(_to, batch)| batch.len())
+            .sum::<usize>(),
+        1000
+    );
     for (_target, batch) in batches {
         assert!(batch.len() <= MOST_EVENTS);
         let bytes = PeerDatagram::Requests(batch).encode().unwrap();
