dispatch: only placed flows count as demand, and small reserves are none

Cause: refused callers ask again at once; counted, they made less urgent demand look large and took the reserve.

--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::dispatch_policy::LimitedShare;
 use crate::dispatch::dispatch_policy::RecentDemand;
 use crate::dispatch::dispatch_policy::is_limited;
+use crate::dispatch::dispatch_policy::kept_reserve;
 use crate::dispatch::dispatch_policy::least_loaded;
 use crate::dispatch::dispatcher_choice::DispatcherChoice;
 use crate::dispatch::request_ledger::RequestLedger;
@@ -344,14 +345,13 @@
         };
         let config = config.dispatch;
         let demand = self.dispatch.demand(service);
-        demand.recent.record(query.priority);
         let more_urgent = demand.recent.more_urgent(query.priority);
-        if is_limited(&config, more_urgent, &best) {
-            let all = self.least_loaded(now, service, query, usize::MAX);
-            best = all.unwrap_or(best);
-        }
-        if more_urgent > 0 {
-            let is_limited = is_limited(&config, more_urgent, &best);
+        if let Some(reserve) = kept_reserve(&config, more_urgent) {
+            if is_limited(&config, reserve, &best) {
+                let all = self.least_loaded(now, service, query, usize::MAX);
+                best = all.unwrap_or(best);
+            }
+            let is_limited = is_limited(&config, reserve, &best);
             let limited = &mut self.dispatch.demand(service).limited;
             limited.record(is_limited);
             if query.may_refuse && is_limited {
@@ -361,6 +361,7 @@
                 };
             }
         }
+        self.dispatch.demand(service).recent.record(query.priority);
         self.dispatch.ledger.place(now, query.flow, best.index);
         let tag = self.upstreams.get(best.index).tag;
         tag.map_or(DispatchVerdict::Unknown, DispatchVerdict::Place)
--- a/packet/src/dispatch/dispatch_policy.rs
+++ b/packet/src/dispatch/dispatch_policy.rs
@@ -22,9 +22,11 @@
     pub is_enabled: bool,
     /// Requests in progress for each slot, in parts of [`REQUEST_LOAD`], from which upstreams are taken to be full.
     pub full_load: u32,
-    /// What of that is kept for more urgent flows if all flows asked for of late were more urgent; of a class of
-    /// which a part was, as large a part is kept.
+    /// What of that is kept for more urgent flows if all flows placed of late were more urgent; if a part of them was,
+    /// as large a part is kept.
     pub urgent_reserve: u32,
+    /// A smaller reserve is none: counts are not as exact.
+    pub least_reserve: u32,
     /// Thousandths of the limited classes' flows that may be limited before they are refused instead of deferred: a
     /// rush that lasts is not over when the SYN is sent again.
     pub most_deferred: u32,
@@ -36,6 +38,7 @@
             is_enabled: true,
             full_load: 5 * REQUEST_LOAD,
             urgent_reserve: 3 * REQUEST_LOAD / 2,
+            least_reserve: REQUEST_LOAD / 2,
             most_deferred: 300,
         }
     }
@@ -82,11 +85,16 @@
     })
 }
 
-/// Whether a flow gets no room, though `best` is the least loaded of all upstreams. `more_urgent` is the share of more
-/// urgent flows among those asked for of late, in thousandths. The most urgent flows always get room.
-pub fn is_limited(config: &DispatchConfig, more_urgent: u32, best: &DispatchCandidate) -> bool {
+/// What is kept for more urgent flows, in requests for each slot and parts of [`REQUEST_LOAD`]; `None` if nothing is.
+/// `more_urgent` is their share of the flows placed of late, in thousandths.
+pub fn kept_reserve(config: &DispatchConfig, more_urgent: u32) -> Option<u32> {
     let reserve = config.urgent_reserve * more_urgent.min(1000) / 1000;
-    more_urgent > 0 && best.load() >= config.full_load.saturating_sub(reserve)
+    (reserve >= config.least_reserve).then_some(reserve)
+}
+
+/// Whether a flow for which a reserve is kept gets no room, though `best` is the least loaded of all upstreams.
+pub fn is_limited(config: &DispatchConfig, reserve: u32, best: &DispatchCandidate) -> bool {
+    best.load() >= config.full_load.saturating_sub(reserve)
 }
 
 /// Flows after which older ones count half in [`RecentDemand`].
@@ -95,7 +103,8 @@
 /// Most priorities of a service that are told apart; further ones count as the least urgent of them.
 const MOST_PRIORITIES: usize = 8;
 
-/// How urgent the flows were that a service was asked for of late.
+/// How urgent the flows were that were placed of late. Flows that are limited do not count: their callers ask again at
+/// once, so that a rush of them would look like demand for less urgent requests and take the reserve.
 #[derive(Clone, Debug, Default)]
 pub struct RecentDemand {
     /// Flows by priority.
@@ -105,7 +114,7 @@
 }
 
 impl RecentDemand {
-    /// Records a flow that was asked for.
+    /// Records a flow that was placed.
     pub fn record(&mut self, priority: RequestPriority) {
         if self.total >= DEMAND_FLOWS {
             for (_priority, count) in &mut self.flows {
--- a/packet/tests/test_dispatch.rs
+++ b/packet/tests/test_dispatch.rs
@@ -16,6 +16,7 @@
 use lagoonproxy_packet::dispatch::dispatch_policy::LimitedShare;
 use lagoonproxy_packet::dispatch::dispatch_policy::RecentDemand;
 use lagoonproxy_packet::dispatch::dispatch_policy::is_limited;
+use lagoonproxy_packet::dispatch::dispatch_policy::kept_reserve;
 use lagoonproxy_packet::dispatch::dispatch_policy::least_loaded;
 use lagoonproxy_packet::dispatch::dispatcher_choice::DispatcherChoice;
 use lagoonproxy_packet::dispatch::request_ledger::RequestLedger;
@@ -41,6 +42,13 @@
     }
 }
 
+/// Whether a flow gets no room, with such a share of more urgent flows.
+fn is_limited_by(more_urgent: u32, best: &DispatchCandidate) -> bool {
+    let config = DispatchConfig::default();
+    let reserve = kept_reserve(&config, more_urgent);
+    reserve.is_some_and(|reserve| is_limited(&config, reserve, best))
+}
+
 fn host(number: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), 7720)
 }
@@ -214,7 +222,7 @@
     ];
     for case in cases {
         let best = candidate(1, case.in_progress);
-        let limited = is_limited(&DispatchConfig::default(), case.more_urgent, &best);
+        let limited = is_limited_by(case.more_urgent, &best);
         assert_eq!(limited, case.limited, "{}", case.name);
     }
 }
@@ -422,7 +430,7 @@
     ) {
         let in_progress = busy % slots;
         let best = DispatchCandidate { slots, in_progress, ..candidate(1, 0) };
-        prop_assert!(!is_limited(&DispatchConfig::default(), more_urgent, &best));
+        prop_assert!(!is_limited_by(more_urgent, &best));
     }
 
     #[test]
@@ -437,7 +445,7 @@
         let limits: Vec<bool> = (0..4)
             .map(|level| {
                 let more_urgent = demand.more_urgent(RequestPriority(level));
-                is_limited(&DispatchConfig::default(), more_urgent, &best)
+                is_limited_by(more_urgent, &best)
             })
             .collect();
         prop_assert!(limits.is_sorted());
