zone_spill: exchange of load between zones and shares that leave

Cause: flows of a contended service stay in their zone while slots are free in another. Change: zone reports, their merge at the aggregator, entries of digests, shares per target zone, draw by flow hash, and the calls of the core. LoadView::is_aggregator is a stub that returns false, so that nothing is sent yet.

--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -18,13 +18,11 @@
 use crate::load::load_view::RequestEnd;
 use crate::load::load_view::SynOutcome;
 use crate::load::service_room::ServiceRoom;
-use crate::load::zone_load::ZoneLoadReport;
 use crate::packet_action::DecisionEvent;
 use crate::packet_action::PacketAction;
 use crate::packet_action::PacketOutput;
 use crate::packet_core::PacketCore;
 use crate::packet_head::PacketHead;
-use crate::peers::peer_datagram::PeerDatagram;
 use crate::routes::route_table::RequestClass;
 use crate::selection::room_weight::known_in_progress;
 
@@ -50,8 +48,7 @@
     pub(crate) fn tick_load(&mut self, now: Instant, output: &mut PacketOutput) {
         self.load
             .tick(now, &self.peers, &mut self.upstreams, &mut output.events);
-        self.spill
-            .tick(now, &self.load, &self.upstreams, &mut output.events);
+        self.tick_spill(now, output);
         self.callers.tick(now);
     }
 
@@ -122,10 +119,8 @@
     /// The datagrams about load that are due; none in calm.
     pub fn due_load_datagrams(&mut self, now: Instant) -> Vec<AddressedDatagram> {
         let mut due = self.load.due_datagrams(now, &self.peers, &self.upstreams);
-        let to_zones = self
-            .spill
-            .due_datagrams(now, &self.load, &self.peers, &self.upstreams);
-        due.extend(to_zones);
+        self.add_zones(now, &mut due);
+        due.extend(self.due_zone_reports(now));
         due
     }
 
@@ -137,21 +132,8 @@
     /// Merges a digest of the zone's load.
     pub fn heard_digest(&mut self, now: Instant, from: SocketAddrV4, digest: &LoadDigest) {
         self.load.heard_digest(now, from, digest);
-    }
-
-    /// Merges another zone's load; returns the reply that it asks for.
-    pub fn heard_zone_load(
-        &mut self,
-        now: Instant,
-        from: SocketAddrV4,
-        report: &ZoneLoadReport,
-    ) -> Option<AddressedDatagram> {
-        let wants_reply = self.spill.heard(now, report);
-        let reply = self.spill.report(now, &self.load, &self.upstreams);
-        wants_reply.then(|| AddressedDatagram {
-            datagram: PeerDatagram::ZoneLoad(reply),
-            targets: vec![from],
-        })
+        self.spill
+            .heard_digest(now, from, digest.sequence, digest.reporters, &digest.zones);
     }
 
     fn record_class_limit(
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -8,6 +8,7 @@
 mod core_load;
 pub mod core_peers;
 mod core_reading;
+mod core_spill;
 mod core_warmup;
 pub mod flows;
 pub mod health;
--- a/packet/src/load/load_report.rs
+++ b/packet/src/load/load_report.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::ids::ServiceTag;
+use crate::load::zone_load::ZoneLoadEntry;
 
 /// What one host saw since its last report.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,4 +22,6 @@
     pub sequence: u64,
     /// Hosts whose reports it contains.
     pub reporters: u32,
+    /// The load of zones, for spill; empty if no zone has reported.
+    pub zones: Vec<ZoneLoadEntry>,
 }
--- a/packet/src/load/load_view.rs
+++ b/packet/src/load/load_view.rs
@@ -77,6 +77,11 @@
         ServiceRoom::default()
     }
 
+    /// Whether this host aggregates the load of its zone.
+    pub fn is_aggregator(&self) -> bool {
+        false
+    }
+
     /// Records a SYN and what became of it; `copy` is 0 for the first SYN of a flow.
     pub fn record_syn(
         &mut self,
--- a/packet/src/load/mod.rs
+++ b/packet/src/load/mod.rs
@@ -3,4 +3,5 @@
 pub mod load_report;
 pub mod load_view;
 pub mod service_room;
+pub mod zone_exchange;
 pub mod zone_load;
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -103,7 +103,7 @@
             routes: RouteTable::default(),
             evidence: FlowEvidence::default(),
             load: LoadView::new(config.exchange),
-            spill: ZoneSpill::default(),
+            spill: ZoneSpill::new(settings.zone.clone(), config.spill),
             callers: CallerShares::default(),
             peers: PeerTable::new(
                 settings.peer_address,
@@ -177,6 +177,7 @@
     pub fn woke_up(&mut self, now: Instant) {
         self.upstreams.reset_detectors();
         self.load.reset();
+        self.spill.reset();
         self.evidence.restart_waits(now);
     }
 
--- a/packet/src/peers/peer_table.rs
+++ b/packet/src/peers/peer_table.rs
@@ -4,6 +4,7 @@
 //! stale, and learns others from heartbeats. Whom it sends heartbeats to stands in [`crate::peers::peer_rounds`], whom it
 //! asks for state in [`crate::state::state_source`].
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -165,6 +166,22 @@
             .map(|(address, peer)| (address, peer.capacity))
     }
 
+    /// The ready hosts with the most capacity of each other zone, at most so many of each.
+    pub fn largest_remote(&self, now: Instant, most: usize) -> Vec<SocketAddrV4> {
+        let ready = self.alive(now).filter(|(_address, peer)| {
+            peer.ready && peer.zone != self.zone && !peer.zone.is_empty()
+        });
+        let mut hosts: Vec<_> = ready
+            .map(|(address, peer)| (&peer.zone, Reverse(peer.capacity), address))
+            .collect();
+        hosts.sort_unstable();
+        let zones = hosts.chunk_by(|one, other| one.0 == other.0);
+        zones
+            .flat_map(|hosts| hosts.iter().take(most))
+            .map(|(_zone, _capacity, address)| *address)
+            .collect()
+    }
+
     /// The other hosts of a zone that were heard to read the store, with the thousandths of a core that
     /// they have.
     pub fn readers<'a>(
--- a/packet/src/routes/route_table.rs
+++ b/packet/src/routes/route_table.rs
@@ -91,6 +91,14 @@
         self.routes.get(&address)?.target
     }
 
+    /// The shortest time in which requests to a service should be answered, if the operators say so.
+    pub fn service_target(&self, service: ServiceIndex) -> Option<Duration> {
+        let leads =
+            |route: &&RouteRecord| route.shares.iter().any(|share| share.service == service);
+        let routes = self.routes.values().filter(leads);
+        routes.filter_map(|route| route.target).min()
+    }
+
     /// How long callers of this address wait for a response, if the operators say so.
     pub fn timeout(&self, address: SocketAddrV4) -> Option<Duration> {
         self.routes.get(&address)?.timeout
