zone_spill: tests, limits and damping of shares

Cause: in a loop of three zones with opposed waves the shares turned 10 to 20 times in five half waves. The limit of half of the free slots jumps with the number of contended zones, and loosens while a wave falls; requests that queue here counted as demand, so that fewer flows left the fuller a zone was. Change: demand counts at most 1.3 requests a slot; zones count as contended for 10 s after they were; shares do not rise while demand falls, and stop short of their limit.

--- a/packet/src/selection/zone_spill.rs
+++ b/packet/src/selection/zone_spill.rs
@@ -77,6 +77,17 @@
     pub event_change: u32,
     /// Age above which a report excludes its zone.
     pub report_age: Duration,
+    /// Requests in progress for each slot, in thousandths, that count as demand. Those beyond wait in queues here
+    /// and would not in a zone with free slots, so that counting them would let too few flows leave.
+    pub most_demand: u32,
+    /// How long a zone that was contended counts among those that share a target's free slots, so that zones whose
+    /// waves follow each other do not take all of them in between.
+    pub contended_memory: Duration,
+    /// Steps over which the demand is averaged that the present one is compared with.
+    pub demand_steps: u32,
+    /// Thousandths by which demand is below that average from which it counts as falling. Shares do not rise then:
+    /// the limits of targets loosen while a wave falls, and flows would leave that could as well stay.
+    pub falling_demand: u32,
 }
 
 impl Default for ZoneSpillConfig {
@@ -97,6 +108,10 @@
             least_share: 5,
             event_change: 50,
             report_age: Duration::from_secs(2),
+            most_demand: 1300,
+            contended_memory: Duration::from_secs(10),
+            demand_steps: 8,
+            falling_demand: 30,
         }
     }
 }
@@ -156,6 +171,10 @@
     shares: Vec<ZoneShare>,
     next_step: Instant,
     demand_pressure: u32,
+    /// Moving mean of the demand, in thousandths of a request; 0 before the first step.
+    mean_demand: u32,
+    /// The zones that were contended of late, and when they last were.
+    contended: BTreeMap<ZoneName, Instant>,
 }
 
 /// Another zone as a target of one service.
@@ -223,7 +242,10 @@
 
     /// The services of which flows leave.
     pub fn spilling(&self) -> impl Iterator<Item = ServiceIndex> {
-        self.services.keys().copied()
+        let spilling = self.services.iter();
+        spilling
+            .filter(|(_index, spill)| !spill.shares.is_empty())
+            .map(|(index, _spill)| *index)
     }
 
     /// Pressure that a service would have if none of its flows left, in thousandths; 0 if none does.
@@ -255,13 +277,15 @@
                     shares: Vec::new(),
                     next_step: now,
                     demand_pressure: 0,
+                    mean_demand: 0,
+                    contended: BTreeMap::new(),
                 });
             spill.update(now, &config, local, &self.zone, &zones, input.evacuated);
             spill.record(&config, local, events);
         }
         self.services.retain(|index, spill| {
             let is_known = input.services.iter().any(|local| local.index == *index);
-            is_known && !spill.shares.is_empty()
+            is_known && !spill.is_idle()
         });
     }
 
@@ -337,6 +361,11 @@
 }
 
 impl ServiceSpill {
+    /// Whether nothing leaves and nothing is remembered.
+    fn is_idle(&self) -> bool {
+        self.shares.is_empty() && self.contended.is_empty()
+    }
+
     /// Updates the shares. What is excluded or exceeds its limit ends at once; all else changes by steps.
     fn update(
         &mut self,
@@ -363,14 +392,25 @@
             .filter_map(|state| Some((state, entry_of(state)?)))
             .collect();
         let sent = remote.iter().map(|(_state, entry)| entry.sent);
-        let demand = sent.fold(local.in_progress, u32::saturating_add);
-        let total = demand.saturating_add(visits);
-        let contended = remote.iter().filter(|(_state, entry)| entry.is_contended);
-        let contended_zones = contended.count() as u32 + 1;
+        let sent = sent.fold(0, u32::saturating_add);
+        let most = local.slots.saturating_mul(config.most_demand);
+        let demand = local.in_progress.min(most).saturating_add(sent);
+        let in_progress = local
+            .in_progress
+            .saturating_add(sent)
+            .saturating_add(visits);
+        for (state, _entry) in remote.iter().filter(|(_state, entry)| entry.is_contended) {
+            self.contended.insert(state.zone.clone(), now);
+        }
+        let memory = config.contended_memory;
+        self.contended
+            .retain(|_zone, at| now.saturating_duration_since(*at) < memory);
+        let contended_zones = self.contended.len() as u32 + 1;
         self.demand_pressure = match local.slots {
             0 => 0,
-            slots => local.pressure.max(pressure_of(total, slots)),
+            slots => local.pressure.max(pressure_of(in_progress, slots)),
         };
+        let total = demand.saturating_add(visits);
         let is_usable = |(state, entry): &&(&ZoneState, ZoneServiceEntry)| {
             let is_evacuated = evacuated.contains_key(&state.zone) || evacuated.contains_key(zone);
             !is_evacuated && entry.slots > 0 && local.responding.contains(&state.zone)
@@ -399,10 +439,21 @@
         }
         if now >= self.next_step {
             self.next_step = now + config.step;
+            self.average_demand(config, demand);
             self.step(config, local, &targets, demand, total);
         }
     }
 
+    fn average_demand(&mut self, config: &ZoneSpillConfig, demand: u32) {
+        if self.mean_demand == 0 {
+            self.mean_demand = demand;
+            return;
+        }
+        let steps = u64::from(config.demand_steps.max(1));
+        let sum = u64::from(self.mean_demand) * (steps - 1) + u64::from(demand);
+        self.mean_demand = (sum / steps) as u32;
+    }
+
     /// Moves the shares by one step towards those that even out the pressure.
     fn step(
         &mut self,
@@ -431,12 +482,18 @@
                 share.share = 0;
             }
         }
+        let least = u64::from(self.mean_demand)
+            * u64::from(1000u32.saturating_sub(config.falling_demand))
+            / 1000;
+        let is_falling = u64::from(demand) < least;
         let mut rises = Vec::new();
         for (target, (zone, wanted)) in targets.iter().zip(wanted) {
             let held = self.shares.iter().find(|share| share.zone == *zone);
             let rise = wanted.saturating_sub(held.map_or(0, |share| share.share));
-            if target.may_rise && rise > config.least_change * MILLIONTHS {
-                rises.push((target, rise));
+            let least = config.least_change * MILLIONTHS;
+            if target.may_rise && !is_falling && rise > least {
+                // Ends short of the limit, so that noise of the limit does not cut the share at once.
+                rises.push((target, rise - least / 2));
             }
         }
         let stands: u32 = self.shares.iter().map(|share| share.share).sum();
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -25,3 +25,5 @@
 mod test_upstream_selection;
 mod test_warmup_admission;
 mod test_zone_evacuation;
+mod test_zone_spill;
+mod test_zone_waves;
