zone_spill: digests and replies hold only the services that matter

Cause: a reply counted the requests of every service, and a digest with too many services kept those of lowest index. Change: replies read the asked and the contended services; digests keep the services with the most pressure.

--- a/packet/src/core_spill.rs
+++ b/packet/src/core_spill.rs
@@ -68,6 +68,12 @@
             return None;
         }
         let services = 0..self.upstreams.pools().len() as ServiceIndex;
+        let is_wanted = |service: &ServiceIndex| {
+            let tag = service_tag(&self.upstreams.pool(*service).name);
+            let is_asked = report.services.iter().any(|load| load.service == tag);
+            is_asked || self.load.room(now, *service).is_contended
+        };
+        let services = services.filter(is_wanted);
         let loads: Vec<LocalLoad> = services
             .map(|service| self.local_load(now, service))
             .collect();
--- a/packet/src/selection/zone_spill.rs
+++ b/packet/src/selection/zone_spill.rs
@@ -5,6 +5,7 @@
 //! what the zone's callers demand and from the load that other zones would have without it: neither
 //! changes with the shares, so that the loop over slow reports does not oscillate.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -248,7 +249,8 @@
             .map(|(index, _spill)| *index)
     }
 
-    /// Pressure that a service would have if none of its flows left, in thousandths; 0 if none does.
+    /// Pressure that a service would have if none of its flows left, in thousandths; 0 if no flow leaves and no other
+    /// zone is contended.
     pub fn demand_pressure(&self, service: ServiceIndex) -> u32 {
         let spill = self.services.get(&service);
         spill.map_or(0, |spill| spill.demand_pressure)
@@ -264,9 +266,10 @@
         );
         let zones = match input.services {
             [] => Vec::new(),
-            services => self
-                .exchange
-                .zones(now, input.is_aggregator, &sent_requests(services)),
+            services => {
+                self.exchange
+                    .zones(now, input.is_aggregator, &sent_requests(services.iter()))
+            }
         };
         for local in input.services {
             let config = self.config;
@@ -341,8 +344,10 @@
         report.fitted()
     }
 
-    /// What a digest of this host tells of other zones.
+    /// What a digest of this host tells of other zones, of the services with the most pressure if there are many.
     pub fn entries(&self, now: Instant, services: &[LocalLoad]) -> Vec<ZoneLoadEntry> {
+        let mut services: Vec<&LocalLoad> = services.iter().collect();
+        services.sort_by_key(|local| Reverse(local.pressure));
         self.exchange.entries(now, &sent_requests(services))
     }
 
@@ -633,8 +638,10 @@
     }
 }
 
-fn sent_requests(services: &[LocalLoad]) -> Vec<(ServiceTag, &[ZoneVisit])> {
-    let sent = services.iter();
+fn sent_requests<'a>(
+    services: impl IntoIterator<Item = &'a LocalLoad>,
+) -> Vec<(ServiceTag, &'a [ZoneVisit])> {
+    let sent = services.into_iter();
     sent.map(|local| (local.tag, local.sent.as_slice()))
         .collect()
 }
--- a/packet/tests/test_zone_spill.rs
+++ b/packet/tests/test_zone_spill.rs
@@ -817,6 +817,45 @@
     assert_eq!(entries[0].services, [service_entry(500)]);
 }
 
+#[test]
+fn test_digest_tells_of_the_most_loaded_services() {
+    // Guards against digests that grow with the number of services, and leave out the one that needs spill most.
+    let mut rig = SpillRig::new(local_at(1300));
+    rig.is_aggregator = true;
+    let services: Vec<LocalLoad> = (0..100)
+        .map(|number| LocalLoad {
+            index: number,
+            tag: number,
+            pressure: 800 + number,
+            ..local_at(1300)
+        })
+        .collect();
+    let input = SpillInput {
+        is_aggregator: true,
+        services: &services,
+        evacuated: &rig.evacuated,
+    };
+    let peers = peers_of(rig.now, host(0, 9), ZONE, &[("b", 1)]);
+    let due = rig.spill.due_datagrams(rig.now, input, &peers);
+    let PeerDatagram::ZoneLoad(asked) = &due[0].datagram else {
+        panic!("not a zone's load");
+    };
+    let answer = ZoneLoadReport {
+        services: (0..100)
+            .map(|service| ZoneServiceLoad {
+                service,
+                ..service_load(500)
+            })
+            .collect(),
+        ..reply_to(asked, "b", 500)
+    };
+    rig.spill.heard(rig.now, host(1, 2), &answer);
+    let entries = rig.spill.entries(rig.now, &services);
+    let told: usize = entries.iter().map(|entry| entry.services.len()).sum();
+    assert!((1..=MOST_DIGEST_LOADS).contains(&told), "{told}");
+    assert_eq!(entries[0].services[0].service, 99);
+}
+
 #[test]
 fn test_answer_of_a_host_that_fell_silent_soon_counts_no_more() {
     // Guards against a mean of what is and what was two seconds ago.
@@ -1318,11 +1357,11 @@
     );
     assert!(length(fitted) <= MOST_DATAGRAM);
 
-    let entry = |zone: &str| ZoneLoadEntry {
+    let entry = |zone: &str, services: usize| ZoneLoadEntry {
         zone: zone.into(),
         age: Duration::from_millis(400),
         delay: Some(Duration::from_micros(7800)),
-        services: vec![service_entry(1300); MOST_DIGEST_LOADS / 3],
+        services: vec![service_entry(1300); services],
     };
     let digest = |zones: Vec<ZoneLoadEntry>| {
         let digest = LoadDigest {
@@ -1332,8 +1371,17 @@
         let bytes = PeerDatagram::Digest(digest).encode();
         bytes.map_or(usize::MAX, |bytes| bytes.len())
     };
-    let entries = ["zone-1", "zone-2", "zone-3"].map(entry).to_vec();
-    let added = digest(entries) - digest(Vec::new());
+    let added = |services: usize| {
+        let zones = ["zone-1", "zone-2", "zone-3"];
+        let entries = zones.map(|zone| entry(zone, services)).to_vec();
+        digest(entries) - digest(Vec::new())
+    };
+    println!(
+        "three zones in a digest: {} bytes for one service, {} for five",
+        added(1),
+        added(5)
+    );
+    let added = added(MOST_DIGEST_LOADS / 3);
     println!("zones in a digest: at most {added} bytes of {MOST_DATAGRAM}");
     assert!(added <= MOST_DATAGRAM / 2, "half stays for upstreams");
 }
