zone_spill: only zones that may send flows divide a target's free slots

Cause: every zone that was contended in the last 10 s divided them, so that the busiest of three zones with opposed waves stayed at 1.17 to 1.20 requests a slot while slots were free. Change: contended zones count if their demand, with what they have sent away, exceeds that of the target's own callers; limits tighten at once and loosen over 8 steps in place of the memory of 10 s. The bound of the difference between zones in test_pressures_even_out_while_there_is_room goes from 0.7 to 0.6.

--- a/packet/src/load/zone_exchange.rs
+++ b/packet/src/load/zone_exchange.rs
@@ -313,6 +313,10 @@
                 slots: mean(loads.iter().map(|load| load.slots))?,
                 in_progress: own.saturating_add(sent).saturating_add(others),
                 sent,
+                away: mean(loads.iter().map(|load| {
+                    let visits = load.visits.iter().map(|visit| visit.in_progress);
+                    visits.fold(0, u32::saturating_add)
+                }))?,
                 pressure: mean(loads.iter().map(|load| load.pressure))?,
                 is_contended: loads.iter().any(|load| load.is_contended),
             })
--- a/packet/src/load/zone_load.rs
+++ b/packet/src/load/zone_load.rs
@@ -77,7 +77,9 @@
     pub in_progress: u32,
     /// Those of `in_progress` that the receivers' zone has sent there.
     pub sent: u32,
-    /// Pressure that the zone reported, in thousandths.
+    /// Requests of that zone's own callers in progress in other zones, in thousandths.
+    pub away: u32,
+    /// Pressure that the zone reported, in thousandths: of its own callers' requests there.
     pub pressure: u32,
     /// Whether the service is contended there.
     pub is_contended: bool,
@@ -142,7 +144,8 @@
 impl ZoneLoadEntry {
     /// Whether its counts can be true.
     pub fn is_valid(&self) -> bool {
-        let counts = self.services.iter().map(|entry| entry.in_progress);
+        let counts = self.services.iter();
+        let counts = counts.flat_map(|entry| [entry.in_progress, entry.away]);
         let mut services = self.services.iter();
         !self.zone.is_empty()
             && fits_most(counts)
--- a/packet/src/selection/zone_spill.rs
+++ b/packet/src/selection/zone_spill.rs
@@ -81,9 +81,9 @@
     /// Requests in progress for each slot, in thousandths, that count as demand. Those beyond wait in queues here
     /// and would not in a zone with free slots, so that counting them would let too few flows leave.
     pub most_demand: u32,
-    /// How long a zone that was contended counts among those that share a target's free slots, so that zones whose
-    /// waves follow each other do not take all of them in between.
-    pub contended_memory: Duration,
+    /// Steps over which a limit of a target's slots loosens: it jumps when another zone begins or ends to
+    /// send flows there, and with the noise of loads. It tightens at once.
+    pub limit_steps: u32,
     /// Steps over which the demand is averaged that the present one is compared with.
     pub demand_steps: u32,
     /// Thousandths by which demand is below that average from which it counts as falling. Shares do not rise then:
@@ -110,7 +110,7 @@
             event_change: 50,
             report_age: Duration::from_secs(2),
             most_demand: 1300,
-            contended_memory: Duration::from_secs(10),
+            limit_steps: 8,
             demand_steps: 8,
             falling_demand: 30,
         }
@@ -174,8 +174,8 @@
     demand_pressure: u32,
     /// Moving mean of the demand, in thousandths of a request; 0 before the first step.
     mean_demand: u32,
-    /// The zones that were contended of late, and when they last were.
-    contended: BTreeMap<ZoneName, Instant>,
+    /// By target, the most requests that this zone may have there, in thousandths.
+    limits: BTreeMap<ZoneName, f64>,
 }
 
 /// Another zone as a target of one service.
@@ -249,8 +249,7 @@
             .map(|(index, _spill)| *index)
     }
 
-    /// Pressure that a service would have if none of its flows left, in thousandths; 0 if no flow leaves and no other
-    /// zone is contended.
+    /// Pressure that a service would have if none of its flows left, in thousandths; 0 if none leaves.
     pub fn demand_pressure(&self, service: ServiceIndex) -> u32 {
         let spill = self.services.get(&service);
         spill.map_or(0, |spill| spill.demand_pressure)
@@ -281,7 +280,7 @@
                     next_step: now,
                     demand_pressure: 0,
                     mean_demand: 0,
-                    contended: BTreeMap::new(),
+                    limits: BTreeMap::new(),
                 });
             spill.update(now, &config, local, &self.zone, &zones, input.evacuated);
             spill.record(&config, local, events);
@@ -368,7 +367,7 @@
 impl ServiceSpill {
     /// Whether nothing leaves and nothing is remembered.
     fn is_idle(&self) -> bool {
-        self.shares.is_empty() && self.contended.is_empty()
+        self.shares.is_empty() && self.limits.is_empty()
     }
 
     /// Updates the shares. What is excluded or exceeds its limit ends at once; all else changes by steps.
@@ -400,13 +399,6 @@
             .in_progress
             .saturating_add(sent)
             .saturating_add(visits);
-        for (state, _entry) in remote.iter().filter(|(_state, entry)| entry.is_contended) {
-            self.contended.insert(state.zone.clone(), now);
-        }
-        let memory = config.contended_memory;
-        self.contended
-            .retain(|_zone, at| now.saturating_duration_since(*at) < memory);
-        let contended_zones = self.contended.len() as u32 + 1;
         self.demand_pressure = match local.slots {
             0 => 0,
             slots => local.pressure.max(pressure_of(in_progress, slots)),
@@ -417,18 +409,18 @@
             !is_evacuated && entry.slots > 0 && local.responding.contains(&state.zone)
         };
         let usable = remote.iter().filter(is_usable);
-        let targets: Vec<SpillTarget<'_>> = usable
+        let mut targets: Vec<SpillTarget<'_>> = usable
             .map(|(state, entry)| {
-                spill_target(
-                    config,
-                    local,
-                    state,
-                    entry,
-                    self.demand_pressure,
-                    contended_zones,
-                )
+                let others = remote
+                    .iter()
+                    .filter(|(other, _entry)| other.zone != state.zone);
+                let competing = others.filter(|(_other, other)| may_compete(other, entry));
+                let zones = competing.count() as u32 + 1;
+                spill_target(config, local, state, entry, self.demand_pressure, zones)
             })
             .collect();
+        let is_step = now >= self.next_step;
+        self.limit(config, local, &mut targets, is_step);
         for share in &mut self.shares {
             match targets.iter().find(|target| *target.zone == share.zone) {
                 Some(target) => {
@@ -438,13 +430,39 @@
                 None => share.share = 0,
             }
         }
-        if now >= self.next_step {
+        if is_step {
             self.next_step = now + config.step;
             self.average_demand(config, demand);
             self.step(config, local, &targets, demand, total);
         }
     }
 
+    /// Tightens the limits of targets at once, and loosens them by steps.
+    fn limit(
+        &mut self,
+        config: &ZoneSpillConfig,
+        local: &LocalLoad,
+        targets: &mut [SpillTarget<'_>],
+        is_step: bool,
+    ) {
+        self.limits.retain(|zone, _limit| {
+            let mut targets = targets.iter();
+            local.is_contended && targets.any(|target| target.zone == zone)
+        });
+        for target in targets.iter_mut().filter(|_target| local.is_contended) {
+            let limit = self
+                .limits
+                .entry(target.zone.clone())
+                .or_insert(target.most);
+            if target.most < *limit {
+                *limit = target.most;
+            } else if is_step {
+                *limit += (target.most - *limit) / f64::from(config.limit_steps.max(1));
+            }
+            target.most = *limit;
+        }
+    }
+
     fn average_demand(&mut self, config: &ZoneSpillConfig, demand: u32) {
         if self.mean_demand == 0 {
             self.mean_demand = demand;
@@ -551,13 +569,21 @@
     }
 }
 
+/// Whether a contended zone may send flows to the target, or still does: its demand exceeds that of the target's own
+/// callers. Other contended zones do not divide the target's free slots, which would stay unused.
+fn may_compete(other: &ZoneServiceEntry, target: &ZoneServiceEntry) -> bool {
+    let demand = other.in_progress.saturating_add(other.away);
+    let pressure = other.pressure.max(pressure_of(demand, other.slots));
+    other.is_contended && pressure >= target.pressure
+}
+
 fn spill_target<'a>(
     config: &ZoneSpillConfig,
     local: &LocalLoad,
     state: &'a ZoneState,
     entry: &ZoneServiceEntry,
     local_pressure: u32,
-    contended_zones: u32,
+    sending_zones: u32,
 ) -> SpillTarget<'a> {
     let base = entry.in_progress.saturating_sub(entry.sent);
     let pressure = entry.pressure.max(pressure_of(base, entry.slots));
@@ -574,7 +600,7 @@
         zone: &state.zone,
         slots,
         base: f64::from(base),
-        most: free.max(0.0) / f64::from(config.room_divisor) / f64::from(contended_zones),
+        most: free.max(0.0) / f64::from(config.room_divisor) / f64::from(sending_zones),
         pressure,
         may_rise: difference >= margin,
         may_stand: difference >= margin / config.end_divisor,
--- a/packet/tests/test_zone_spill.rs
+++ b/packet/tests/test_zone_spill.rs
@@ -72,6 +72,7 @@
         slots: SLOTS,
         in_progress: pressure * SLOTS,
         sent: 0,
+        away: 0,
         pressure,
         is_contended: pressure >= 750,
     }
@@ -309,6 +310,29 @@
             expected: [NONE, (76, 97)],
             ..usual()
         },
+        Case {
+            name: "a contended zone does not divide the room of a busier one",
+            zones: vec![zone_entry("b", 760), zone_entry("c", 770)],
+            // A quarter of 24 free slots, and half of 23, of 130 requests.
+            expected: [(26, 46), (68, 88)],
+            ..usual()
+        },
+        Case {
+            name: "what a contended zone has sent away counts as its demand",
+            zones: vec![
+                ZoneLoadEntry {
+                    services: vec![ZoneServiceEntry {
+                        is_contended: true,
+                        away: 30_000,
+                        ..service_entry(400)
+                    }],
+                    ..zone_entry("b", 400)
+                },
+                zone_entry("c", 500),
+            ],
+            expected: [(210, 231), (76, 97)],
+            ..usual()
+        },
         Case {
             name: "all zones are full",
             zones: vec![zone_entry("b", 1300), zone_entry("c", 1400)],
@@ -898,11 +922,15 @@
     let counts = entries
         .iter()
         .map(|entry| (entry.zone.as_str(), entry.services[0]))
-        .map(|(zone, service)| (zone, service.in_progress, service.sent));
+        .map(|(zone, service)| (zone, service.in_progress, service.sent, service.away));
     let counts: Vec<_> = counts.collect();
     assert_eq!(
         counts,
-        [("b", 67_000, 10_000), ("c", 120_000, 0), (ZONE, 3000, 0)]
+        [
+            ("b", 67_000, 10_000, 0),
+            ("c", 120_000, 0, 10_000),
+            (ZONE, 3000, 0, 0)
+        ]
     );
 }
 
--- a/packet/tests/test_zone_waves.rs
+++ b/packet/tests/test_zone_waves.rs
@@ -305,8 +305,8 @@
         let (most_before, most_after) = (busiest(&alone), busiest(&zones));
         let name = plan.name;
         println!("{name}: spread {before:.2}, {after:.2}; most {most_before:.2}, {most_after:.2}");
-        // The margin, and what the limit of half of the free slots leaves for three contended zones.
-        assert!(after <= 0.7, "{name}: {after}");
+        // The margin, and a fifth of it for the age of reports and the limit of half of the free slots.
+        assert!(after <= 0.6, "{name}: {after}");
         assert!(after < before, "{name}: {after}, {before}");
         assert!(
             most_after < most_before - 0.05,
