--- a/packet/src/load/load_report.rs
+++ b/packet/src/load/load_report.rs
@@ -14,6 +14,7 @@
 use crate::load::request_meter::RequestCounts;
 use crate::load::request_meter::TIME_UNIT;
 use crate::load::service_room::REQUEST_LOAD;
+use crate::load::zone_load::ZoneLoadEntry;
 use crate::peers::peer_datagram::MOST_DATAGRAM;
 use crate::routes::route_config::RequestPriority;
 use crate::routes::route_table::MOST_CLASSES;
@@ -63,6 +64,8 @@
     pub reporters: u32,
     /// The services of these reports, the most requests in progress first.
     pub services: Vec<ServiceDigest>,
+    /// The load of zones, for spill; empty if no zone has reported.
+    pub zones: Vec<ZoneLoadEntry>,
 }
 
 /// What the reporting hosts saw of a service.
--- a/packet/src/load/mod.rs
+++ b/packet/src/load/mod.rs
@@ -8,4 +8,5 @@
 pub mod service_load;
 pub mod service_room;
 pub mod shed_detection;
+pub mod zone_exchange;
 pub mod zone_load;
--- a/packet/src/load/report_store.rs
+++ b/packet/src/load/report_store.rs
@@ -156,6 +156,7 @@
             sequence,
             reporters: self.reporters(),
             services: digests,
+            zones: Vec::new(),
         };
         digest.shorten(config);
         digest
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -107,7 +107,7 @@
             evidence: FlowEvidence::default(),
             load: LoadView::new(config.exchange).with_capacity(settings.capacity),
             dispatch: DispatchState::default(),
-            spill: ZoneSpill::default(),
+            spill: ZoneSpill::new(settings.zone.clone(), config.spill),
             callers: CallerShares::default(),
             peers: PeerTable::new(
                 settings.peer_address,
@@ -182,6 +182,7 @@
         self.upstreams.reset_detectors();
         self.load.reset();
         self.dispatch = DispatchState::default();
+        self.spill.reset();
         self.evidence.restart_waits(now);
     }
 
