selection: upstreams of contended services are drawn by room

Each host saw only its own flows, so that its estimate of an upstream's load was mostly zero or far too high. While a service is contended, upstreams are drawn with odds in proportion to their known room; published connection limits count as saturation.

--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -166,6 +166,8 @@
         let class: RequestClass = query.class;
         let updated_at = syn.room.updated_at;
         let record = self.upstreams.get(syn.upstream);
+        let room_config = &self.upstreams.config().room;
+        let local_hosts = self.peers.local_hosts(now) as u32;
         output.events.push(DecisionEvent::ClassLimited {
             caller: syn.head.caller,
             service: syn.head.service,
@@ -174,7 +176,7 @@
             code,
             deferred,
             upstream: record.name.clone(),
-            in_progress: known_in_progress(record),
+            in_progress: known_in_progress(room_config, record, now, local_hosts),
             room: syn.room,
             age: updated_at.map(|at| now.saturating_duration_since(at)),
             version: self.version,
--- a/packet/src/selection/upstream_selection.rs
+++ b/packet/src/selection/upstream_selection.rs
@@ -6,6 +6,8 @@
 //! those that respond: local ones until they are saturated, and of equals the one with the larger
 //! rendezvous weight, so that hosts without any flow do not all begin with the same.
 //!
+//! Upstreams of a contended service are drawn instead, by the room that [`crate::selection::room_weight`] states.
+//!
 //! A SYN is hedged: a second upstream gets it as well, and the caller takes whichever responds first.
 
 use std::cmp::Ordering;
@@ -16,9 +18,14 @@
 
 use crate::ids::ServiceIndex;
 use crate::ids::UpstreamIndex;
+use crate::load::service_room::REQUEST_LOAD;
 use crate::load::service_room::ServiceRoom;
 use crate::policy_config::FLOW_LOAD;
 use crate::policy_config::SelectionConfig;
+use crate::selection::room_weight::draw_order;
+use crate::selection::room_weight::is_at_connection_limit;
+use crate::selection::room_weight::known_in_progress;
+use crate::selection::room_weight::room_weight;
 use crate::upstreams::upstream_record::UpstreamRecord;
 use crate::upstreams::upstream_table::UpstreamTable;
 
@@ -59,7 +66,7 @@
     saturated: bool,
     tried: bool,
     remote: bool,
-    /// Load by slot, in parts of [`FLOW_LOAD`].
+    /// Load by slot, in parts of [`FLOW_LOAD`]; while the service is contended, the order in the weighted draw.
     load: u64,
 }
 
@@ -76,10 +83,51 @@
     best: Option<UpstreamCandidate>,
     runner_up: Option<UpstreamCandidate>,
     probe: Option<UpstreamIndex>,
+    /// Whether one of them that responds is known to have a free slot.
+    has_free_slot: bool,
+}
+
+/// How an upstream ranks, and whether it is known to have a free slot.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamRank {
+    key: SelectionKey,
+    has_free_slot: bool,
 }
 
 /// Selects the upstreams of a new flow; `None` if the service has none that takes flows.
 pub fn select_upstream(table: &UpstreamTable, query: SelectionQuery<'_>) -> Option<FlowSelection> {
+    let leaving = query
+        .leaves_for
+        .and_then(|zone| sample_zone(table, query, zone));
+    let sampled = leaving.unwrap_or_else(|| sample_pool(table, query));
+    let first = sampled.best?.index;
+    let probe = sampled.probe.filter(|index| *index != first);
+    let second = probe.or_else(|| hedge(table, query, first, sampled.runner_up?));
+    Some(FlowSelection {
+        first,
+        second,
+        has_free_slot: sampled.has_free_slot || !query.room.is_contended,
+    })
+}
+
+/// Upstreams of another zone that the flow leaves for; `None` if none there is fit for it.
+fn sample_zone(
+    table: &UpstreamTable,
+    query: SelectionQuery<'_>,
+    zone: &ZoneName,
+) -> Option<SampledUpstreams> {
+    let pool = table.pool(query.service);
+    let max_sampled = table.config().selection.max_sampled;
+    let remote = sample(&pool.remote, query.flow_hash, pool.remote.len());
+    let of_zone = remote.filter(|index| table.get(*index).zone == *zone);
+    let mut sampled = SampledUpstreams::default();
+    sampled.add_all(table, of_zone.take(max_sampled), query, false);
+    let is_fit = sampled.best.is_some_and(|best| !best.key.degraded);
+    is_fit.then_some(sampled)
+}
+
+/// Upstreams of this zone, and those of other zones if these do not do.
+fn sample_pool(table: &UpstreamTable, query: SelectionQuery<'_>) -> SampledUpstreams {
     let pool = table.pool(query.service);
     let config = &table.config().selection;
     let local = sample(&pool.local, query.flow_hash, config.max_sampled);
@@ -91,14 +139,7 @@
         let remote = sample(&pool.remote, query.flow_hash, config.max_sampled);
         sampled.add_all(table, remote, query, panic);
     }
-    let first = sampled.best?.index;
-    let probe = sampled.probe.filter(|index| *index != first);
-    let second = probe.or_else(|| hedge(table, query, first, sampled.runner_up?));
-    Some(FlowSelection {
-        first,
-        second,
-        has_free_slot: true,
-    })
+    sampled
 }
 
 /// The runner-up, if the SYN is to be hedged with it.
@@ -175,6 +216,7 @@
         query: SelectionQuery<'_>,
         panic: bool,
     ) {
+        let connection_limit = table.pool(query.service).connection_limit;
         for index in members {
             let record = table.get(index);
             if !record.takes_flows() {
@@ -189,7 +231,22 @@
             if wants_probe && !query.tried.contains(&index) {
                 self.probe = Some(index);
             }
-            let key = selection_key(&table.config().selection, record, index, query, panic);
+            let is_full = is_at_connection_limit(&table.config().room, record, connection_limit);
+            let UpstreamRank {
+                mut key,
+                has_free_slot,
+            } = if query.room.is_contended {
+                contended_rank(table, record, index, query, panic)
+            } else {
+                let config = &table.config().selection;
+                let key = selection_key(config, record, index, query, panic);
+                UpstreamRank {
+                    key,
+                    has_free_slot: false,
+                }
+            };
+            key.saturated |= is_full;
+            self.has_free_slot |= has_free_slot && !is_full;
             self.add(table, UpstreamCandidate { key, index }, query.flow_hash);
         }
     }
@@ -240,6 +297,36 @@
     }
 }
 
+/// The rank of an upstream of a contended service. Of one in another zone, only what this host placed is known.
+fn contended_rank(
+    table: &UpstreamTable,
+    record: &UpstreamRecord,
+    index: UpstreamIndex,
+    query: SelectionQuery<'_>,
+    panic: bool,
+) -> UpstreamRank {
+    let config = table.config();
+    let in_progress = known_in_progress(&config.room, record, query.now, query.local_hosts);
+    let cold_load = config.selection.cold_load;
+    let weight = room_weight(&config.room, cold_load, record, in_progress, query.now);
+    let tag = record.tag.unwrap_or_default();
+    let hash = rendezvous_weight(query.flow_hash, u64::from(tag));
+    let slots = u64::from(record.slots) * u64::from(REQUEST_LOAD);
+    let full = slots * u64::from(config.selection.full_requests);
+    let degraded = record.is_degraded() && !panic;
+    let is_known = record.is_local || query.leaves_for == Some(&record.zone);
+    UpstreamRank {
+        key: SelectionKey {
+            degraded,
+            saturated: u64::from(in_progress) >= full,
+            tried: query.tried.contains(&index),
+            remote: !record.is_local,
+            load: draw_order(hash, weight),
+        },
+        has_free_slot: is_known && !degraded && u64::from(in_progress) < slots,
+    }
+}
+
 /// Load by slot, in parts of [`FLOW_LOAD`], as far as this host knows.
 fn upstream_load(config: &SelectionConfig, record: &UpstreamRecord, now: Instant) -> u64 {
     let flow_load = if record.warm_at > now {
--- a/packet/src/upstreams/upstream_record.rs
+++ b/packet/src/upstreams/upstream_record.rs
@@ -15,6 +15,7 @@
 use crate::ids::UpstreamNumber;
 use crate::ids::WriteCount;
 use crate::load::service_room::UpstreamLoad;
+use crate::selection::room_weight::PlacedLoad;
 use crate::upstreams::upstream_entry::UpstreamEntry;
 
 /// The state of an upstream's registration.
@@ -93,6 +94,8 @@
     pub flows_elsewhere: u32,
     /// What hosts of the zone know of its load while its service is contended.
     pub load: UpstreamLoad,
+    /// What this host has placed there since `load` was measured.
+    pub placed: PlacedLoad,
     /// Its failure detector.
     pub silence: FailureDetector,
     /// Its outlier detection.
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -517,6 +517,7 @@
             opening: 0,
             flows_elsewhere: 0,
             load: Default::default(),
+            placed: Default::default(),
             silence: Default::default(),
             answers: Default::default(),
         };
