--- a/packet/src/flows/flow_evidence.rs
+++ b/packet/src/flows/flow_evidence.rs
@@ -7,6 +7,7 @@
 use arrayvec::ArrayVec;
 use foldhash::HashMap;
 
+use crate::flows::flow_cost::FlowCosts;
 use crate::flows::flow_load;
 use crate::flows::flow_table::FlowKey;
 use crate::flows::flow_table::FlowRecord;
@@ -47,6 +48,9 @@
 /// Answers of others are not judged by their size, and their flows count until their idle time.
 const MOST_HABITS: usize = 4096;
 
+/// Fewest answers of a route before its mean response time extends the failed-wait.
+const FEWEST_RESPONSES: u64 = 16;
+
 /// What a copy of an opening packet tells.
 #[derive(Debug, Default)]
 pub struct CopySeen {
@@ -81,6 +85,8 @@
     blind_until: Option<Instant>,
     /// What the requests of each route are usually like; at most [`MOST_HABITS`].
     habits: HashMap<SocketAddrV4, RouteHabit>,
+    /// What flows of each route cost their upstreams.
+    costs: FlowCosts,
     /// Requests that failed.
     failures: u64,
 }
@@ -96,6 +102,11 @@
         self.failures
     }
 
+    /// What flows of each route cost their upstreams.
+    pub fn costs(&self) -> &FlowCosts {
+        &self.costs
+    }
+
     /// Flows watched that are open.
     pub fn open_flows(&self) -> usize {
         self.table.flows.len()
@@ -145,7 +156,10 @@
             sent: now,
         };
         if !known && opening.attempts.try_push(attempt).is_ok() {
+            let config = upstreams.config().costs;
+            let flow_cost = self.costs.expected_load(&config, key.service);
             let upstream = upstreams.get_mut(index);
+            upstream.placed.add(upstream.load.updated_at, flow_cost);
             upstream.flows += 1;
             upstream.opening += 1;
         }
@@ -162,14 +176,18 @@
     ) -> PacketSeen {
         let mut seen = PacketSeen::default();
         let blind = self.is_blind(now);
-        if let Some(opening) = self.table.openings.remove(&key) {
-            flow_load::release(&opening, upstreams);
+        let opening = self.table.openings.remove(&key);
+        if let Some(opening) = &opening {
+            flow_load::release(opening, upstreams);
             seen.returned = upstreams.get_mut(index).silence.record_response(now);
         }
+        let costs_config = upstreams.config().costs;
         if head.kind == PacketKind::Abort {
             if let Some(record) = self.table.flows.get_mut(&key) {
-                self.failures += judge_unanswered(now, record, blind, upstreams);
+                let habit = self.habits.get(&key.service);
+                self.failures += judge_unanswered(now, record, habit, blind, upstreams);
             }
+            self.costs.end(&costs_config, now, &key);
             self.end(&key, upstreams);
             return seen;
         }
@@ -182,9 +200,13 @@
         if self.flow(&key).is_none() && !self.begin(now, key, head, index, upstreams) {
             return seen;
         }
+        if opening.is_some() {
+            self.costs.begin(now, key);
+        }
         let Some(record) = self.table.flows.get_mut(&key) else {
             return seen;
         };
+        let waited_before = record.waiting_since;
         let pause = now.saturating_duration_since(record.last_seen);
         record.last_seen = now;
         flow_load::become_active(record, upstreams);
@@ -196,21 +218,30 @@
         observe_answer(now, record, head, upstreams, &mut seen);
         if let (Some(habit), Some(took)) = (&mut habit, seen.answered) {
             habit.silence.learn(took);
+            habit.response.learn(took);
         }
         let goes_on = head.data_len > 0 || head.last;
         if pause > ANSWER_MEMORY {
             record.unjudged = false;
         }
         if goes_on && record.waiting_since.is_none() && record.unjudged {
-            self.failures += judge_answered(now, record, habit, upstreams);
+            self.failures += judge_answered(now, record, habit.as_deref_mut(), upstreams);
         }
         observe_data(now, record, head, upstreams, &mut seen);
+        if seen.answered.is_some() {
+            self.costs.set_waiting(&costs_config, now, &key, false);
+        }
+        if record.waiting_since.is_some() && record.waiting_since != waited_before {
+            self.costs.set_waiting(&costs_config, now, &key, true);
+        }
         if let (Some(waited), false) = (seen.repeated, blind) {
             seen.avoided = upstreams.attempt_failed(index, now, now - waited, key.caller);
         }
         if head.last && record.usage != FlowUsage::Closing {
-            self.failures += judge_unanswered(now, record, blind, upstreams);
+            let habit = habit.as_deref();
+            self.failures += judge_unanswered(now, record, habit, blind, upstreams);
             flow_load::close(record, upstreams);
+            self.costs.end(&costs_config, now, &key);
         }
         seen
     }
@@ -220,6 +251,7 @@
         if let Some(opening) = self.table.openings.remove(key) {
             flow_load::release(&opening, upstreams);
         }
+        self.costs.forget(key);
         if let Some(mut record) = self.table.flows.remove(key) {
             flow_load::leave(&mut record, upstreams);
         }
@@ -250,6 +282,7 @@
     /// counts no attempt until what has piled up is read.
     pub fn restart_waits(&mut self, now: Instant) {
         self.blind_until = Some(now + BLIND_TIME);
+        self.costs.forget_all();
         for record in self.table.flows.values_mut() {
             if record.waiting_since.is_some() {
                 record.waiting_since = Some(now);
@@ -273,6 +306,7 @@
             return Vec::new();
         }
         self.next_sweep = Some(now + SWEEP_PAUSE);
+        self.costs.tick(&upstreams.config().costs, now);
         self.sweep_flows(now, idle.unwrap_or(DEFAULT_IDLE), upstreams);
         self.sweep_openings(now, upstreams)
     }
@@ -281,10 +315,11 @@
         let blind = self.is_blind(now);
         let config = upstreams.config().load;
         self.table.flows.retain(|key, record| {
-            self.failures += judge_unanswered(now, record, blind, upstreams);
+            let is_judged = record.usage == FlowUsage::Active || record.unjudged;
+            let habit = is_judged.then(|| self.habits.get(&key.service)).flatten();
+            self.failures += judge_unanswered(now, record, habit, blind, upstreams);
             let silent = now.saturating_duration_since(record.last_seen);
             if record.usage == FlowUsage::Active {
-                let habit = self.habits.get(&key.service);
                 let limit = habit.and_then(|habit| habit.silence.limit(&config));
                 if limit.is_some_and(|limit| silent >= limit) {
                     flow_load::become_idle(record, upstreams);
@@ -437,13 +472,15 @@
 fn judge_unanswered(
     now: Instant,
     record: &mut FlowRecord,
+    habit: Option<&RouteHabit>,
     blind: bool,
     upstreams: &mut UpstreamTable,
 ) -> u64 {
     let Some(sent) = record.waiting_since.filter(|_sent| record.unjudged) else {
         return 0;
     };
-    if blind || now.saturating_duration_since(sent) < upstreams.config().outlier.failed_wait {
+    let waited = now.saturating_duration_since(sent);
+    if blind || waited < failed_wait(record.upstream, habit, upstreams) {
         return 0;
     }
     record.unjudged = false;
@@ -451,3 +488,20 @@
     upstream.answers.unanswered(now, sent);
     1
 }
+
+/// Wait after which a request counts as failed. In the queue of a contended service, requests wait longer
+/// while nothing is at fault.
+fn failed_wait(
+    index: UpstreamIndex,
+    habit: Option<&RouteHabit>,
+    upstreams: &UpstreamTable,
+) -> Duration {
+    let config = &upstreams.config().outlier;
+    let service = upstreams.get(index).service;
+    if !upstreams.pool(service).is_contended {
+        return config.failed_wait;
+    }
+    let response_time = habit.and_then(|habit| habit.response.of_at_least(FEWEST_RESPONSES));
+    let usual = response_time.unwrap_or_default();
+    config.failed_wait.max(usual * config.contended_times)
+}
--- a/packet/src/flows/mod.rs
+++ b/packet/src/flows/mod.rs
@@ -4,4 +4,5 @@
 pub mod flow_evidence;
 pub mod flow_load;
 pub mod flow_table;
+pub mod moving_mean;
 pub mod route_habit;
--- a/packet/src/policy_config.rs
+++ b/packet/src/policy_config.rs
@@ -89,6 +89,9 @@
 pub struct OutlierConfig {
     /// Time to the first byte of a response after which a request counts as failed.
     pub failed_wait: Duration,
+    /// Multiple of its route's mean response time after which a request to a contended service counts as
+    /// failed, if that is longer.
+    pub contended_times: u32,
     /// Fewest failed requests that eject an upstream.
     pub fewest_failed: u32,
     /// An upstream is ejected if one request in this many fails.
@@ -165,6 +168,7 @@
     fn default() -> Self {
         Self {
             failed_wait: Duration::from_millis(450),
+            contended_times: 8,
             fewest_failed: 3,
             failed_share: 4,
             left_out: Duration::from_secs(5),
--- a/packet/src/selection/room_weight.rs
+++ b/packet/src/selection/room_weight.rs
@@ -20,7 +20,7 @@
     /// The requests that it may still take.
     #[default]
     FreeRoom,
-    /// The inverse of its requests in progress per slot times its response time.
+    /// Its slots, divided by its requests in progress per slot times its response time.
     ExpectedWait,
 }
 
@@ -124,8 +124,8 @@
                 Duration::ZERO => config.assumed_response,
                 response_time => response_time,
             };
-            let queued = in_progress.max(least).max(1) as f64;
-            slots as f64 / (queued * response_time.as_secs_f64().max(f64::EPSILON))
+            let per_slot = in_progress.max(least).max(1) as f64 / slots as f64;
+            slots as f64 / (per_slot * response_time.as_secs_f64())
         }
     };
     if record.warm_at > now {
--- a/packet/src/selection/upstream_selection.rs
+++ b/packet/src/selection/upstream_selection.rs
@@ -85,13 +85,16 @@
     probe: Option<UpstreamIndex>,
     /// Whether one of them that responds is known to have a free slot.
     has_free_slot: bool,
+    /// Whether one of them that responds is not saturated.
+    has_room: bool,
 }
 
-/// How an upstream ranks, and whether it is known to have a free slot.
+/// How an upstream of a contended service ranks, and what is known of its room.
 #[derive(Clone, Copy, Debug)]
 struct UpstreamRank {
     key: SelectionKey,
     has_free_slot: bool,
+    has_room: bool,
 }
 
 /// Selects the upstreams of a new flow; `None` if the service has none that takes flows.
@@ -135,6 +138,9 @@
         && is_panic(table, query.service, UpstreamRecord::is_degraded);
     let mut sampled = SampledUpstreams::default();
     sampled.add_all(table, local, query, panic);
+    if query.room.is_contended && !sampled.has_room {
+        sampled.mark_saturated();
+    }
     if !sampled.is_enough(table) {
         let remote = sample(&pool.remote, query.flow_hash, config.max_sampled);
         sampled.add_all(table, remote, query, panic);
@@ -232,25 +238,26 @@
                 self.probe = Some(index);
             }
             let is_full = is_at_connection_limit(&table.config().room, record, connection_limit);
-            let UpstreamRank {
-                mut key,
-                has_free_slot,
-            } = if query.room.is_contended {
-                contended_rank(table, record, index, query, panic)
+            let mut key = if query.room.is_contended {
+                let rank = contended_rank(table, record, index, query, panic);
+                self.has_free_slot |= rank.has_free_slot && !is_full;
+                self.has_room |= rank.has_room && !is_full;
+                rank.key
             } else {
-                let config = &table.config().selection;
-                let key = selection_key(config, record, index, query, panic);
-                UpstreamRank {
-                    key,
-                    has_free_slot: false,
-                }
+                selection_key(&table.config().selection, record, index, query, panic)
             };
             key.saturated |= is_full;
-            self.has_free_slot |= has_free_slot && !is_full;
             self.add(table, UpstreamCandidate { key, index }, query.flow_hash);
         }
     }
 
+    /// Prefers upstreams that are not saturated to all of these.
+    fn mark_saturated(&mut self) {
+        for candidate in [&mut self.best, &mut self.runner_up].into_iter().flatten() {
+            candidate.key.saturated = true;
+        }
+    }
+
     fn add(&mut self, table: &UpstreamTable, candidate: UpstreamCandidate, flow_hash: u64) {
         if is_better(table, candidate, self.best, flow_hash) {
             self.runner_up = self.best;
@@ -298,6 +305,9 @@
 }
 
 /// The rank of an upstream of a contended service. Of one in another zone, only what this host placed is known.
+///
+/// A saturated one of this zone is drawn with little odds while others have room: one that got nothing would not
+/// show when it has room again.
 fn contended_rank(
     table: &UpstreamTable,
     record: &UpstreamRecord,
@@ -314,16 +324,18 @@
     let slots = u64::from(record.slots) * u64::from(REQUEST_LOAD);
     let full = slots * u64::from(config.selection.full_requests);
     let degraded = record.is_degraded() && !panic;
+    let saturated = u64::from(in_progress) >= full;
     let is_known = record.is_local || query.leaves_for == Some(&record.zone);
     UpstreamRank {
         key: SelectionKey {
             degraded,
-            saturated: u64::from(in_progress) >= full,
+            saturated: saturated && !record.is_local,
             tried: query.tried.contains(&index),
             remote: !record.is_local,
             load: draw_order(hash, weight),
         },
         has_free_slot: is_known && !degraded && u64::from(in_progress) < slots,
+        has_room: !degraded && !saturated,
     }
 }
 
--- /dev/null
+++ b/packet/tests/test_room_selection.rs
@@ -0,0 +1,686 @@
+//! Tests of where new flows of a contended service go, each with its load.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::flow_hash::rendezvous_weight;
+use lagoonproxy::ids::ZoneName;
+use lagoonproxy_packet::ids::ServiceIndex;
+use lagoonproxy_packet::ids::UpstreamIndex;
+use lagoonproxy_packet::load::service_room::ServiceRoom;
+use lagoonproxy_packet::load::service_room::UpstreamLoad;
+use lagoonproxy_packet::policy_config::PolicyConfig;
+use lagoonproxy_packet::routes::route_config::ConnectionLimit;
+use lagoonproxy_packet::selection::room_weight::RoomMeasure;
+use lagoonproxy_packet::selection::room_weight::RoomWeightConfig;
+use lagoonproxy_packet::selection::room_weight::draw_order;
+use lagoonproxy_packet::selection::room_weight::room_weight;
+use lagoonproxy_packet::selection::upstream_selection::FlowSelection;
+use lagoonproxy_packet::selection::upstream_selection::SelectionQuery;
+use lagoonproxy_packet::selection::upstream_selection::select_upstream;
+use lagoonproxy_packet::upstreams::upstream_entry::UpstreamEntry;
+use lagoonproxy_packet::upstreams::upstream_table::UpstreamTable;
+use proptest::prelude::*;
+
+use crate::core_rig::*;
+
+const MEASURES: [RoomMeasure; 2] = [RoomMeasure::FreeRoom, RoomMeasure::ExpectedWait];
+
+/// What is known of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownUpstream {
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Requests in progress, in thousandths.
+    pub in_progress: u32,
+    /// Mean response time, in milliseconds.
+    pub response_ms: u64,
+    /// For how much longer it is slow after its start.
+    pub warmup_ms: u64,
+}
+
+/// A busy upstream like most.
+const EQUAL: KnownUpstream = KnownUpstream {
+    slots: 2,
+    in_progress: 1600,
+    response_ms: 20,
+    warmup_ms: 0,
+};
+
+/// An upstream five times slower, half a second after it became so.
+const SLOW: KnownUpstream = KnownUpstream {
+    slots: 2,
+    in_progress: 6000,
+    response_ms: 300,
+    warmup_ms: 0,
+};
+
+/// One that has just entered the pool.
+const EMPTY: KnownUpstream = KnownUpstream {
+    slots: 2,
+    in_progress: 0,
+    response_ms: 0,
+    warmup_ms: 0,
+};
+
+/// One whose slots and queue are taken.
+const FULL: KnownUpstream = KnownUpstream {
+    slots: 2,
+    in_progress: 5500,
+    response_ms: 60,
+    warmup_ms: 0,
+};
+
+/// The upstreams of one service as one host sees them.
+pub struct RoomRig {
+    /// The upstreams.
+    pub table: UpstreamTable,
+    /// Their places, in the order in which they were given.
+    pub members: Vec<UpstreamIndex>,
+    /// The present time.
+    pub now: Instant,
+    /// The load of the service.
+    pub room: ServiceRoom,
+}
+
+fn room_entry(number: usize, zone: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        name: format!("i-{number:04x}").into(),
+        number: number as u64,
+        zone: zone.into(),
+        ..entry(0, "ledger")
+    }
+}
+
+impl RoomRig {
+    /// A host that holds a digest of these upstreams of its zone, measured just now.
+    pub fn new(measure: RoomMeasure, upstreams: &[KnownUpstream]) -> Self {
+        let room = RoomWeightConfig {
+            measure,
+            ..Default::default()
+        };
+        let config = PolicyConfig {
+            room,
+            ..Default::default()
+        };
+        let age = Duration::from_secs(60);
+        let mut rig = Self {
+            table: UpstreamTable::new(ZONE.into(), age, config),
+            members: Vec::new(),
+            now: Instant::now(),
+            room: ServiceRoom {
+                pressure: 900,
+                is_contended: true,
+                updated_at: None,
+            },
+        };
+        for (number, upstream) in upstreams.iter().enumerate() {
+            let entry = UpstreamEntry {
+                slots: upstream.slots,
+                warmup_left: Duration::from_millis(upstream.warmup_ms),
+                ..room_entry(number, ZONE)
+            };
+            let index = rig.table.register(rig.now, &entry);
+            rig.members.push(index);
+            rig.measure(number, upstream.in_progress, upstream.response_ms);
+        }
+        rig
+    }
+
+    /// Adds an upstream of another zone.
+    fn add_remote(&mut self, zone: &str) {
+        let entry = room_entry(self.members.len(), zone);
+        self.members.push(self.table.register(self.now, &entry));
+    }
+
+    /// Puts what a digest says of one upstream in force.
+    pub fn measure(&mut self, member: usize, in_progress: u32, response_ms: u64) {
+        self.table.get_mut(self.members[member]).load = UpstreamLoad {
+            in_progress,
+            response_time: Duration::from_millis(response_ms),
+            shed_rate: 0,
+            updated_at: Some(self.now),
+        };
+    }
+
+    /// Changes how many flows of this host wait for an answer.
+    pub fn waiting(&mut self, member: usize, change: i32) {
+        let record = self.table.get_mut(self.members[member]);
+        record.waiting = record.waiting.saturating_add_signed(change);
+    }
+
+    fn service(&self) -> ServiceIndex {
+        self.table.get(self.members[0]).service
+    }
+
+    /// Selects for one flow of a host.
+    pub fn select(&self, flow_hash: u64, leaves_for: Option<&ZoneName>) -> FlowSelection {
+        let query = SelectionQuery {
+            now: self.now,
+            service: self.service(),
+            flow_hash,
+            local_hosts: 30,
+            tried: &[],
+            room: self.room,
+            leaves_for,
+        };
+        select_upstream(&self.table, query).expect("an upstream")
+    }
+
+    /// How many of so many flows go to each upstream, of flows that sample the first ones.
+    fn counts(&self, flows: u64) -> Vec<u32> {
+        let length = self.members.len() as u64;
+        let sampled = self.table.config().selection.max_sampled;
+        let mut counts = vec![0; self.members.len().min(sampled)];
+        for flow in 0..flows {
+            let flow_hash = rendezvous_weight(flow, 77);
+            let first = self.select(flow_hash - flow_hash % length, None).first;
+            let place = self.members.iter().position(|index| *index == first);
+            counts[place.unwrap_or_default()] += 1;
+        }
+        counts
+    }
+
+    fn limit_connections(&mut self, connections: u32) {
+        let service = "ledger".into();
+        let limit = ConnectionLimit {
+            service,
+            connections,
+        };
+        self.table.set_connection_limits(&[limit]);
+    }
+}
+
+/// The first upstream's flows, against the mean of the others.
+fn first_share(counts: &[u32]) -> f64 {
+    let others: u32 = counts[1..].iter().sum();
+    f64::from(counts[0]) * (counts.len() - 1) as f64 / f64::from(others.max(1))
+}
+
+fn busiest_share(counts: &[u32]) -> f64 {
+    let sum: u32 = counts.iter().sum();
+    let busiest = counts.iter().max().copied().unwrap_or_default();
+    f64::from(busiest) * counts.len() as f64 / f64::from(sum)
+}
+
+#[test]
+fn test_the_odd_one_among_equals() {
+    // Guards against an upstream that draws flows in spite of its load, or gets none for ever.
+    struct Case {
+        name: &'static str,
+        odd: KnownUpstream,
+        equals: usize,
+        equal: KnownUpstream,
+        flows: u64,
+        /// Flows of the odd one against those of an equal upstream, from and to.
+        share: (f64, f64),
+    }
+    let one_slot = KnownUpstream {
+        slots: 1,
+        in_progress: 800,
+        ..EQUAL
+    };
+    let cold = KnownUpstream {
+        warmup_ms: 2000,
+        ..EQUAL
+    };
+    let cases = [
+        Case {
+            name: "five times slower, among 3",
+            odd: SLOW,
+            equals: 2,
+            equal: EQUAL,
+            flows: 20_000,
+            share: (1e-4, 0.35),
+        },
+        Case {
+            name: "five times slower, among 40",
+            odd: SLOW,
+            equals: 39,
+            equal: EQUAL,
+            flows: 40_000,
+            share: (1e-4, 0.35),
+        },
+        Case {
+            name: "five times slower, among 5,000",
+            odd: SLOW,
+            equals: 4999,
+            equal: EQUAL,
+            flows: 40_000,
+            share: (1e-4, 0.35),
+        },
+        Case {
+            name: "half the slots",
+            odd: one_slot,
+            equals: 9,
+            equal: EQUAL,
+            flows: 20_000,
+            share: (0.4, 0.6),
+        },
+        Case {
+            name: "cold after its start",
+            odd: cold,
+            equals: 9,
+            equal: EQUAL,
+            flows: 20_000,
+            share: (0.5, 0.75),
+        },
+        Case {
+            name: "new and empty among full ones",
+            odd: EMPTY,
+            equals: 9,
+            equal: FULL,
+            flows: 20_000,
+            share: (5.0, 500.0),
+        },
+        Case {
+            name: "no different, but one request more",
+            odd: KnownUpstream {
+                in_progress: 2600,
+                ..EQUAL
+            },
+            equals: 9,
+            equal: EQUAL,
+            flows: 20_000,
+            share: (0.3, 0.9),
+        },
+    ];
+    for case in cases {
+        for measure in MEASURES {
+            let mut upstreams = vec![case.odd];
+            upstreams.resize(case.equals + 1, case.equal);
+            let counts = RoomRig::new(measure, &upstreams).counts(case.flows);
+            let share = first_share(&counts);
+            let (from, to) = case.share;
+            let name = case.name;
+            assert!(
+                from <= share && share < to,
+                "{name}, {measure:?}: a share of {share}"
+            );
+        }
+    }
+}
+
+#[test]
+fn test_equals_get_equal_shares() {
+    // Guards against imbalance among equals, whatever their common load.
+    struct Case {
+        name: &'static str,
+        equal: KnownUpstream,
+        digest_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "busy",
+            equal: EQUAL,
+            digest_ms: 0,
+        },
+        Case {
+            name: "all slow",
+            equal: SLOW,
+            digest_ms: 0,
+        },
+        Case {
+            name: "all full",
+            equal: FULL,
+            digest_ms: 0,
+        },
+        Case {
+            name: "all empty",
+            equal: EMPTY,
+            digest_ms: 0,
+        },
+        Case {
+            name: "no digest for long",
+            equal: EQUAL,
+            digest_ms: 5000,
+        },
+    ];
+    for case in cases {
+        for measure in MEASURES {
+            let mut rig = RoomRig::new(measure, &[case.equal; 40]);
+            rig.now += Duration::from_millis(case.digest_ms);
+            let share = busiest_share(&rig.counts(40_000));
+            assert!(share < 1.1, "{}, {measure:?}: {share}", case.name);
+        }
+    }
+}
+
+#[test]
+fn test_own_counts_stand_in_for_a_digest() {
+    // Guards against a host without a usable digest that decides by none or by an old one.
+    struct Case {
+        name: &'static str,
+        age_ms: Option<u64>,
+        waiting: u32,
+        all_elsewhere: bool,
+    }
+    let cases = [
+        Case {
+            name: "no digest, own requests on 30 hosts",
+            age_ms: None,
+            waiting: 1,
+            all_elsewhere: true,
+        },
+        Case {
+            name: "old digest, own requests on 30 hosts",
+            age_ms: Some(1000),
+            waiting: 1,
+            all_elsewhere: true,
+        },
+        Case {
+            name: "old digest that called it full",
+            age_ms: Some(1000),
+            waiting: 0,
+            all_elsewhere: false,
+        },
+        Case {
+            name: "digest that calls it full",
+            age_ms: Some(999),
+            waiting: 0,
+            all_elsewhere: true,
+        },
+    ];
+    for case in cases {
+        let mut rig = RoomRig::new(RoomMeasure::FreeRoom, &[EQUAL; 3]);
+        rig.measure(0, 8000, 20);
+        let first = rig.table.get_mut(rig.members[0]);
+        first.waiting = case.waiting;
+        first.load.updated_at = case.age_ms.map(|_age| rig.now);
+        rig.now += Duration::from_millis(case.age_ms.unwrap_or_default());
+        let counts = rig.counts(1000);
+        let (few, many) = (counts[0] < 30, counts[0] > 200);
+        assert_eq!(
+            (few, many),
+            (case.all_elsewhere, !case.all_elsewhere),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn test_connection_limit() {
+    // Guards against flows to an upstream that holds as many connections as it may.
+    struct Case {
+        name: &'static str,
+        limit: u32,
+        own: u32,
+        idle: u32,
+        elsewhere: u32,
+        /// Flows of each other upstream; in calm, the first has less load.
+        others: u32,
+        is_left_out: bool,
+    }
+    let cases = [
+        Case {
+            name: "94 of 100",
+            limit: 100,
+            own: 40,
+            idle: 14,
+            elsewhere: 40,
+            others: 94,
+            is_left_out: false,
+        },
+        Case {
+            name: "95 of 100",
+            limit: 100,
+            own: 40,
+            idle: 15,
+            elsewhere: 40,
+            others: 94,
+            is_left_out: true,
+        },
+        Case {
+            name: "one of one",
+            limit: 1,
+            own: 0,
+            idle: 1,
+            elsewhere: 0,
+            others: 0,
+            is_left_out: true,
+        },
+        Case {
+            name: "none of one",
+            limit: 1,
+            own: 0,
+            idle: 0,
+            elsewhere: 0,
+            others: 0,
+            is_left_out: false,
+        },
+    ];
+    for case in cases {
+        for is_contended in [false, true] {
+            let name = format!("{}, contended: {is_contended}", case.name);
+            let mut rig = RoomRig::new(RoomMeasure::FreeRoom, &[EMPTY; 3]);
+            rig.room.is_contended = is_contended;
+            for index in rig.members.clone() {
+                rig.table.get_mut(index).flows = case.others;
+            }
+            let first = rig.table.get_mut(rig.members[0]);
+            first.flows = case.own;
+            first.idle = case.idle;
+            first.flows_elsewhere = case.elsewhere;
+            rig.limit_connections(case.limit);
+            let counts = rig.counts(300);
+            assert_eq!(counts[0] == 0, case.is_left_out, "{name}");
+            for index in rig.members.clone() {
+                let record = rig.table.get_mut(index);
+                (record.flows, record.idle, record.flows_elsewhere) = (200, 0, 0);
+            }
+            let counts = rig.counts(300);
+            assert!(
+                counts.iter().all(|count| *count > 0),
+                "{name}: all at the limit"
+            );
+            let has_free_slot = rig.select(1, None).has_free_slot;
+            assert_eq!(has_free_slot, !is_contended, "{name}: at the limit");
+        }
+    }
+}
+
+#[test]
+fn test_free_slot_is_told() {
+    // Guards against SYNs that are deferred or refused while a slot is known to be free.
+    struct Case {
+        name: &'static str,
+        in_progress: [u32; 2],
+        is_contended: bool,
+        is_ejected: bool,
+        expected: bool,
+    }
+    let cases = [
+        Case {
+            name: "calm",
+            in_progress: [9000, 9000],
+            is_contended: false,
+            is_ejected: false,
+            expected: true,
+        },
+        Case {
+            name: "none",
+            in_progress: [2000, 2000],
+            is_contended: true,
+            is_ejected: false,
+            expected: false,
+        },
+        Case {
+            name: "one that is not selected first",
+            in_progress: [1999, 2000],
+            is_contended: true,
+            is_ejected: false,
+            expected: true,
+        },
+        Case {
+            name: "one that does not respond",
+            in_progress: [0, 2000],
+            is_contended: true,
+            is_ejected: true,
+            expected: false,
+        },
+    ];
+    for case in cases {
+        let mut rig = RoomRig::new(RoomMeasure::FreeRoom, &[EQUAL; 3]);
+        rig.room.is_contended = case.is_contended;
+        rig.measure(0, case.in_progress[0], 20);
+        rig.measure(1, case.in_progress[1], 20);
+        rig.measure(2, 2000, 20);
+        if case.is_ejected {
+            eject(&mut rig, 0);
+        }
+        let told = (0..20).all(|flow| rig.select(flow, None).has_free_slot == case.expected);
+        assert!(told, "{}", case.name);
+    }
+}
+
+/// Lets an upstream leave two callers unanswered.
+fn eject(rig: &mut RoomRig, member: usize) {
+    let sent = rig.now;
+    rig.now += Duration::from_millis(200);
+    for flow in 0..4 {
+        let index = rig.members[member];
+        rig.table.attempt_failed(index, rig.now, sent, caller(flow));
+    }
+    assert!(rig.table.get(rig.members[member]).is_degraded());
+}
+
+#[test]
+fn test_flows_that_leave_go_to_their_zone() {
+    // Guards against spilled flows that stay, go to a third zone, or to upstreams that do not respond.
+    struct Case {
+        name: &'static str,
+        leaves_for: Option<&'static str>,
+        ejected: &'static [usize],
+        /// Places of the upstreams that get flows.
+        expected: &'static [usize],
+    }
+    let cases = [
+        Case {
+            name: "stays",
+            leaves_for: None,
+            ejected: &[],
+            expected: &[0, 1, 2],
+        },
+        Case {
+            name: "leaves",
+            leaves_for: Some("b"),
+            ejected: &[],
+            expected: &[3, 5],
+        },
+        Case {
+            name: "leaves, one there does not respond",
+            leaves_for: Some("b"),
+            ejected: &[3],
+            expected: &[5],
+        },
+        Case {
+            name: "leaves, none there responds",
+            leaves_for: Some("b"),
+            ejected: &[3, 5],
+            expected: &[0, 1, 2],
+        },
+        Case {
+            name: "leaves for a zone without upstreams",
+            leaves_for: Some("d"),
+            ejected: &[],
+            expected: &[0, 1, 2],
+        },
+    ];
+    for case in cases {
+        let mut rig = RoomRig::new(RoomMeasure::FreeRoom, &[EQUAL; 3]);
+        for zone in ["b", "c", "b"] {
+            rig.add_remote(zone);
+        }
+        for member in case.ejected {
+            eject(&mut rig, *member);
+        }
+        let zone = case.leaves_for.map(ZoneName::from);
+        let mut used: Vec<usize> = (0..200)
+            .filter_map(|flow| {
+                let first = rig.select(rendezvous_weight(flow, 1), zone.as_ref()).first;
+                rig.members.iter().position(|index| *index == first)
+            })
+            .collect();
+        used.sort_unstable();
+        used.dedup();
+        assert_eq!(used, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_saturated_by_known_requests() {
+    // Guards against local upstreams that are full through other hosts and get this host's flows as well.
+    let mut rig = RoomRig::new(RoomMeasure::FreeRoom, &[FULL; 3]);
+    rig.add_remote("b");
+    assert_eq!(rig.counts(100)[3], 0, "below three requests a slot");
+    for member in 0..3 {
+        rig.measure(member, 6000, 60);
+    }
+    assert_eq!(rig.counts(100)[3], 100, "three requests a slot");
+    assert!(!rig.select(0, None).has_free_slot, "remote load is unknown");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Whatever is known of an upstream, its weight is a number above 0: it is never left out for good.
+    #[test]
+    fn test_weights_are_positive(
+        slots in 1..100_000_u32,
+        in_progress: u32,
+        response_ms in 0..1_000_000_u64,
+        warmup_ms in 0..10_u64,
+        hash: u64,
+    ) {
+        let upstream = KnownUpstream { slots, in_progress, response_ms, warmup_ms };
+        for measure in MEASURES {
+            let rig = RoomRig::new(measure, &[upstream]);
+            let config = &rig.table.config().room;
+            let record = rig.table.get(rig.members[0]);
+            let weight = room_weight(config, 160, record, in_progress, rig.now);
+            prop_assert!(weight.is_finite() && weight > 0.0);
+            let order = f64::from_bits(draw_order(hash, weight));
+            prop_assert!(order.is_finite() && order > 0.0);
+        }
+    }
+
+    /// Hosts with the same digest do not all select the upstream with the most room: of 1,000 flows, each
+    /// upstream gets at most 1.5 times the share of its weight, and 20 flows.
+    #[test]
+    fn test_no_herd_forms(
+        loads in prop::collection::vec((0..6000_u32, 4..200_u64), 2..48),
+        seed: u64,
+    ) {
+        let upstreams: Vec<KnownUpstream> = loads
+            .iter()
+            .map(|(in_progress, response_ms)| KnownUpstream {
+                in_progress: *in_progress,
+                response_ms: *response_ms,
+                ..EQUAL
+            })
+            .collect();
+        for measure in MEASURES {
+            let rig = RoomRig::new(measure, &upstreams);
+            let config = &rig.table.config().room;
+            let weights: Vec<f64> = rig
+                .members
+                .iter()
+                .map(|index| {
+                    let record = rig.table.get(*index);
+                    room_weight(config, 160, record, record.load.in_progress, rig.now)
+                })
+                .collect();
+            let sum: f64 = weights.iter().sum();
+            let mut counts = vec![0_u32; weights.len()];
+            for flow in 0..1000 {
+                let first = rig.select(rendezvous_weight(flow, seed), None).first;
+                counts[rig.members.iter().position(|index| *index == first).unwrap_or_default()] += 1;
+            }
+            for (count, weight) in counts.iter().zip(&weights) {
+                let expected = 1000.0 * weight / sum;
+                prop_assert!(f64::from(*count) <= 1.5 * expected + 20.0, "{count} of {expected}");
+            }
+        }
+    }
+}
