--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -50,6 +50,7 @@
     pub(crate) fn tick_load(&mut self, now: Instant, output: &mut PacketOutput) {
         self.load
             .tick(now, &self.peers, &mut self.upstreams, &mut output.events);
+        self.upstreams.learn_loads(self.evidence.costs());
         self.spill
             .tick(now, &self.load, &self.upstreams, &mut output.events);
         self.callers.tick(now);
--- a/packet/src/flows/flow_cost.rs
+++ b/packet/src/flows/flow_cost.rs
@@ -12,6 +12,7 @@
 
 use crate::flows::flow_table::FlowKey;
 use crate::flows::moving_mean::MovingMean;
+use crate::ids::ServiceIndex;
 use crate::load::service_room::REQUEST_LOAD;
 
 /// The part of a flow's life over which its request time is measured.
@@ -23,6 +24,9 @@
 /// Most routes whose costs are known: as many as have habits.
 const MOST_ROUTES: usize = 4096;
 
+/// All of a service's request time.
+pub const FULL_TURNOVER: u32 = 1000;
+
 /// Parameters of flow costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FlowCostConfig {
@@ -48,6 +52,8 @@
 /// A flow in its first second.
 #[derive(Clone, Copy, Debug)]
 struct MeasuredFlow {
+    /// The service of its upstream.
+    service: ServiceIndex,
     /// When its first second ends.
     ends_at: Instant,
     /// When its present request was sent, if one waits for its answer.
@@ -63,6 +69,17 @@
     routes: HashMap<SocketAddrV4, MovingMean>,
     /// Flows in their first second; at most [`MOST_MEASURED`].
     measured: HashMap<FlowKey, MeasuredFlow>,
+    /// What the flows of each service are like.
+    services: HashMap<ServiceIndex, FlowTurnover>,
+}
+
+/// How much of the request time of a service's new flows is of flows that ended within their first second.
+#[derive(Clone, Copy, Debug, Default)]
+struct FlowTurnover {
+    /// Mean request time of a flow in its first second.
+    all: MovingMean,
+    /// The same, with zero for flows that lasted longer.
+    ended: MovingMean,
 }
 
 impl MeasuredFlow {
@@ -86,17 +103,37 @@
         u32::try_from(load).unwrap_or(u32::MAX)
     }
 
+    /// Share of the request time of a service's new flows that is of flows that ended within a second, in thousandths.
+    /// All of it, if too little was seen.
+    pub fn turnover(&self, config: &FlowCostConfig, service: ServiceIndex) -> u32 {
+        let Some(turnover) = self.services.get(&service) else {
+            return FULL_TURNOVER;
+        };
+        let all = turnover.all.of_at_least(config.fewest_flows);
+        let ended = turnover.ended.of_at_least(config.fewest_flows);
+        match (all, ended) {
+            (Some(all), Some(ended)) if !all.is_zero() => {
+                let share = ended.as_nanos() * u128::from(FULL_TURNOVER) / all.as_nanos();
+                u32::try_from(share)
+                    .unwrap_or(FULL_TURNOVER)
+                    .min(FULL_TURNOVER)
+            }
+            _ => FULL_TURNOVER,
+        }
+    }
+
     /// Flows that are measured at present.
     pub fn measured_flows(&self) -> usize {
         self.measured.len()
     }
 
     /// Measures a flow that has opened just now.
-    pub fn begin(&mut self, now: Instant, key: FlowKey) {
+    pub fn begin(&mut self, now: Instant, key: FlowKey, service: ServiceIndex) {
         if self.measured.len() >= MOST_MEASURED {
             return;
         }
         let flow = MeasuredFlow {
+            service,
             ends_at: now + COST_SPAN,
             waiting_since: None,
             request_time: Duration::ZERO,
@@ -128,7 +165,7 @@
     pub fn end(&mut self, config: &FlowCostConfig, now: Instant, key: &FlowKey) {
         if let Some(mut flow) = self.measured.remove(key) {
             flow.end_request(config, now);
-            learn(&mut self.routes, key.service, flow.request_time);
+            learn(&mut self.routes, &mut self.services, key, &flow, now);
         }
     }
 
@@ -144,12 +181,12 @@
 
     /// Learns from the flows whose first second is over.
     pub fn tick(&mut self, config: &FlowCostConfig, now: Instant) {
-        let routes = &mut self.routes;
+        let (routes, services) = (&mut self.routes, &mut self.services);
         self.measured.retain(|key, flow| {
             let goes_on = now < flow.ends_at;
             if !goes_on {
                 flow.end_request(config, now);
-                learn(routes, key.service, flow.request_time);
+                learn(routes, services, key, flow, now);
             }
             goes_on
         });
@@ -158,10 +195,19 @@
 
 fn learn(
     routes: &mut HashMap<SocketAddrV4, MovingMean>,
-    route: SocketAddrV4,
-    request_time: Duration,
+    services: &mut HashMap<ServiceIndex, FlowTurnover>,
+    key: &FlowKey,
+    flow: &MeasuredFlow,
+    now: Instant,
 ) {
+    let turnover = services.entry(flow.service).or_default();
+    turnover.all.learn(flow.request_time);
+    turnover.ended.learn(match now < flow.ends_at {
+        true => flow.request_time,
+        false => Duration::ZERO,
+    });
+    let route = key.service;
     if routes.len() < MOST_ROUTES || routes.contains_key(&route) {
-        routes.entry(route).or_default().learn(request_time);
+        routes.entry(route).or_default().learn(flow.request_time);
     }
 }
--- a/packet/src/flows/flow_evidence.rs
+++ b/packet/src/flows/flow_evidence.rs
@@ -201,7 +201,8 @@
             return seen;
         }
         if opening.is_some() {
-            self.costs.begin(now, key);
+            let service = upstreams.get(index).service;
+            self.costs.begin(now, key, service);
         }
         let Some(record) = self.table.flows.get_mut(&key) else {
             return seen;
--- a/packet/src/selection/room_weight.rs
+++ b/packet/src/selection/room_weight.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::flows::flow_cost::FULL_TURNOVER;
 use crate::load::service_room::REQUEST_LOAD;
+use crate::load::service_room::UpstreamLoad;
 use crate::policy_config::FLOW_LOAD;
 use crate::upstreams::upstream_record::UpstreamRecord;
 
@@ -38,6 +40,11 @@
     pub least_in_progress: u32,
     /// Response time of an upstream of which none was seen.
     pub assumed_response: Duration,
+    /// Divisor of the change of weight by one new measurement, less 1, if all request time is of flows that end within
+    /// a second; a part of it according to the share otherwise. Measurements are older than such flows last: hosts
+    /// that follow them at once fill the upstream that was empty, and empty the one that was full, in turn. The load
+    /// of long flows changes little between two measurements.
+    pub turnover_damping: u32,
     /// Age from which the load of an upstream is not used.
     pub load_life: Duration,
     /// Percentage of the published maximum of connections from which an upstream counts as saturated.
@@ -52,6 +59,7 @@
             least_room: 20,
             least_in_progress: 50,
             assumed_response: Duration::from_millis(20),
+            turnover_damping: 8,
             load_life: Duration::from_secs(1),
             connection_percent: 95,
         }
@@ -85,6 +93,46 @@
     }
 }
 
+/// The weight of an upstream as it follows from measurements of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MeasuredWeight {
+    /// The weight; meaningless before the first measurement.
+    weight: f64,
+    /// The `updated_at` of the last measurement.
+    since: Option<Instant>,
+}
+
+impl MeasuredWeight {
+    /// Whether the load was measured anew.
+    pub fn is_behind(&self, load: &UpstreamLoad) -> bool {
+        load.updated_at.is_some() && load.updated_at != self.since
+    }
+
+    /// Follows the load of an upstream that was measured anew. The first measurement gives the least weight: an
+    /// upstream that enters the pool would else get the new flows of all hosts until the next one.
+    pub fn learn(
+        &mut self,
+        config: &RoomWeightConfig,
+        slots: u32,
+        turnover: u32,
+        load: &UpstreamLoad,
+    ) {
+        let Some(measured_at) = load.updated_at else {
+            return;
+        };
+        let last = self.since.replace(measured_at);
+        let is_continued =
+            last.is_some_and(|last| measured_at.saturating_duration_since(last) < config.load_life);
+        if !is_continued {
+            self.weight = least_weight(config, slots);
+        }
+        let measured = load_weight(config, slots, load, load.in_progress);
+        let share = f64::from(turnover) / f64::from(FULL_TURNOVER);
+        let divisor = 1.0 + f64::from(config.turnover_damping) * share;
+        self.weight *= (measured / self.weight).powf(1.0 / divisor);
+    }
+}
+
 /// Requests in progress at an upstream, in parts of [`REQUEST_LOAD`]: as last measured in its zone, and what this host
 /// has placed since; as this host's own counts suggest if no recent measurement is known.
 pub fn known_in_progress(
@@ -103,16 +151,45 @@
     }
 }
 
-/// The weight of an upstream with so many requests in progress, in parts of [`REQUEST_LOAD`]; always above 0.
+/// The weight of an upstream in the draw; always above 0.
+///
+/// `is_measured` says that there is a digest of its service. An upstream of the zone that is not in it is new.
 pub fn room_weight(
     config: &RoomWeightConfig,
     cold_load: u64,
     record: &UpstreamRecord,
     in_progress: u32,
+    is_measured: bool,
     now: Instant,
 ) -> f64 {
-    let (slots, in_progress) = (u64::from(record.slots.max(1)), u64::from(in_progress));
-    let weight = match config.measure {
+    let is_recent = |at: &Instant| now.saturating_duration_since(*at) < config.load_life;
+    let (slots, load) = (record.slots, &record.load);
+    let measured_at = load.updated_at.filter(is_recent);
+    let weight = if measured_at.is_some() && measured_at == record.weight.since {
+        let placed = load_weight(config, slots, load, in_progress);
+        record.weight.weight * placed / load_weight(config, slots, load, load.in_progress)
+    } else if measured_at.is_none() && is_measured && record.is_local {
+        least_weight(config, slots)
+    } else {
+        load_weight(config, slots, load, in_progress)
+    };
+    if record.warm_at > now {
+        weight * FLOW_LOAD as f64 / cold_load.max(1) as f64
+    } else {
+        weight
+    }
+}
+
+/// The weight that a load gives by itself, with so many requests in progress, in parts of [`REQUEST_LOAD`]; always
+/// above 0.
+fn load_weight(
+    config: &RoomWeightConfig,
+    slots: u32,
+    load: &UpstreamLoad,
+    in_progress: u32,
+) -> f64 {
+    let (slots, in_progress) = (u64::from(slots.max(1)), u64::from(in_progress));
+    match config.measure {
         RoomMeasure::FreeRoom => {
             let target = u64::from(config.target_in_progress) * slots;
             let least = u64::from(config.least_room) * slots;
@@ -120,21 +197,27 @@
         }
         RoomMeasure::ExpectedWait => {
             let least = u64::from(config.least_in_progress) * slots;
-            let response_time = match record.load.response_time {
+            let response_time = match load.response_time {
                 Duration::ZERO => config.assumed_response,
                 response_time => response_time,
             };
             let per_slot = in_progress.max(least).max(1) as f64 / slots as f64;
             slots as f64 / (per_slot * response_time.as_secs_f64())
         }
-    };
-    if record.warm_at > now {
-        weight * FLOW_LOAD as f64 / cold_load.max(1) as f64
-    } else {
-        weight
     }
 }
 
+/// The weight of a full upstream.
+fn least_weight(config: &RoomWeightConfig, slots: u32) -> f64 {
+    let load = UpstreamLoad::default();
+    load_weight(
+        config,
+        slots,
+        &load,
+        config.target_in_progress.saturating_mul(slots),
+    )
+}
+
 /// The order of a candidate in a weighted draw: the smallest wins, with odds in proportion to the weights, if the
 /// hashes of the candidates are independent.
 pub fn draw_order(hash: u64, weight: f64) -> u64 {
--- a/packet/src/selection/upstream_selection.rs
+++ b/packet/src/selection/upstream_selection.rs
@@ -318,7 +318,15 @@
     let config = table.config();
     let in_progress = known_in_progress(&config.room, record, query.now, query.local_hosts);
     let cold_load = config.selection.cold_load;
-    let weight = room_weight(&config.room, cold_load, record, in_progress, query.now);
+    let is_measured = query.room.updated_at.is_some();
+    let weight = room_weight(
+        &config.room,
+        cold_load,
+        record,
+        in_progress,
+        is_measured,
+        query.now,
+    );
     let tag = record.tag.unwrap_or_default();
     let hash = rendezvous_weight(query.flow_hash, u64::from(tag));
     let slots = u64::from(record.slots) * u64::from(REQUEST_LOAD);
--- a/packet/src/upstreams/upstream_record.rs
+++ b/packet/src/upstreams/upstream_record.rs
@@ -15,6 +15,7 @@
 use crate::ids::UpstreamNumber;
 use crate::ids::WriteCount;
 use crate::load::service_room::UpstreamLoad;
+use crate::selection::room_weight::MeasuredWeight;
 use crate::selection::room_weight::PlacedLoad;
 use crate::upstreams::upstream_entry::UpstreamEntry;
 
@@ -96,6 +97,8 @@
     pub load: UpstreamLoad,
     /// What this host has placed there since `load` was measured.
     pub placed: PlacedLoad,
+    /// Its weight among the upstreams of a contended service, as it follows from measurements of `load`.
+    pub weight: MeasuredWeight,
     /// Its failure detector.
     pub silence: FailureDetector,
     /// Its outlier detection.
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -11,6 +11,7 @@
 
 use crate::admission::warmup_admission::WarmupAdmission;
 use crate::admission::warmup_admission::WarmupLimit;
+use crate::flows::flow_cost::FlowCosts;
 use crate::ids::FlowTag;
 use crate::ids::Revision;
 use crate::ids::ServiceIndex;
@@ -406,6 +407,20 @@
         changed
     }
 
+    /// Lets weights follow the loads that were measured anew.
+    pub fn learn_loads(&mut self, costs: &FlowCosts) {
+        let config = &self.config;
+        for record in &mut self.records {
+            if record.weight.is_behind(&record.load) {
+                let turnover = costs.turnover(&config.costs, record.service);
+                let slots = record.slots;
+                record
+                    .weight
+                    .learn(&config.room, slots, turnover, &record.load);
+            }
+        }
+    }
+
     /// Replaces the reports of the other local hosts. A response counts from the time at which it was seen.
     pub fn learn_reports<'a>(
         &mut self,
@@ -518,6 +533,7 @@
             flows_elsewhere: 0,
             load: Default::default(),
             placed: Default::default(),
+            weight: Default::default(),
             silence: Default::default(),
             answers: Default::default(),
         };
--- a/packet/tests/queue_rig.rs
+++ b/packet/tests/queue_rig.rs
@@ -9,6 +9,7 @@
 use lagoonproxy_packet::flows::flow_cost::FlowCosts;
 use lagoonproxy_packet::flows::flow_table::FlowKey;
 use lagoonproxy_packet::selection::room_weight::RoomMeasure;
+use lagoonproxy_packet::selection::room_weight::RoomWeightConfig;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -28,6 +29,9 @@
 pub struct QueueCase {
     /// `None` is selection as in calm.
     pub measure: Option<RoomMeasure>,
+    /// Percent by which weights follow.
+    pub follow: u32,
+    pub target: u32,
     /// Offered load against all slots.
     pub utilization: f64,
     /// Requests of each flow, 100 ms apart on average.
@@ -96,8 +100,14 @@
         warmup_ms: 0,
     };
     let measure = case.measure.unwrap_or_default();
+    let room = RoomWeightConfig {
+        measure,
+        turnover_damping: case.follow,
+        target_in_progress: case.target,
+        ..Default::default()
+    };
     let mut hosts: Vec<RoomRig> = (0..HOSTS)
-        .map(|_host| RoomRig::new(measure, &[blank; UPSTREAMS]))
+        .map(|_host| RoomRig::with_config(room, &[blank; UPSTREAMS]))
         .collect();
     let mut costs: Vec<FlowCosts> = (0..HOSTS).map(|_host| FlowCosts::default()).collect();
     let start = hosts[0].now;
@@ -149,6 +159,10 @@
                         record.flows_elsewhere = flows - record.flows;
                     }
                 }
+                for (host, cost) in hosts.iter_mut().zip(&costs) {
+                    host.table.learn_loads(cost);
+                    host.room.updated_at = Some(now);
+                }
                 events.push(Reverse((micros + DIGEST_MICROS, QueueEvent::Digest)));
             }
             QueueEvent::Open => {
@@ -176,7 +190,7 @@
                     record.load.updated_at,
                     costs[host].expected_load(&config, ledger()),
                 );
-                costs[host].begin(now, key(&flow));
+                costs[host].begin(now, key(&flow), 0);
                 counts.flows[upstream] += u32::from(micros >= lead + 1_000_000);
                 started = Some(flow);
             }
--- a/packet/tests/test_room_queue.rs
+++ b/packet/tests/test_room_queue.rs
@@ -40,20 +40,38 @@
 
 #[test]
 fn test_explore() {
-    for is_one_slow in [false, true] {
-        for requests in [1, 20] {
-            for utilization in [0.6, 0.8, 0.95] {
-                for measure in RULES {
-                    let seconds = if is_one_slow { (5, 8) } else { (5, 15) };
-                    let case = QueueCase {
-                        measure,
-                        utilization,
-                        requests,
-                        is_one_slow,
-                        seconds,
-                        seed: 1,
-                    };
-                    report(case, &run_queues(case));
+    use RoomMeasure::*;
+    let rules = [
+        (None, 100, 2500),
+        (Some(FreeRoom), 0, 2500),
+        (Some(FreeRoom), 6, 2500),
+        (Some(FreeRoom), 10, 2500),
+        (Some(FreeRoom), 6, 4000),
+        (Some(FreeRoom), 10, 4000),
+        (Some(ExpectedWait), 0, 2500),
+        (Some(ExpectedWait), 6, 2500),
+        (Some(ExpectedWait), 10, 2500),
+    ];
+    for seed in [1, 2] {
+        for is_one_slow in [false, true] {
+            for requests in [1, 20] {
+                for utilization in [0.6, 0.8, 0.95] {
+                    println!();
+                    for (measure, follow, target) in rules {
+                        let seconds = if is_one_slow { (5, 8) } else { (5, 15) };
+                        let case = QueueCase {
+                            measure,
+                            follow,
+                            target,
+                            utilization,
+                            requests,
+                            is_one_slow,
+                            seconds,
+                            seed: 1,
+                        };
+                        print!("{follow} {target} ");
+                        report(case, &run_queues(case));
+                    }
                 }
             }
         }
--- a/packet/tests/test_room_selection.rs
+++ b/packet/tests/test_room_selection.rs
@@ -99,6 +99,11 @@
             measure,
             ..Default::default()
         };
+        Self::with_config(room, upstreams)
+    }
+
+    /// The same, with these parameters.
+    pub fn with_config(room: RoomWeightConfig, upstreams: &[KnownUpstream]) -> Self {
         let config = PolicyConfig {
             room,
             ..Default::default()
@@ -638,7 +643,7 @@
             let rig = RoomRig::new(measure, &[upstream]);
             let config = &rig.table.config().room;
             let record = rig.table.get(rig.members[0]);
-            let weight = room_weight(config, 160, record, in_progress, rig.now);
+            let weight = room_weight(config, 160, record, in_progress, false, rig.now);
             prop_assert!(weight.is_finite() && weight > 0.0);
             let order = f64::from_bits(draw_order(hash, weight));
             prop_assert!(order.is_finite() && order > 0.0);
@@ -668,7 +673,7 @@
                 .iter()
                 .map(|index| {
                     let record = rig.table.get(*index);
-                    room_weight(config, 160, record, record.load.in_progress, rig.now)
+                    room_weight(config, 160, record, record.load.in_progress, false, rig.now)
                 })
                 .collect();
             let sum: f64 = weights.iter().sum();
