--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -50,6 +50,7 @@
     pub(crate) fn tick_load(&mut self, now: Instant, output: &mut PacketOutput) {
         self.load
             .tick(now, &self.peers, &mut self.upstreams, &mut output.events);
+        self.upstreams.learn_loads(self.evidence.costs());
         self.tick_spill(now, output);
         self.callers.tick(now);
     }
@@ -166,6 +167,8 @@
         let deferred = matches!(output.actions.last(), Some(PacketAction::Drop { .. }));
         let updated_at = syn.room.updated_at;
         let record = self.upstreams.get(syn.upstream);
+        let room_config = &self.upstreams.config().room;
+        let local_hosts = self.peers.local_hosts(now) as u32;
         output.events.push(DecisionEvent::ClassLimited {
             caller: syn.head.caller,
             service: syn.head.service,
@@ -175,7 +178,7 @@
             code,
             deferred,
             upstream: record.name.clone(),
-            in_progress: known_in_progress(record),
+            in_progress: known_in_progress(room_config, record, now, local_hosts),
             room: syn.room,
             age: updated_at.map(|at| now.saturating_duration_since(at)),
             version: self.version,
--- a/packet/src/selection/upstream_selection.rs
+++ b/packet/src/selection/upstream_selection.rs
@@ -6,6 +6,8 @@
 //! those that respond: local ones until they are saturated, and of equals the one with the larger
 //! rendezvous weight, so that hosts without any flow do not all begin with the same.
 //!
+//! Upstreams of a contended service are drawn instead, by the room that [`crate::selection::room_weight`] states.
+//!
 //! A SYN is hedged: a second upstream gets it as well, and the caller takes whichever responds first.
 
 use std::cmp::Ordering;
@@ -16,9 +18,14 @@
 
 use crate::ids::ServiceIndex;
 use crate::ids::UpstreamIndex;
+use crate::load::service_room::REQUEST_LOAD;
 use crate::load::service_room::ServiceRoom;
 use crate::policy_config::FLOW_LOAD;
 use crate::policy_config::SelectionConfig;
+use crate::selection::room_weight::draw_order;
+use crate::selection::room_weight::is_at_connection_limit;
+use crate::selection::room_weight::known_in_progress;
+use crate::selection::room_weight::room_weight;
 use crate::upstreams::upstream_record::UpstreamRecord;
 use crate::upstreams::upstream_table::UpstreamTable;
 
@@ -59,7 +66,7 @@
     saturated: bool,
     tried: bool,
     remote: bool,
-    /// Load by slot, in parts of [`FLOW_LOAD`].
+    /// Load by slot, in parts of [`FLOW_LOAD`]; while the service is contended, the order in the weighted draw.
     load: u64,
 }
 
@@ -76,10 +83,54 @@
     best: Option<UpstreamCandidate>,
     runner_up: Option<UpstreamCandidate>,
     probe: Option<UpstreamIndex>,
+    /// Whether one of them that responds is known to have a free slot.
+    has_free_slot: bool,
+    /// Whether one of them that responds is not saturated.
+    has_room: bool,
+}
+
+/// How an upstream of a contended service ranks, and what is known of its room.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamRank {
+    key: SelectionKey,
+    has_free_slot: bool,
+    has_room: bool,
 }
 
 /// Selects the upstreams of a new flow; `None` if the service has none that takes flows.
 pub fn select_upstream(table: &UpstreamTable, query: SelectionQuery<'_>) -> Option<FlowSelection> {
+    let leaving = query
+        .leaves_for
+        .and_then(|zone| sample_zone(table, query, zone));
+    let sampled = leaving.unwrap_or_else(|| sample_pool(table, query));
+    let first = sampled.best?.index;
+    let probe = sampled.probe.filter(|index| *index != first);
+    let second = probe.or_else(|| hedge(table, query, first, sampled.runner_up?));
+    Some(FlowSelection {
+        first,
+        second,
+        has_free_slot: sampled.has_free_slot || !query.room.is_contended,
+    })
+}
+
+/// Upstreams of another zone that the flow leaves for; `None` if none there is fit for it.
+fn sample_zone(
+    table: &UpstreamTable,
+    query: SelectionQuery<'_>,
+    zone: &ZoneName,
+) -> Option<SampledUpstreams> {
+    let pool = table.pool(query.service);
+    let max_sampled = table.config().selection.max_sampled;
+    let remote = sample(&pool.remote, query.flow_hash, pool.remote.len());
+    let of_zone = remote.filter(|index| table.get(*index).zone == *zone);
+    let mut sampled = SampledUpstreams::default();
+    sampled.add_all(table, of_zone.take(max_sampled), query, false);
+    let is_fit = sampled.best.is_some_and(|best| !best.key.degraded);
+    is_fit.then_some(sampled)
+}
+
+/// Upstreams of this zone, and those of other zones if these do not do.
+fn sample_pool(table: &UpstreamTable, query: SelectionQuery<'_>) -> SampledUpstreams {
     let pool = table.pool(query.service);
     let config = &table.config().selection;
     let local = sample(&pool.local, query.flow_hash, config.max_sampled);
@@ -87,18 +138,14 @@
         && is_panic(table, query.service, UpstreamRecord::is_degraded);
     let mut sampled = SampledUpstreams::default();
     sampled.add_all(table, local, query, panic);
+    if query.room.is_contended && !sampled.has_room {
+        sampled.mark_saturated();
+    }
     if !sampled.is_enough(table) {
         let remote = sample(&pool.remote, query.flow_hash, config.max_sampled);
         sampled.add_all(table, remote, query, panic);
     }
-    let first = sampled.best?.index;
-    let probe = sampled.probe.filter(|index| *index != first);
-    let second = probe.or_else(|| hedge(table, query, first, sampled.runner_up?));
-    Some(FlowSelection {
-        first,
-        second,
-        has_free_slot: true,
-    })
+    sampled
 }
 
 /// The runner-up, if the SYN is to be hedged with it.
@@ -175,6 +222,7 @@
         query: SelectionQuery<'_>,
         panic: bool,
     ) {
+        let connection_limit = table.pool(query.service).connection_limit;
         for index in members {
             let record = table.get(index);
             if !record.takes_flows() {
@@ -189,11 +237,27 @@
             if wants_probe && !query.tried.contains(&index) {
                 self.probe = Some(index);
             }
-            let key = selection_key(&table.config().selection, record, index, query, panic);
+            let is_full = is_at_connection_limit(&table.config().room, record, connection_limit);
+            let mut key = if query.room.is_contended {
+                let rank = contended_rank(table, record, index, query, panic);
+                self.has_free_slot |= rank.has_free_slot && !is_full;
+                self.has_room |= rank.has_room && !is_full;
+                rank.key
+            } else {
+                selection_key(&table.config().selection, record, index, query, panic)
+            };
+            key.saturated |= is_full;
             self.add(table, UpstreamCandidate { key, index }, query.flow_hash);
         }
     }
 
+    /// Prefers upstreams that are not saturated to all of these.
+    fn mark_saturated(&mut self) {
+        for candidate in [&mut self.best, &mut self.runner_up].into_iter().flatten() {
+            candidate.key.saturated = true;
+        }
+    }
+
     fn add(&mut self, table: &UpstreamTable, candidate: UpstreamCandidate, flow_hash: u64) {
         if is_better(table, candidate, self.best, flow_hash) {
             self.runner_up = self.best;
@@ -240,6 +304,55 @@
     }
 }
 
+/// The rank of an upstream of a contended service. Of one in another zone, only what this host placed is known.
+///
+/// A saturated one of this zone is drawn with little odds while others have room: one that got nothing would not
+/// show when it has room again.
+fn contended_rank(
+    table: &UpstreamTable,
+    record: &UpstreamRecord,
+    index: UpstreamIndex,
+    query: SelectionQuery<'_>,
+    panic: bool,
+) -> UpstreamRank {
+    let config = table.config();
+    let in_progress = known_in_progress(&config.room, record, query.now, query.local_hosts);
+    let cold_load = config.selection.cold_load;
+    let measured_at = query.room.updated_at;
+    let is_measured = measured_at
+        .is_some_and(|at| query.now.saturating_duration_since(at) < config.room.load_life);
+    let mean_weight = table
+        .pool(query.service)
+        .mean_weight
+        .filter(|_weight| is_measured);
+    let weight = room_weight(
+        &config.room,
+        cold_load,
+        record,
+        in_progress,
+        mean_weight,
+        query.now,
+    );
+    let tag = record.tag.unwrap_or_default();
+    let hash = rendezvous_weight(query.flow_hash, u64::from(tag));
+    let slots = u64::from(record.slots) * u64::from(REQUEST_LOAD);
+    let full = slots * u64::from(config.selection.full_requests);
+    let degraded = record.is_degraded() && !panic;
+    let saturated = u64::from(in_progress) >= full;
+    let is_known = record.is_local || query.leaves_for == Some(&record.zone);
+    UpstreamRank {
+        key: SelectionKey {
+            degraded,
+            saturated: saturated && !record.is_local,
+            tried: query.tried.contains(&index),
+            remote: !record.is_local,
+            load: draw_order(hash, weight),
+        },
+        has_free_slot: is_known && !degraded && u64::from(in_progress) < slots,
+        has_room: !degraded && !saturated,
+    }
+}
+
 /// Load by slot, in parts of [`FLOW_LOAD`], as far as this host knows.
 fn upstream_load(config: &SelectionConfig, record: &UpstreamRecord, now: Instant) -> u64 {
     let flow_load = if record.warm_at > now {
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -11,6 +11,7 @@
 
 use crate::admission::warmup_admission::WarmupAdmission;
 use crate::admission::warmup_admission::WarmupLimit;
+use crate::flows::flow_cost::FlowCosts;
 use crate::ids::FlowTag;
 use crate::ids::Revision;
 use crate::ids::ServiceIndex;
@@ -25,6 +26,7 @@
 use crate::policy_config::LapseConfig;
 use crate::policy_config::PolicyConfig;
 use crate::routes::route_config::ConnectionLimit;
+use crate::selection::room_weight::slot_weight;
 use crate::upstreams::upstream_entry::EntryState;
 use crate::upstreams::upstream_entry::UpstreamEntry;
 use crate::upstreams::upstream_record::RegistrationState;
@@ -52,6 +54,8 @@
     pub pressure: u32,
     /// The most connections that one upstream holds; `None` if it is not published.
     pub connection_limit: Option<u32>,
+    /// Mean weight of a slot of its local upstreams whose load was measured; `None` if none was.
+    pub mean_weight: Option<f64>,
 }
 
 /// Every upstream that is registered, or was and may still have flows.
@@ -143,6 +147,7 @@
             is_contended: false,
             pressure: 0,
             connection_limit: None,
+            mean_weight: None,
         });
         self.pool_by_name.insert(name.clone(), index);
         index
@@ -415,6 +420,32 @@
         changed
     }
 
+    /// Lets weights follow the loads that were measured anew. To be called after each change of loads.
+    pub fn learn_loads(&mut self, costs: &FlowCosts) {
+        for (place, pool) in self.pools.iter_mut().enumerate() {
+            let start = pool.mean_weight.unwrap_or(slot_weight(&self.config.room));
+            let turnover = costs.turnover(&self.config.costs, place as ServiceIndex);
+            let (mut weights, mut slots) = (0.0, 0.0);
+            for index in &pool.local {
+                let record = &mut self.records[*index as usize];
+                if record.weight.is_behind(&record.load) {
+                    record.weight.learn(
+                        &self.config.room,
+                        record.slots,
+                        turnover,
+                        start,
+                        &record.load,
+                    );
+                }
+                if let Some(weight) = record.weight.current(&record.load) {
+                    weights += weight;
+                    slots += f64::from(record.slots);
+                }
+            }
+            pool.mean_weight = (slots > 0.0).then_some(weights / slots);
+        }
+    }
+
     /// Replaces the reports of the other local hosts. A response counts from the time at which it was seen.
     pub fn learn_reports<'a>(
         &mut self,
@@ -526,6 +557,8 @@
             opening: 0,
             flows_elsewhere: 0,
             load: Default::default(),
+            placed: Default::default(),
+            weight: Default::default(),
             silence: Default::default(),
             answers: Default::default(),
         };
