--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -209,8 +209,9 @@
         let Some(index) = after.or(before) else {
             return;
         };
-        let service = self.upstreams.get(index).service;
-        match self.dispatch.dispatcher(service) {
+        let record = self.upstreams.get(index);
+        let dispatcher = self.dispatch.dispatcher(record.service);
+        match dispatcher.filter(|_dispatcher| record.is_local) {
             Some(dispatcher) if dispatcher == self.peers.own => {
                 self.heard_requests(now, &[event]);
             }
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -35,6 +35,7 @@
 use crate::peers::peer_table::PeerTable;
 use crate::policy_config::PolicyConfig;
 use crate::routes::route_table::RouteTable;
+use crate::selection::upstream_selection::FlowSelection;
 use crate::selection::upstream_selection::SelectionQuery;
 use crate::selection::upstream_selection::is_panic;
 use crate::selection::upstream_selection::select_upstream;
@@ -289,6 +290,7 @@
         }
         let local_hosts = self.peers.local_hosts(now) as u32;
         let room = self.load.room(now, service);
+        let leaves_for = self.spill.target(service, flow_hash).cloned();
         let query = SelectionQuery {
             now,
             service,
@@ -296,7 +298,7 @@
             tried: &copy.tried,
             local_hosts,
             room,
-            leaves_for: self.spill.target(service, flow_hash),
+            leaves_for: leaves_for.as_ref(),
         };
         let Some(mut selection) = select_upstream(&self.upstreams, query) else {
             let code = self.placement_fault(now, service);
@@ -317,9 +319,14 @@
             match self.dispatch_syn(now, syn, output) {
                 DispatchStep::Wait => return,
                 step @ (DispatchStep::Defer | DispatchStep::Refuse) => {
-                    let deferred = step == DispatchStep::Defer;
-                    self.limit_class(now, syn, deferred, output);
-                    return;
+                    let Some(overflow) = self.overflow_selection(query) else {
+                        let deferred = step == DispatchStep::Defer;
+                        self.limit_class(now, syn, deferred, output);
+                        return;
+                    };
+                    selection = overflow;
+                    syn.upstream = overflow.first;
+                    syn.is_dispatched = true;
                 }
                 DispatchStep::Place(index) => {
                     selection.first = index;
@@ -358,6 +365,18 @@
         }
     }
 
+    /// The upstreams of another zone for a new flow that finds no room in this one, if other flows leave for it.
+    fn overflow_selection(&self, query: SelectionQuery<'_>) -> Option<FlowSelection> {
+        let zone = self.spill.overflow_target(query.service, query.flow_hash)?;
+        let query = SelectionQuery {
+            leaves_for: Some(zone),
+            ..query
+        };
+        let selection = select_upstream(&self.upstreams, query)?;
+        let left = self.upstreams.get(selection.first).zone == *zone;
+        left.then_some(selection)
+    }
+
     /// Whether a late retransmission is left to its caller's next one, since no slot is free.
     fn defers_late_copy(
         &self,
--- a/packet/src/selection/zone_spill.rs
+++ b/packet/src/selection/zone_spill.rs
@@ -235,6 +235,19 @@
         share.map(|share| &share.zone)
     }
 
+    /// The zone for a new flow that finds no room in its own, drawn by the shares that leave; `None` if none does.
+    pub fn overflow_target(&self, service: ServiceIndex, flow_hash: u64) -> Option<&ZoneName> {
+        let shares = self.shares(service);
+        let sum: u64 = shares.iter().map(|share| u64::from(share.share)).sum();
+        let point = rendezvous_weight(flow_hash, SPILL_SEED).checked_rem(sum)?;
+        let mut end = 0;
+        let share = shares.iter().find(|share| {
+            end += u64::from(share.share);
+            point < end
+        });
+        share.map(|share| &share.zone)
+    }
+
     /// The shares of a service that leave, by zone.
     pub fn shares(&self, service: ServiceIndex) -> &[ZoneShare] {
         let spill = self.services.get(&service);
