dispatch: flows wait for room for a part of their latency objective; overflow goes to zones with free slots

Cause: for tens of milliseconds no upstream has room; a refused flow was asked for again at once, found the same, and its caller had soon used up its tries (trial: 2,560 of 34,582 page requests refused while another zone had free slots).

--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -15,6 +15,7 @@
 use crate::dispatch::dispatch_message::DispatchReply;
 use crate::dispatch::dispatch_message::DispatchVerdict;
 use crate::dispatch::dispatch_message::MOST_EXCLUDED;
+use crate::dispatch::dispatch_message::MOST_HOLD_MS;
 use crate::dispatch::dispatch_message::RequestEvent;
 use crate::dispatch::dispatch_policy::DispatchCandidate;
 use crate::dispatch::dispatch_policy::LimitedShare;
@@ -24,8 +25,11 @@
 use crate::dispatch::dispatch_policy::least_loaded;
 use crate::dispatch::dispatcher_choice::DispatcherChoice;
 use crate::dispatch::request_ledger::RequestLedger;
+use crate::dispatch::waiting_flows::WaitingFlow;
+use crate::dispatch::waiting_flows::WaitingFlows;
 use crate::flows::flow_table::FlowKey;
 use crate::ids::FlowDigest;
+use crate::ids::HoldMillis;
 use crate::ids::ServiceIndex;
 use crate::ids::ServiceTag;
 use crate::ids::UpstreamIndex;
@@ -49,6 +53,9 @@
 /// Time without an event after which a dispatcher starts anew.
 const EVENT_SILENCE: Duration = Duration::from_secs(1);
 
+/// A SYN waits for room for at most one part in this many of the latency objective.
+const HOLD_DIVISOR: u32 = 4;
+
 /// What a dispatcher holds, and what a host holds of dispatchers.
 #[derive(Debug, Default)]
 pub(crate) struct DispatchState {
@@ -63,8 +70,12 @@
     dispatchers: Vec<Option<SocketAddrV4>>,
     /// By service, what its dispatcher was asked for.
     demands: Vec<ServiceDemand>,
+    /// Flows that wait for room at this dispatcher.
+    waiting: WaitingFlows,
     /// Queries to send.
     queries: Vec<(SocketAddrV4, DispatchQuery)>,
+    /// Replies to send.
+    replies: Vec<(SocketAddrV4, DispatchReply)>,
 }
 
 /// What a dispatcher was asked for of late.
@@ -129,6 +140,7 @@
     /// Chooses the dispatchers of contended services anew, and expires what has lasted its time.
     pub(crate) fn tick_dispatch(&mut self, now: Instant) {
         self.dispatch.tick(now);
+        self.serve_waiting(now);
         if !self.upstreams.config().dispatch.is_enabled {
             return;
         }
@@ -171,7 +183,12 @@
         }
         let query = self.dispatch_query(syn, flow);
         if dispatcher == self.peers.own {
-            let verdict = self.dispatch_verdict(now, &query);
+            let own = self.peers.own;
+            let query = DispatchQuery {
+                hold_ms: 0,
+                ..query
+            };
+            let verdict = self.dispatch_verdict(now, own, &query);
             return self.follow_verdict(syn, verdict);
         }
         let key = FlowKey {
@@ -228,7 +245,8 @@
 
     /// Whether datagrams for dispatchers wait to be sent.
     pub fn has_dispatch_datagrams(&self) -> bool {
-        self.dispatch.client.has_events() || !self.dispatch.queries.is_empty()
+        let dispatch = &self.dispatch;
+        dispatch.client.has_events() || !dispatch.queries.is_empty() || !dispatch.replies.is_empty()
     }
 
     /// The datagrams for dispatchers.
@@ -237,7 +255,9 @@
         let events = batches.map(|(target, events)| (target, PeerDatagram::Requests(events)));
         let queries = std::mem::take(&mut self.dispatch.queries).into_iter();
         let queries = queries.map(|(target, query)| (target, PeerDatagram::Query(query)));
-        let datagrams = events.chain(queries);
+        let replies = std::mem::take(&mut self.dispatch.replies).into_iter();
+        let replies = replies.map(|(target, reply)| (target, PeerDatagram::Reply(reply)));
+        let datagrams = events.chain(queries).chain(replies);
         datagrams
             .map(|(target, datagram)| AddressedDatagram {
                 datagram,
@@ -247,6 +267,8 @@
     }
 
     /// Counts the requests that a host reports: this host dispatches for it.
+    ///
+    /// Replies that room has become free for wait in [`Self::take_dispatch_datagrams`].
     pub fn heard_requests(&mut self, now: Instant, events: &[RequestEvent]) {
         self.dispatch.heard_events(now);
         for event in events {
@@ -259,6 +281,43 @@
                 RequestEvent::Ended { flow } => self.dispatch.ledger.end(flow),
             }
         }
+        self.serve_waiting(now);
+    }
+
+    /// Replies to flows that waited: those for which there is room now, and those whose time is over.
+    pub(crate) fn serve_waiting(&mut self, now: Instant) {
+        if self.dispatch.waiting.is_empty() {
+            return;
+        }
+        for flow in self.dispatch.waiting.take_expired(now) {
+            let verdict = match self.dispatch.demand(flow.service).limited.share()
+                < self.upstreams.config().dispatch.most_deferred
+            {
+                true => DispatchVerdict::Defer,
+                false => DispatchVerdict::Refuse,
+            };
+            self.reply_later(flow.from, flow.query.flow, verdict);
+        }
+        for place in 0..self.upstreams.pools().len() {
+            let service = place as ServiceIndex;
+            while let Some(flow) = self.dispatch.waiting.next(service).cloned() {
+                let query = DispatchQuery {
+                    hold_ms: 0,
+                    ..flow.query.clone()
+                };
+                let verdict = self.dispatch_verdict(now, flow.from, &query);
+                let DispatchVerdict::Place(_) = verdict else {
+                    break;
+                };
+                self.dispatch.waiting.remove(query.flow);
+                self.reply_later(flow.from, query.flow, verdict);
+            }
+        }
+    }
+
+    fn reply_later(&mut self, target: SocketAddrV4, flow: FlowDigest, verdict: DispatchVerdict) {
+        let reply = DispatchReply { flow, verdict };
+        self.dispatch.replies.push((target, reply));
     }
 
     /// Replies to a host's query.
@@ -268,7 +327,8 @@
         from: SocketAddrV4,
         query: &DispatchQuery,
     ) -> AddressedDatagram {
-        let verdict = self.dispatch_verdict(now, query);
+        self.dispatch.waiting.remove(query.flow);
+        let verdict = self.dispatch_verdict(now, from, query);
         let flow = query.flow;
         AddressedDatagram {
             datagram: PeerDatagram::Reply(DispatchReply { flow, verdict }),
@@ -276,10 +336,16 @@
         }
     }
 
-    /// Merges a dispatcher's reply; the flow whose SYN waits for it.
-    pub fn heard_reply(&mut self, from: SocketAddrV4, reply: DispatchReply) -> Option<FlowKey> {
+    /// Merges a dispatcher's reply; the flow whose SYN waits for it, and when it is to be handed in again.
+    pub fn heard_reply(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        reply: DispatchReply,
+    ) -> Option<(FlowKey, Instant)> {
         self.dispatch.choice.replied(from);
-        self.dispatch.client.reply(from, reply.flow, reply.verdict)
+        let (flow, verdict) = (reply.flow, reply.verdict);
+        self.dispatch.client.reply(now, from, flow, verdict)
     }
 
     fn dispatch_query(&self, syn: SelectedSyn<'_>, flow: FlowDigest) -> DispatchQuery {
@@ -291,6 +357,7 @@
             service: service_tag(&self.upstreams.pool(syn.service).name),
             priority: class.map_or(RequestPriority::LEAST_URGENT, |class| class.priority),
             may_refuse: syn.head.ack == 0,
+            hold_ms: self.hold_millis(syn.head),
             excluded: tags.take(MOST_EXCLUDED).collect(),
         }
     }
@@ -309,12 +376,22 @@
             DispatchVerdict::Defer | DispatchVerdict::Refuse if syn.head.ack == 0 => {
                 DispatchStep::Refuse
             }
-            DispatchVerdict::Defer | DispatchVerdict::Refuse | DispatchVerdict::Unknown => {
-                DispatchStep::Alone
-            }
+            DispatchVerdict::Defer
+            | DispatchVerdict::Refuse
+            | DispatchVerdict::Wait
+            | DispatchVerdict::Unknown => DispatchStep::Alone,
         }
     }
 
+    /// How long a SYN may wait for room: a part of the latency objective, so that the request can still be in time.
+    fn hold_millis(&self, head: &PacketHead) -> HoldMillis {
+        let target = self.routes.target(head.service);
+        let hold = target.map_or(u128::from(MOST_HOLD_MS), |target| {
+            (target / HOLD_DIVISOR).as_millis()
+        });
+        HoldMillis::try_from(hold).map_or(MOST_HOLD_MS, |hold| hold.min(MOST_HOLD_MS))
+    }
+
     /// Whether a request can still be answered in time if its next SYN is placed.
     fn awaits_next_syn(&self, head: &PacketHead) -> bool {
         let next = SYN_AGES.get(head.ack as usize + 1);
@@ -331,7 +408,12 @@
     }
 
     /// Decides as a dispatcher.
-    fn dispatch_verdict(&mut self, now: Instant, query: &DispatchQuery) -> DispatchVerdict {
+    fn dispatch_verdict(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        query: &DispatchQuery,
+    ) -> DispatchVerdict {
         if !self.dispatch.knows_requests(now) {
             return DispatchVerdict::Unknown;
         }
@@ -356,7 +438,11 @@
             let limited = &mut self.dispatch.demand(service).limited;
             limited.record(is_limited);
             if query.may_refuse && is_limited {
-                return match limited.share() < config.most_deferred {
+                let is_lasting = limited.share() >= config.most_deferred;
+                if query.hold_ms > 0 && self.waits_for_room(now, from, service, query) {
+                    return DispatchVerdict::Wait;
+                }
+                return match !is_lasting {
                     true => DispatchVerdict::Defer,
                     false => DispatchVerdict::Refuse,
                 };
@@ -368,6 +454,26 @@
         tag.map_or(DispatchVerdict::Unknown, DispatchVerdict::Place)
     }
 
+    /// Lets a flow wait for room; false if too many wait already.
+    fn waits_for_room(
+        &mut self,
+        now: Instant,
+        from: SocketAddrV4,
+        service: ServiceIndex,
+        query: &DispatchQuery,
+    ) -> bool {
+        let local = self.upstreams.pool(service).local.iter();
+        let slots = local.map(|index| self.upstreams.get(*index).slots).sum();
+        let hold = query.hold_ms.min(MOST_HOLD_MS);
+        let flow = WaitingFlow {
+            from,
+            service,
+            query: query.clone(),
+            expires_at: now + Duration::from_millis(hold.into()),
+        };
+        self.dispatch.waiting.add(flow, slots)
+    }
+
     /// The least loaded of so many of the zone's upstreams.
     fn least_loaded(
         &self,
--- a/packet/src/dispatch/dispatch_client.rs
+++ b/packet/src/dispatch/dispatch_client.rs
@@ -8,6 +8,7 @@
 
 use crate::dispatch::dispatch_message::DispatchVerdict;
 use crate::dispatch::dispatch_message::MOST_EVENTS;
+use crate::dispatch::dispatch_message::MOST_HOLD_MS;
 use crate::dispatch::dispatch_message::RequestEvent;
 use crate::flows::flow_table::FlowKey;
 use crate::ids::FlowDigest;
@@ -75,19 +76,25 @@
         true
     }
 
-    /// Records a reply; the flow that waits for it, unless it comes from somebody else or too late.
+    /// Records a reply; the flow that waits for it, and until when it goes on waiting, unless it comes from somebody
+    /// else or too late.
     pub fn reply(
         &mut self,
+        now: Instant,
         from: SocketAddrV4,
         flow: FlowDigest,
         verdict: DispatchVerdict,
-    ) -> Option<FlowKey> {
+    ) -> Option<(FlowKey, Instant)> {
         let query = self.queries.get_mut(&flow)?;
         if query.dispatcher != from {
             return None;
         }
+        if verdict == DispatchVerdict::Wait {
+            query.expires_at = now + Duration::from_millis(MOST_HOLD_MS.into()) + REPLY_TIMEOUT;
+            return Some((query.key, query.expires_at));
+        }
         query.verdict = Some(verdict);
-        Some(query.key)
+        Some((query.key, now))
     }
 
     /// What became of a flow's query.
--- a/packet/src/dispatch/dispatch_message.rs
+++ b/packet/src/dispatch/dispatch_message.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::FlowDigest;
 use crate::ids::FlowTag;
+use crate::ids::HoldMillis;
 use crate::ids::ServiceTag;
 use crate::routes::route_config::RequestPriority;
 
@@ -14,6 +15,9 @@
 /// Most upstreams that a query excludes.
 pub const MOST_EXCLUDED: usize = 8;
 
+/// Longest time that a flow waits for room, in milliseconds: below the time after which callers send a SYN again.
+pub const MOST_HOLD_MS: HoldMillis = 150;
+
 /// A request of an open flow has gone to its upstream, or has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestEvent {
@@ -42,6 +46,8 @@
     pub priority: RequestPriority,
     /// Whether the flow may be refused: none of its SYNs has gone to an upstream.
     pub may_refuse: bool,
+    /// How long the flow may wait for room, in milliseconds; at most [`MOST_HOLD_MS`].
+    pub hold_ms: HoldMillis,
     /// Upstreams that an earlier SYN of the flow went to; at most [`MOST_EXCLUDED`].
     pub excluded: Vec<FlowTag>,
 }
@@ -60,6 +66,8 @@
 pub enum DispatchVerdict {
     /// To this upstream.
     Place(FlowTag),
+    /// Nowhere yet: it waits for room, and another reply follows.
+    Wait,
     /// Nowhere now: no upstream has room for its class, and one may have when the SYN is sent again.
     Defer,
     /// Nowhere: no upstream has room for its class.
--- a/packet/src/dispatch/mod.rs
+++ b/packet/src/dispatch/mod.rs
@@ -5,3 +5,4 @@
 pub mod dispatch_policy;
 pub mod dispatcher_choice;
 pub mod request_ledger;
+pub mod waiting_flows;
--- a/packet/src/ids.rs
+++ b/packet/src/ids.rs
@@ -38,5 +38,8 @@
 /// Short form of a flow's hash in what hosts send each other; flows that share one are counted as one.
 pub type FlowDigest = u32;
 
+/// Milliseconds that a flow may wait for room, on the wire.
+pub type HoldMillis = u16;
+
 /// Rank of a class of requests among those of its service: 0 is the most urgent.
 pub type ClassRank = u8;
--- a/packet/src/selection/zone_spill.rs
+++ b/packet/src/selection/zone_spill.rs
@@ -171,6 +171,8 @@
     /// Ordered by zone, so that every host draws alike. The sum of shares is at most that of the parameters.
     shares: Vec<ZoneShare>,
     next_step: Instant,
+    /// Zones with free slots, and how many, in parts of [`REQUEST_LOAD`]; none is 0.
+    open_zones: Vec<(ZoneName, u32)>,
     demand_pressure: u32,
     /// Moving mean of the demand, in thousandths of a request; 0 before the first step.
     mean_demand: u32,
@@ -235,17 +237,18 @@
         share.map(|share| &share.zone)
     }
 
-    /// The zone for a new flow that finds no room in its own, drawn by the shares that leave; `None` if none does.
+    /// The zone for a new flow that finds no room in its own, drawn by the free slots of other zones; `None` if none
+    /// has any.
     pub fn overflow_target(&self, service: ServiceIndex, flow_hash: u64) -> Option<&ZoneName> {
-        let shares = self.shares(service);
-        let sum: u64 = shares.iter().map(|share| u64::from(share.share)).sum();
+        let open = &self.services.get(&service)?.open_zones;
+        let sum: u64 = open.iter().map(|(_zone, free)| u64::from(*free)).sum();
         let point = rendezvous_weight(flow_hash, SPILL_SEED).checked_rem(sum)?;
         let mut end = 0;
-        let share = shares.iter().find(|share| {
-            end += u64::from(share.share);
+        let drawn = open.iter().find(|(_zone, free)| {
+            end += u64::from(*free);
             point < end
         });
-        share.map(|share| &share.zone)
+        drawn.map(|(zone, _free)| zone)
     }
 
     /// The shares of a service that leave, by zone.
@@ -291,11 +294,13 @@
                 .or_insert_with(|| ServiceSpill {
                     shares: Vec::new(),
                     next_step: now,
+                    open_zones: Vec::new(),
                     demand_pressure: 0,
                     mean_demand: 0,
                     limits: BTreeMap::new(),
                 });
             spill.update(now, &config, local, &self.zone, &zones, input.evacuated);
+            spill.open_zones = open_zones(local, &self.zone, &zones, input.evacuated);
             spill.record(&config, local, events);
         }
         self.services.retain(|index, spill| {
@@ -380,7 +385,7 @@
 impl ServiceSpill {
     /// Whether nothing leaves and nothing is remembered.
     fn is_idle(&self) -> bool {
-        self.shares.is_empty() && self.limits.is_empty()
+        self.shares.is_empty() && self.limits.is_empty() && self.open_zones.is_empty()
     }
 
     /// Updates the shares. What is excluded or exceeds its limit ends at once; all else changes by steps.
@@ -666,6 +671,27 @@
     share.clamp(0.0, f64::from(WHOLE_SHARE)) as u32
 }
 
+/// The other zones that have free slots of a service.
+fn open_zones(
+    local: &LocalLoad,
+    own_zone: &ZoneName,
+    zones: &[ZoneState],
+    evacuated: &EvacuatedZones,
+) -> Vec<(ZoneName, u32)> {
+    let usable = zones.iter().filter(|state| {
+        let responds = local.responding.contains(&state.zone);
+        state.zone != *own_zone && responds && !evacuated.contains_key(&state.zone)
+    });
+    let free = usable.filter_map(|state| {
+        let mut services = state.services.iter();
+        let entry = services.find(|entry| entry.service == local.tag)?;
+        let slots = entry.slots.saturating_mul(REQUEST_LOAD);
+        let free = slots.saturating_sub(entry.in_progress);
+        (free > 0 && entry.pressure < REQUEST_LOAD).then(|| (state.zone.clone(), free))
+    });
+    free.collect()
+}
+
 fn service_load(local: &LocalLoad) -> ZoneServiceLoad {
     ZoneServiceLoad {
         service: local.tag,
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -482,7 +482,7 @@
                 let reply = core.heard_query(now, from, &query);
                 self.send_due(place, [reply]);
             }
-            PeerDatagram::Reply(reply) => _ = core.heard_reply(from, reply),
+            PeerDatagram::Reply(reply) => _ = core.heard_reply(now, from, reply),
             PeerDatagram::ZoneLoad(report) => {
                 let reply = core.heard_zone_load(now, from, &report);
                 self.send_due(place, reply);
--- a/packet/tests/test_dispatch.rs
+++ b/packet/tests/test_dispatch.rs
@@ -358,8 +358,11 @@
     let mut client = DispatchClient::default();
     client.ask(now, flow_key(1), 7, host(9));
     let verdict = DispatchVerdict::Place(5);
-    assert_eq!(client.reply(host(8), 7, verdict), None);
-    assert_eq!(client.reply(host(9), 7, verdict), Some(flow_key(1)));
+    assert_eq!(client.reply(now, host(8), 7, verdict), None);
+    assert_eq!(
+        client.reply(now, host(9), 7, verdict),
+        Some((flow_key(1), now))
+    );
     assert_eq!(client.take(now, 7), QueryState::Replied(verdict));
 }
 
--- a/packetd/src/host_process.rs
+++ b/packetd/src/host_process.rs
@@ -87,6 +87,9 @@
             log::warn!(lost_ms = lost.as_millis() as u64; "the machine stood still");
             state.core.borrow_mut().woke_up(Instant::now());
         }
+        if state.core.borrow().has_dispatch_datagrams() {
+            state.dispatch_due.notify_one();
+        }
         for reset in state.tick() {
             send_reset(&state, &socket, &reset);
         }
--- a/packetd/src/parked_packets.rs
+++ b/packetd/src/parked_packets.rs
@@ -38,19 +38,21 @@
             due_at: now + REPLY_TIMEOUT,
         };
         let mut packets = self.packets.borrow_mut();
-        packets.push_back(packet);
-        if packets.len() == 1 {
+        let place = packets.partition_point(|other| other.due_at <= packet.due_at);
+        packets.insert(place, packet);
+        if place == 0 {
             self.changed.notify_one();
         }
     }
 
-    /// Makes a flow's packet due: its reply has come.
-    pub fn release(&self, key: FlowKey) {
+    /// Changes when a flow's packet is handed in again: a reply has come, or will come later.
+    pub fn postpone(&self, key: FlowKey, due_at: Instant) {
         let mut packets = self.packets.borrow_mut();
         let place = packets.iter().position(|packet| packet.key == key);
         if let Some(mut packet) = place.and_then(|place| packets.remove(place)) {
-            packet.due_at = Instant::now();
-            packets.push_front(packet);
+            packet.due_at = due_at;
+            let place = packets.partition_point(|other| other.due_at < due_at);
+            packets.insert(place, packet);
             self.changed.notify_one();
         }
     }
--- a/packetd/src/peer_socket.rs
+++ b/packetd/src/peer_socket.rs
@@ -95,6 +95,9 @@
         Ok(PeerDatagram::Requests(events)) => {
             let mut core = state.core.borrow_mut();
             core.heard_requests(Instant::now(), &events);
+            if core.has_dispatch_datagrams() {
+                state.dispatch_due.notify_one();
+            }
         }
         Ok(PeerDatagram::Query(query)) => {
             let mut core = state.core.borrow_mut();
@@ -103,9 +106,11 @@
             send_due(state, socket, [reply]);
         }
         Ok(PeerDatagram::Reply(reply)) => {
-            let key = state.core.borrow_mut().heard_reply(source, reply);
-            if let Some(key) = key {
-                state.parked.release(key);
+            let mut core = state.core.borrow_mut();
+            let due = core.heard_reply(Instant::now(), source, reply);
+            drop(core);
+            if let Some((key, due_at)) = due {
+                state.parked.postpone(key, due_at);
             }
         }
         Err(fault) => {
