load: tests of the exchange; priorities of other configurations; a reset takes effect with the next tick

The load exchange had no tests.

Adds tables for the meter, contention, pressure, sheds and invalid datagrams, one test for each failure of the table, fleets of 8, 30 and 300 hosts in virtual time, and properties of arbitrary datagrams. `FleetRig::with_hosts` takes more than 255 hosts. They showed two faults: after a stall the table of upstreams kept the contended mark and the loads for 250 ms, and a report whose parts do not belong together made a digest that every host rejects. A priority that no route of this host has now counts as the least urgent one.

--- a/packet/src/load/load_report.rs
+++ b/packet/src/load/load_report.rs
@@ -120,6 +120,18 @@
         Duration::from_micros(micros.checked_div(served).unwrap_or(0))
     }
 
+    /// The same with no more request time than its requests can have. Reports whose parts do not belong together give
+    /// more.
+    pub fn clamped(self, config: &LoadExchangeConfig) -> Self {
+        let most_time = config.longest_request.as_millis();
+        let most = u128::from(self.answered) * most_time / 1000;
+        let most = u64::try_from(most).unwrap_or(u64::MAX);
+        Self {
+            in_progress: self.in_progress.min(most),
+            ..self
+        }
+    }
+
     /// Whether it has no more request time than its requests can have.
     fn fits(&self, config: &LoadExchangeConfig) -> bool {
         let most_time = config.longest_request.as_millis();
--- a/packet/src/load/load_view.rs
+++ b/packet/src/load/load_view.rs
@@ -213,7 +213,7 @@
     reports: ReportStore,
     /// By sender; at most [`MOST_AGGREGATORS`].
     digests: BTreeMap<SocketAddrV4, HeardDigest>,
-    /// Whether a digest came since the last update.
+    /// Whether a digest came, or what was known was discarded, since the last update.
     has_news: bool,
     report_sequence: u64,
     digest_sequence: u64,
@@ -406,6 +406,7 @@
         self.choice.clear();
         self.reports = ReportStore::default();
         self.digests.clear();
+        self.has_news = true;
     }
 
     /// The reports and digests to send now.
--- a/packet/src/load/report_store.rs
+++ b/packet/src/load/report_store.rs
@@ -131,7 +131,7 @@
                 let (mut slots, mut listed) = (0, RequestSum::default());
                 for record in members {
                     if record.takes_flows() {
-                        slots += record.slots;
+                        slots = u32::saturating_add(slots, record.slots);
                     }
                     let held = record.tag.and_then(|tag| Some((tag, by_tag.get(&tag)?)));
                     match held {
@@ -145,7 +145,7 @@
                 digest.upstreams.sort_unstable_by_key(|(tag, rates)| {
                     (std::cmp::Reverse(rates.in_progress), *tag)
                 });
-                digest.rest = sum.requests.less(&listed).rates();
+                digest.rest = sum.requests.less(&listed).rates().clamped(config);
                 digest.pressure = slot_pressure(sum.requests.rates().in_progress, slots);
                 digest.is_contended = digest.shows_contention(config, hosts);
                 Some(digest)
--- a/packet/src/load/service_load.rs
+++ b/packet/src/load/service_load.rs
@@ -136,6 +136,9 @@
         if let Some((at, digest)) = query.digest {
             let active = digest.classes.iter();
             for (priority, _rates) in active.filter(|(_priority, rates)| rates.has_demand()) {
+                let is_known = pool.priorities.binary_search(priority).is_ok();
+                let least_urgent = pool.priorities.last().filter(|_last| !is_known);
+                let priority = least_urgent.unwrap_or(priority);
                 self.classes.record_demand(query.now, *priority, at);
             }
         }
--- a/packet/src/routes/route_table.rs
+++ b/packet/src/routes/route_table.rs
@@ -78,6 +78,9 @@
             };
             routes.insert(route.address, record);
         }
+        for (service, priorities) in priorities {
+            upstreams.set_priorities(service, priorities.into_iter().collect());
+        }
         Self { routes }
     }
 
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -25,6 +25,7 @@
 use crate::policy_config::LapseConfig;
 use crate::policy_config::PolicyConfig;
 use crate::routes::route_config::ConnectionLimit;
+use crate::routes::route_config::RequestPriority;
 use crate::upstreams::upstream_entry::EntryState;
 use crate::upstreams::upstream_entry::UpstreamEntry;
 use crate::upstreams::upstream_record::RegistrationState;
@@ -47,6 +48,8 @@
     pub warmup: Option<WarmupLimit>,
     /// Whether its load exceeds what decisions in calm are made for; see [`crate::load`].
     pub is_contended: bool,
+    /// The priorities of the routes that lead to it, ascending.
+    pub priorities: Vec<RequestPriority>,
     /// Requests in progress for each slot in this host's zone, in parts of [`crate::load::service_room::REQUEST_LOAD`],
     /// raised while upstreams shed.
     pub pressure: u32,
@@ -141,6 +144,7 @@
             evacuated: Vec::new(),
             warmup: None,
             is_contended: false,
+            priorities: Vec::new(),
             pressure: 0,
             connection_limit: None,
         });
@@ -279,6 +283,11 @@
         self.pools[service as usize].is_contended = is_contended;
     }
 
+    /// Sets the priorities of the routes that lead to a service, ascending.
+    pub fn set_priorities(&mut self, service: ServiceIndex, priorities: Vec<RequestPriority>) {
+        self.pools[service as usize].priorities = priorities;
+    }
+
     /// Sets the pressure of a service; see [`ServicePool::pressure`].
     pub fn set_pressure(&mut self, service: ServiceIndex, pressure: u32) {
         self.pools[service as usize].pressure = pressure;
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -77,7 +77,7 @@
     asking: bool,
     serving: u32,
     /// Until when its process stands still.
-    frozen_until: Option<Instant>,
+    pub(crate) frozen_until: Option<Instant>,
 }
 
 /// What happens to a host.
@@ -121,6 +121,8 @@
     pub calls: Vec<(Instant, HostPlace, StoreCall)>,
     /// Datagrams sent between hosts so far.
     pub sent: usize,
+    /// Datagrams about load sent so far: when, by whom, and their bytes.
+    pub load_sent: Vec<(Instant, HostPlace, usize)>,
     /// The settings of hosts that start from now on.
     pub warmup_tolerance: Option<WarmupTolerance>,
     seeds: Vec<SocketAddrV4>,
@@ -159,15 +161,22 @@
 impl FleetRig {
     /// A fleet none of whose hosts runs yet. Its settings name three hosts of the first zones.
     pub fn new(plan: &FleetPlan) -> Self {
+        Self::with_hosts(plan, plan.hosts_a_zone.into())
+    }
+
+    /// The same with so many hosts in each zone, which may be more than a plan can say.
+    pub fn with_hosts(plan: &FleetPlan, hosts_a_zone: u16) -> Self {
         let now = Instant::now();
         let addresses = (0..plan.zones).flat_map(|zone| {
-            (0..plan.hosts_a_zone)
-                .map(move |host| SocketAddrV4::new(Ipv4Addr::new(10, zone + 1, 0, host + 1), 7720))
+            (1..=hosts_a_zone).map(move |host| {
+                let [high, low] = host.to_be_bytes();
+                SocketAddrV4::new(Ipv4Addr::new(10, zone + 1, high, low), 7720)
+            })
         });
         let hosts: Vec<FleetHost> = addresses
             .map(|address| {
-                let [_ten, zone, _zero, number] = address.ip().octets();
-                let large = number <= plan.large_a_zone;
+                let [_ten, zone, high, low] = address.ip().octets();
+                let large = u16::from_be_bytes([high, low]) <= plan.large_a_zone.into();
                 let zone = ZoneName::from(format!("zone-{zone}"));
                 let capacity = if large { 500 } else { 120 };
                 let core = PacketCore::new(&settings(), PolicyConfig::default());
@@ -186,7 +195,7 @@
                 }
             })
             .collect();
-        let step = usize::from(plan.hosts_a_zone);
+        let step = usize::from(hosts_a_zone);
         let seeds = hosts.iter().step_by(step).take(3);
         let seeds = seeds.map(|host| host.address).collect();
         let items = vec![
@@ -198,6 +207,7 @@
             now,
             calls: Vec::new(),
             sent: 0,
+            load_sent: Vec::new(),
             warmup_tolerance: None,
             seeds,
             queue: BTreeMap::new(),
@@ -494,7 +504,9 @@
 
     fn send_due(&mut self, place: HostPlace, due: impl IntoIterator<Item = AddressedDatagram>) {
         for AddressedDatagram { datagram, targets } in due {
+            let bytes = datagram.encode().expect("a datagram is encoded").len();
             for target in targets {
+                self.load_sent.push((self.now, place, bytes));
                 self.send(place, target, datagram.clone());
             }
         }
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -3,6 +3,7 @@
 mod core_rig;
 mod fleet_rig;
 mod fleet_store;
+mod load_rig;
 mod test_allocations;
 mod test_answer_record;
 mod test_failing_upstreams;
@@ -10,6 +11,9 @@
 mod test_fleet_reading;
 mod test_flow_evidence;
 mod test_flow_load;
+mod test_load_exchange;
+mod test_load_failures;
+mod test_load_reports;
 mod test_lost_upstreams;
 mod test_moved_callers;
 mod test_names;
--- /dev/null
+++ b/packet/tests/test_load_exchange.rs
@@ -0,0 +1,506 @@
+//! Tests of the load exchange: which services are contended, which errors are sheds, and what hosts learn.
+
+use std::time::Duration;
+
+use lagoonproxy_packet::load::load_report::LoadDigest;
+use lagoonproxy_packet::load::load_report::ServiceDigest;
+use lagoonproxy_packet::load::load_report::service_tag;
+use lagoonproxy_packet::load::load_view::LoadExchangeConfig;
+use lagoonproxy_packet::load::request_meter::ClassCounts;
+use lagoonproxy_packet::load::request_meter::ClassMeters;
+use lagoonproxy_packet::load::request_meter::RequestCounts;
+use lagoonproxy_packet::load::request_meter::RequestWindow;
+use lagoonproxy_packet::load::service_room::raised_pressure;
+use lagoonproxy_packet::load::service_room::shed_share;
+use lagoonproxy_packet::load::service_room::slot_pressure;
+use lagoonproxy_packet::packet_action::DecisionEvent;
+use lagoonproxy_packet::packet_action::PacketOutput;
+use lagoonproxy_packet::routes::route_config::RequestPriority;
+use lagoonproxy_packet::upstreams::upstream_entry::UpstreamEntry;
+
+use crate::core_rig::*;
+use crate::load_rig::*;
+
+#[test]
+fn test_window_keeps_the_last_spans() {
+    let mut window = RequestWindow::default();
+    for span in 1..=6 {
+        for _request in 0..span {
+            window.add(RequestCounts::answered(Duration::from_millis(20)));
+        }
+        window.end_span();
+    }
+    let counts = window.ended_spans();
+    assert_eq!((counts.answered, counts.time), (18, 3600), "spans 3 to 6");
+    assert_eq!(
+        window.take_unsent().answered,
+        21,
+        "all since the last report"
+    );
+    assert_eq!(window.take_unsent().answered, 0, "each request once");
+}
+
+#[test]
+fn test_classes_beyond_the_limit_count_as_least_urgent() {
+    let mut meters = ClassMeters::default();
+    let now = std::time::Instant::now();
+    let one = ClassCounts {
+        asked: 1,
+        ..ClassCounts::default()
+    };
+    for priority in [9, 3, 7, 5, 8, 1, 3, 20] {
+        meters.count(now, RequestPriority(priority), &one);
+    }
+    let held = meters.meters().iter();
+    let held: Vec<(u32, u64)> = held
+        .map(|meter| (meter.priority.0, meter.totals.asked))
+        .collect();
+    assert_eq!(held, [(1, 1), (3, 2), (5, 1), (7, 4)]);
+}
+
+#[test]
+fn test_pressure() {
+    struct PressureCase {
+        name: &'static str,
+        in_progress: u64,
+        slots: u32,
+        shed: u64,
+        arrivals: u64,
+        pressure: u32,
+    }
+    let case = |name, in_progress, slots, shed, arrivals, pressure| PressureCase {
+        name,
+        in_progress,
+        slots,
+        shed,
+        arrivals,
+        pressure,
+    };
+    let cases = [
+        case("no slots", 5000, 0, 0, 10, 0),
+        case("half full", 5000, 10, 0, 10, 500),
+        case("full", 10_000, 10, 0, 10, 1000),
+        case("3 % shed", 5000, 10, 3, 100, 500),
+        case("4 % shed", 5000, 10, 4, 100, 2800),
+        case("a fifth shed", 5000, 10, 20, 100, 6000),
+        case("queues longer than the minimum", 90_000, 10, 20, 100, 9000),
+        case("more sheds than arrivals", 5000, 10, 200, 100, 22_000),
+        case("no arrivals", 0, 10, 0, 0, 0),
+        case("absurd", u64::MAX, 1, 0, 0, u32::MAX),
+    ];
+    for case in cases {
+        let config = LoadExchangeConfig::default();
+        let plain = slot_pressure(case.in_progress, case.slots);
+        let pressure = raised_pressure(&config, plain, shed_share(case.shed, case.arrivals));
+        assert_eq!(pressure, case.pressure, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_interval_grows_with_large_zones() {
+    let config = LoadExchangeConfig::default();
+    let cases = [
+        (1, 250),
+        (24, 250),
+        (25, 250),
+        (30, 300),
+        (48, 480),
+        (300, 1000),
+    ];
+    for (hosts, millis) in cases {
+        assert_eq!(config.interval(hosts).as_millis(), millis, "{hosts} hosts");
+    }
+}
+
+/// What makes a service of two upstreams with 2 slots each contended on a host.
+#[test]
+fn test_contention_conditions() {
+    struct ContentionCase {
+        name: &'static str,
+        /// Flows with half a request in progress each.
+        flows: u16,
+        peers: u8,
+        short_errors: usize,
+        contended: bool,
+    }
+    let case = |name, flows, peers, short_errors, contended| ContentionCase {
+        name,
+        flows,
+        peers,
+        short_errors,
+        contended,
+    };
+    let cases = [
+        case("no demand", 0, 0, 0, false),
+        case("half of the slots", 4, 0, 0, false),
+        case("more than 0.75 of the slots", 8, 0, 0, true),
+        case("the same load through each of four hosts", 2, 3, 0, true),
+        case("less than that through each of four hosts", 1, 3, 0, false),
+        case("two short errors and half of the slots", 4, 0, 2, true),
+        case("one short error and half of the slots", 4, 0, 1, false),
+        case(
+            "two short errors and a quarter of the slots",
+            2,
+            0,
+            2,
+            false,
+        ),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1, 2]);
+        hear_peers(&mut rig, case.peers);
+        let mut flows = flows_to(&[case.flows / 2, case.flows.div_ceil(2)]);
+        work(&mut rig, &mut flows, 1600);
+        for flow in flows.iter_mut().take(case.short_errors) {
+            let heads = [flow.request(), flow.response(ERROR_BYTES), flow.request()];
+            for head in heads {
+                rig.packet(&head);
+            }
+            rig.packet(&flow.response(USUAL_BYTES));
+        }
+        work(&mut rig, &mut flows, 400);
+        assert_eq!(is_contended(&rig), case.contended, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_contention_ends_after_three_seconds() {
+    let mut rig = CoreRig::with_ledger(&[1]);
+    let mut flows = flows_to(&[8]);
+    work(&mut rig, &mut flows, 2000);
+    assert!(is_contended(&rig));
+    rig.pass(2900);
+    assert!(is_contended(&rig), "2.9 s after the last request");
+    rig.pass(2000);
+    assert!(
+        !is_contended(&rig),
+        "the load of the last second is over since 3 s"
+    );
+    let record = rig.core.upstreams().records().next().expect("one upstream");
+    assert_eq!(
+        record.load,
+        Default::default(),
+        "calm decisions see no load"
+    );
+    let changes = rig.events.iter().filter_map(|event| match event {
+        DecisionEvent::Contention { contended, .. } => Some(*contended),
+        _ => None,
+    });
+    assert_eq!(
+        changes.collect::<Vec<bool>>(),
+        [true, false],
+        "logged once each"
+    );
+}
+
+/// Guards against a dead upstream that makes its service look contended: requests that waited for it until
+/// another host answered add 500 ms at most.
+#[test]
+fn test_long_waits_are_no_load() {
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    let mut flows = flows_to(&[1, 1]);
+    for _round in 0..3 {
+        work_with(&mut rig, &mut flows, 3020, 3000, USUAL_BYTES);
+        assert!(!is_contended(&rig));
+    }
+}
+
+/// Guards against contention of a service that this zone cannot relieve: it has no upstream in the zone.
+#[test]
+fn test_service_without_local_upstreams_is_never_contended() {
+    let away = UpstreamEntry {
+        zone: "b".into(),
+        ..entry(1, "ledger")
+    };
+    let mut rig = CoreRig::with_entries(vec![away]);
+    let mut flows = flows_to(&[12]);
+    work(&mut rig, &mut flows, 2000);
+    assert!(!is_contended(&rig));
+    rig.core
+        .heard_digest(rig.now, peer(0), &digest(1, true, 5000));
+    rig.pass(300);
+    assert!(!is_contended(&rig), "not by a digest either");
+}
+
+/// A digest of the ledger from so many hosts.
+fn digest(reporters: u32, is_contended: bool, pressure: u32) -> LoadDigest {
+    LoadDigest {
+        sequence: 1,
+        reporters,
+        services: vec![ServiceDigest {
+            service: service_tag(&"ledger".into()),
+            reporters,
+            is_contended,
+            pressure,
+            ..ServiceDigest::default()
+        }],
+    }
+}
+
+#[test]
+fn test_contention_by_digest() {
+    struct DigestCase {
+        name: &'static str,
+        digest: LoadDigest,
+        wait: u64,
+        contended: bool,
+        pressure: u32,
+    }
+    let case = |name, digest, wait, contended, pressure| DigestCase {
+        name,
+        digest,
+        wait,
+        contended,
+        pressure,
+    };
+    let cases = [
+        case("marked", digest(8, true, 900), 200, true, 900),
+        case("not marked", digest(8, false, 700), 200, false, 700),
+        case(
+            "from half of the hosts",
+            digest(4, true, 900),
+            200,
+            true,
+            1800,
+        ),
+        case("from one host of eight", digest(1, true, 900), 200, true, 0),
+        case("older than a second", digest(8, true, 900), 1500, true, 0),
+        case(
+            "over since three seconds",
+            digest(8, true, 900),
+            5000,
+            false,
+            0,
+        ),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1, 2]);
+        hear_peers(&mut rig, 7);
+        rig.pass(300);
+        rig.core.heard_digest(rig.now, peer(0), &case.digest);
+        rig.pass(case.wait);
+        let room = rig.core.load().room(rig.now, 0);
+        let found = (room.is_contended, room.pressure);
+        assert_eq!(found, (case.contended, case.pressure), "{}", case.name);
+    }
+}
+
+/// Guards against sheds that eject busy upstreams, and against failures that pass for sheds: upstream 1 fails each
+/// request of four of its flows by short errors.
+#[test]
+fn test_sheds_and_failures() {
+    struct ShedCase {
+        name: &'static str,
+        /// Flows to upstream 1 and to upstream 2, which has the same slots.
+        flows: [u16; 2],
+        /// Milliseconds until the short errors.
+        took: u64,
+        bytes: u32,
+        is_shed: bool,
+        is_failing: bool,
+    }
+    let case = |name, flows, took, bytes, is_shed, is_failing| ShedCase {
+        name,
+        flows,
+        took,
+        bytes,
+        is_shed,
+        is_failing,
+    };
+    let cases = [
+        case("in calm", [2, 0], 5, ERROR_BYTES, false, true),
+        case("full upstream", [7, 0], 5, ERROR_BYTES, true, false),
+        case("full service", [2, 12], 5, ERROR_BYTES, true, false),
+        case(
+            "late error of a full service",
+            [2, 12],
+            20,
+            ERROR_BYTES,
+            false,
+            true,
+        ),
+        case("usual size", [2, 12], 5, USUAL_BYTES, false, false),
+        case(
+            "free upstream of a contended service",
+            [1, 6],
+            5,
+            ERROR_BYTES,
+            false,
+            true,
+        ),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1, 2]);
+        let mut flows = flows_to(&case.flows);
+        work(&mut rig, &mut flows, 2000);
+        let mut failing: Vec<LoadFlow> = (900..904)
+            .map(|number| LoadFlow::new(number, 1, 0))
+            .collect();
+        for _turn in 0..20 {
+            for flow in &mut failing {
+                rig.packet(&flow.request());
+            }
+            rig.pass(case.took);
+            for flow in &mut failing {
+                rig.packet(&flow.response(case.bytes));
+            }
+            work(&mut rig, &mut flows, 40);
+        }
+        let status = rig.core.load().status(rig.now, 0).expect("known");
+        let record = rig.core.upstreams().get(0);
+        let failures = rig.core.evidence().failures();
+        assert_eq!(status.sheds > 0, case.is_shed, "{}", case.name);
+        assert_eq!(
+            record.answers.is_failing(),
+            case.is_failing,
+            "{}",
+            case.name
+        );
+        assert_eq!(failures > 0, case.is_failing, "{}", case.name);
+    }
+}
+
+/// Guards against a share of sheds so high that the mean size of responses falls until sheds pass for responses.
+#[test]
+fn test_sheds_do_not_become_the_usual_size() {
+    let mut rig = CoreRig::with_ledger(&[1]);
+    let mut flows = flows_to(&[8]);
+    work(&mut rig, &mut flows, 2000);
+    work_with(&mut rig, &mut flows, 2000, 5, ERROR_BYTES);
+    let sheds = rig.core.load().status(rig.now, 0).expect("known").sheds;
+    assert!(sheds >= 8 * 78, "{sheds} of 640");
+}
+
+/// Ranks count only classes with recent demand.
+#[test]
+fn test_active_classes() {
+    let mut rig = CoreRig::with_ledger(&[1]);
+    let mut config = usual_routes(2);
+    config.routes[0].priority = RequestPriority(4);
+    let mut urgent = config.routes[0].clone();
+    urgent.address = certs();
+    urgent.priority = RequestPriority(1);
+    config.routes[1] = urgent;
+    rig.publish(|revision| routes_item(revision, config));
+    rig.pass(300);
+    let class = lagoonproxy_packet::routes::route_table::RequestClass {
+        rank: 1,
+        classes: 2,
+        priority: RequestPriority(4),
+    };
+    let active = |rig: &CoreRig| {
+        let class = rig.core.load().active_class(rig.now, 0, class);
+        (class.rank, class.classes)
+    };
+    rig.open(1, 0);
+    assert_eq!(active(&rig), (0, 1), "nobody uses the urgent route");
+    let mut head = open_head(2, 0);
+    head.service = certs();
+    rig.packet(&head);
+    assert_eq!(active(&rig), (1, 2), "somebody does");
+    rig.pass(3100);
+    assert_eq!(active(&rig), (0, 1), "nobody did for 3 s");
+}
+
+/// Guards against packets whose cost depends on the heap while a service is contended.
+#[test]
+fn test_packets_of_open_flows_allocate_nothing_while_contended() {
+    let mut rig = CoreRig::with_ledger(&[1]);
+    let mut flows = flows_to(&[20]);
+    work(&mut rig, &mut flows, 2000);
+    assert!(is_contended(&rig));
+    let mut output = PacketOutput::default();
+    let mut allocations = 0;
+    for (turn, bytes) in [USUAL_BYTES, ERROR_BYTES, USUAL_BYTES]
+        .into_iter()
+        .enumerate()
+    {
+        let heads: Vec<_> = flows
+            .iter_mut()
+            .flat_map(|flow| [flow.request(), flow.response(bytes)])
+            .collect();
+        let counted = allocation_counter::measure(|| {
+            for head in &heads {
+                output.clear();
+                rig.core.packet(rig.now, head, &mut output);
+            }
+        });
+        allocations += counted.count_total * u64::from(turn > 0);
+    }
+    assert_eq!(allocations, 0, "once the output has its room");
+    let status = rig.core.load().status(rig.now, 0).expect("known");
+    assert_eq!(status.sheds, 20, "sheds are among them");
+}
+
+/// Guards against load that hosts derive from their few flows: each host of a zone knows the load of each upstream
+/// within 10 % of the truth, which is half a request for each flow.
+#[test]
+fn test_every_host_knows_the_load_of_the_zone() {
+    for hosts in [8, 30] {
+        let counts = [2, 4, 6, 8, 10, 12, 14, 16, 18, 20];
+        let mut fleet = LoadFleet::new(hosts, &counts);
+        fleet.work(4000);
+        assert_eq!(fleet.contended_hosts(), usize::from(hosts), "{hosts} hosts");
+        for host in 0..usize::from(hosts) {
+            let (reporters, age) = fleet.view(host);
+            assert!(reporters + 1 >= u32::from(hosts), "{reporters} of {hosts}");
+            assert!(age < Duration::from_secs(1), "{hosts} hosts: {age:?}");
+            for (known, flows) in fleet.loads(host).into_iter().zip(counts) {
+                let truth = 500 * u32::from(flows);
+                let off = known.abs_diff(truth);
+                assert!(
+                    off * 10 <= truth,
+                    "{hosts} hosts: {known} instead of {truth}"
+                );
+            }
+        }
+        assert_eq!(fleet.aggregators().len(), 1, "{hosts} hosts");
+        let longest = fleet.rig.load_sent.iter().map(|(_at, _host, bytes)| *bytes);
+        assert!(longest.max().expect("some were sent") <= 1400);
+    }
+}
+
+/// At the size aimed at the exchange works with an interval of a second.
+#[test]
+fn test_exchange_of_a_large_zone() {
+    let counts = [40; 20];
+    let mut fleet = LoadFleet::new(300, &counts);
+    fleet.rig.pass(26_000);
+    fleet.work(5000);
+    assert_eq!(fleet.contended_hosts(), 300);
+    let (reporters, _age) = fleet.view(299);
+    assert!(reporters >= 270, "{reporters}");
+    let since = fleet.rig.now - Duration::from_secs(2);
+    let recent = fleet
+        .rig
+        .load_sent
+        .iter()
+        .filter(|(at, _host, _bytes)| *at > since);
+    let mut by_host = std::collections::BTreeMap::new();
+    for (_at, host, bytes) in recent {
+        *by_host.entry(*host).or_insert(0) += bytes / 2;
+    }
+    let aggregators = fleet.aggregators();
+    println!(
+        "bytes a second of the aggregators {aggregators:?}: {:?}",
+        by_host.get(&aggregators[0])
+    );
+    // Hosts of a zone this large may differ in who is alive.
+    assert!(aggregators.len() <= 2);
+    for (host, bytes) in by_host {
+        assert!(
+            bytes <= 25_000 || aggregators.contains(&host),
+            "host {host}: {bytes}"
+        );
+    }
+}
+
+/// Guards against traffic in calm: flows with little load cause no datagram about load.
+#[test]
+fn test_nothing_is_sent_in_calm() {
+    let mut fleet = LoadFleet::new(8, &[1; 20]);
+    fleet.rig.hosts[0].core.due_load_datagrams(fleet.rig.now);
+    fleet.work(3000);
+    assert_eq!(fleet.contended_hosts(), 0);
+    assert!(fleet.rig.load_sent.is_empty());
+}
--- /dev/null
+++ b/packet/tests/test_load_failures.rs
@@ -0,0 +1,495 @@
+//! Tests of the load exchange under failures, one each.
+
+use std::time::Duration;
+
+use lagoonproxy_packet::load::load_report::LoadDigest;
+use lagoonproxy_packet::load::load_report::LoadReport;
+use lagoonproxy_packet::load::load_report::RequestRates;
+use lagoonproxy_packet::load::load_report::ServiceDigest;
+use lagoonproxy_packet::load::load_report::ServiceReport;
+use lagoonproxy_packet::load::load_report::service_tag;
+use lagoonproxy_packet::load::load_view::LoadExchangeConfig;
+use lagoonproxy_packet::load::report_store::ReportStore;
+use lagoonproxy_packet::load::request_meter::ClassCounts;
+use lagoonproxy_packet::load::request_meter::RequestCounts;
+use lagoonproxy_packet::packet_action::DecisionEvent;
+use lagoonproxy_packet::peers::peer_datagram::PeerDatagram;
+use lagoonproxy_packet::routes::route_config::RequestPriority;
+use lagoonproxy_packet::routes::route_table::RequestClass;
+
+use crate::core_rig::*;
+use crate::load_rig::*;
+
+/// Flows to four upstreams with two slots each: a pressure of 1.5.
+const LOADED: [u16; 4] = [6; 4];
+
+/// A loaded zone of eight hosts, and its aggregator.
+fn loaded_zone() -> (LoadFleet, usize) {
+    let mut fleet = LoadFleet::new(8, &LOADED);
+    fleet.work(3000);
+    assert_eq!(fleet.contended_hosts(), 8);
+    let aggregators = fleet.aggregators();
+    assert_eq!(aggregators.len(), 1);
+    (fleet, aggregators[0])
+}
+
+/// Moves a host's flows to its neighbours, as the fabric does.
+fn move_flows(fleet: &mut LoadFleet, host: usize) {
+    for (flow, step) in fleet.flows.iter_mut().zip((1..8).cycle()) {
+        if flow.host == host {
+            flow.host = (host + step) % 8;
+        }
+    }
+}
+
+/// Lets the flows work until hosts had the time to replace the aggregator; no host's view may be older than a digest
+/// is used, and the time between two updates.
+fn work_until_replaced(fleet: &mut LoadFleet, lost: usize) {
+    for _step in 0..25 {
+        fleet.work(100);
+        for host in (0..8).filter(|host| *host != lost) {
+            let (_reporters, age) = fleet.view(host);
+            assert!(age <= Duration::from_millis(1300), "host {host}: {age:?}");
+        }
+    }
+    assert!(fleet.contended_hosts() >= 7);
+    assert!(fleet.aggregators().iter().any(|host| *host != lost));
+    for host in (0..8).filter(|host| *host != lost) {
+        let (reporters, age) = fleet.view(host);
+        assert!(reporters >= 7, "host {host}: {reporters}");
+        assert!(age <= Duration::from_millis(700), "host {host}: {age:?}");
+    }
+}
+
+/// Guards against hosts that go on with an old digest, or without any, after the aggregator has died.
+#[test]
+fn test_aggregator_that_dies_is_replaced() {
+    let (mut fleet, aggregator) = loaded_zone();
+    fleet.rig.kill(aggregator);
+    move_flows(&mut fleet, aggregator);
+    work_until_replaced(&mut fleet, aggregator);
+}
+
+/// Guards against a frozen aggregator that is waited for, and one that spoils the exchange when it goes on.
+#[test]
+fn test_aggregator_that_freezes_is_replaced() {
+    let (mut fleet, aggregator) = loaded_zone();
+    fleet.rig.freeze(aggregator, Duration::from_secs(3));
+    move_flows(&mut fleet, aggregator);
+    work_until_replaced(&mut fleet, aggregator);
+    fleet.work(3000);
+    for host in 0..8 {
+        let (reporters, age) = fleet.view(host);
+        assert!(reporters >= 7, "host {host}: {reporters}");
+        assert!(age <= Duration::from_millis(700), "host {host}: {age:?}");
+    }
+}
+
+/// Guards against hosts that wait for an aggregator that none of them reaches, and against a host alone that uses what
+/// it heard before it was cut off.
+#[test]
+fn test_aggregator_that_is_cut_off_is_replaced() {
+    let (mut fleet, aggregator) = loaded_zone();
+    fleet.rig.part([aggregator]);
+    work_until_replaced(&mut fleet, aggregator);
+    let (reporters, age) = fleet.view(aggregator);
+    assert_eq!(reporters, 1, "it uses its own counts");
+    assert!(age <= Duration::from_millis(700), "{age:?}");
+}
+
+/// Guards against a loss of other zones that changes the exchange within this one.
+#[test]
+fn test_zone_that_is_cut_off_goes_on() {
+    let mut fleet = LoadFleet::with_zones(2, 8, &LOADED);
+    fleet.rig.part(8..16);
+    fleet.work(4000);
+    for host in 0..8 {
+        assert_eq!(fleet.view(host).0, 8, "host {host}");
+    }
+    assert_eq!(fleet.contended_hosts(), 8, "of this zone");
+}
+
+/// Guards against a view of half the zone while two hosts are taken for the aggregator.
+#[test]
+fn test_digest_with_more_reporters_is_used() {
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    hear_peers(&mut rig, 7);
+    rig.pass(300);
+    let mut smaller = ledger_digest(1, 3, 900);
+    rig.core
+        .heard_digest(rig.now, peer(0), &ledger_digest(1, 5, 800));
+    rig.pass(100);
+    rig.core.heard_digest(rig.now, peer(1), &smaller);
+    rig.pass(300);
+    assert_eq!(rig.core.load().room(rig.now, 0).pressure, 800 * 8 / 5);
+    rig.pass(500);
+    smaller.sequence = 2;
+    rig.core.heard_digest(rig.now, peer(1), &smaller);
+    rig.pass(300);
+    let pressure = rig.core.load().room(rig.now, 0).pressure;
+    assert_eq!(pressure, 900 * 8 / 3, "the other is older than a second");
+}
+
+/// Guards against a host that takes part in the exchange only late after its start.
+#[test]
+fn test_host_that_has_just_started_learns_the_load() {
+    let (mut fleet, aggregator) = loaded_zone();
+    let host = (aggregator + 1) % 8;
+    fleet.rig.kill(host);
+    fleet.work(200);
+    fleet.rig.start(host, Duration::ZERO);
+    fleet.work(1500);
+    assert_eq!(fleet.contended_hosts(), 8);
+    let (reporters, age) = fleet.view(host);
+    assert!(reporters >= 7, "{reporters}");
+    assert!(age <= Duration::from_millis(700), "{age:?}");
+}
+
+/// Guards against decisions by what a host knew before it was frozen, and against reports that other hosts ignore
+/// because their numbers begin anew.
+#[test]
+fn test_host_that_was_frozen_begins_anew() {
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    hear_peers(&mut rig, 3);
+    let mut flows = flows_to(&[6, 6]);
+    work(&mut rig, &mut flows, 2000);
+    rig.core
+        .heard_digest(rig.now, peer(0), &ledger_digest(9, 4, 2000));
+    rig.pass(300);
+    let before = digest_sequence(&mut rig);
+    assert!(is_contended(&rig));
+    rig.now += Duration::from_secs(2);
+    rig.pass(300);
+    let room = rig.core.load().room(rig.now, 0);
+    assert!(!room.is_contended);
+    assert_eq!(room.pressure, 0);
+    let records = rig.core.upstreams().records();
+    assert!(
+        records
+            .map(|record| record.load)
+            .all(|load| load == Default::default())
+    );
+    work(&mut rig, &mut flows, 2000);
+    assert!(is_contended(&rig), "from what it sees now");
+    assert!(digest_sequence(&mut rig) > before);
+}
+
+/// The number of the next digest of a host that aggregates.
+fn digest_sequence(rig: &mut CoreRig) -> u64 {
+    hear_peers(rig, 3);
+    let sent = sent_within(rig, 500);
+    let digests = sent.iter().filter_map(|sent| match &sent.datagram {
+        PeerDatagram::Digest(digest) => Some(digest.sequence),
+        _ => None,
+    });
+    digests.max().expect("it aggregates")
+}
+
+/// Guards against requests that count twice, or against a loss that looks like less load.
+#[test]
+fn test_reports_that_are_lost_repeated_or_reordered() {
+    struct ArrivalCase {
+        name: &'static str,
+        /// Numbers of the reports in the order in which they come.
+        arrivals: &'static [u64],
+        answered: u64,
+    }
+    let case = |name, arrivals, answered| ArrivalCase {
+        name,
+        arrivals,
+        answered,
+    };
+    let cases = [
+        case("all", &[1, 2, 3, 4], 40_000),
+        case("lost", &[1, 4], 40_000),
+        case("repeated", &[1, 2, 2, 2, 3, 4], 40_000),
+        case("reordered", &[1, 3, 2, 4], 40_000),
+        case("none", &[], 0),
+    ];
+    let rig = CoreRig::with_ledger(&[1]);
+    let config = LoadExchangeConfig::default();
+    for case in cases {
+        let mut store = ReportStore::default();
+        for sequence in case.arrivals {
+            store.insert(rig.now, peer(0), &ledger_report(*sequence, 10, 2000));
+        }
+        let digest = store.digest(&config, 1, 1, rig.core.upstreams());
+        let answered: u64 = digest
+            .services
+            .iter()
+            .map(|service| service.rest.answered)
+            .sum();
+        assert_eq!(answered, case.answered, "{}", case.name);
+    }
+}
+
+/// Guards against old digests that replace newer ones.
+#[test]
+fn test_digests_that_are_repeated_or_reordered() {
+    let mut rig = CoreRig::with_ledger(&[1]);
+    rig.pass(300);
+    rig.core
+        .heard_digest(rig.now, peer(0), &ledger_digest(2, 1, 600));
+    rig.pass(500);
+    rig.core
+        .heard_digest(rig.now, peer(0), &ledger_digest(1, 1, 500));
+    rig.core
+        .heard_digest(rig.now, peer(0), &ledger_digest(2, 1, 400));
+    rig.pass(100);
+    assert_eq!(rig.core.load().room(rig.now, 0).pressure, 600);
+    rig.pass(500);
+    assert_eq!(
+        rig.core.load().room(rig.now, 0).pressure,
+        0,
+        "a second after the first of them"
+    );
+}
+
+/// Guards against a host with wrong counts that spoils the view of its zone.
+#[test]
+fn test_absurd_reports_are_rejected() {
+    struct ReportCase {
+        name: &'static str,
+        report: LoadReport,
+        valid: bool,
+    }
+    let changed = |change: fn(&mut LoadReport)| {
+        let mut report = ledger_report(1, 10, 2000);
+        change(&mut report);
+        report
+    };
+    let case = |name, change: fn(&mut LoadReport), valid| ReportCase {
+        name,
+        report: changed(change),
+        valid,
+    };
+    let cases = [
+        case("usual", |_report| {}, true),
+        case("no time covered", |report| report.span = 0, false),
+        case("a day covered", |report| report.span = 86_400_000, false),
+        case(
+            "500 ms a request",
+            |report| requests(report).time = 50_000,
+            true,
+        ),
+        case(
+            "501 ms a request",
+            |report| requests(report).time = 50_100,
+            false,
+        ),
+        case(
+            "time without requests",
+            |report| requests(report).answered = 0,
+            false,
+        ),
+        case(
+            "65,000 requests in progress",
+            |report| set_requests(report, 162_500_000, 32_500),
+            true,
+        ),
+        case(
+            "66,000 requests in progress",
+            |report| set_requests(report, 165_000_000, 33_000),
+            false,
+        ),
+        case(
+            "an upstream with more than its service",
+            |report| {
+                let requests = report.services[0].requests;
+                report.services[0].upstreams = vec![(1, requests), (2, requests)];
+            },
+            false,
+        ),
+        case(
+            "an upstream with absurd times",
+            |report| {
+                let counts = RequestCounts {
+                    time: 2000,
+                    ..RequestCounts::default()
+                };
+                report.services[0].upstreams = vec![(1, counts)];
+            },
+            false,
+        ),
+        case(
+            "too many upstreams",
+            |report| report.services[0].upstreams = vec![Default::default(); 111],
+            false,
+        ),
+        case(
+            "too many classes",
+            |report| {
+                let class = (RequestPriority(1), ClassCounts::default());
+                report.services[0].classes = vec![class; 5];
+            },
+            false,
+        ),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1]);
+        rig.core.heard_load(rig.now, peer(0), &case.report);
+        rig.pass(100);
+        let reports = rejected(&rig);
+        assert_eq!(reports, usize::from(!case.valid), "{}", case.name);
+        assert_eq!(rig.core.load().is_aggregator(), case.valid, "{}", case.name);
+        assert_eq!(
+            rig.core.load().rejections(),
+            u64::from(!case.valid),
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// Guards against an aggregator with wrong sums that makes a whole zone refuse callers.
+#[test]
+fn test_absurd_digests_are_rejected() {
+    struct DigestCase {
+        name: &'static str,
+        change: fn(&mut LoadDigest),
+        valid: bool,
+    }
+    let case = |name, change, valid| DigestCase {
+        name,
+        change,
+        valid,
+    };
+    let cases = [
+        case("usual", |_digest| {}, true),
+        case("nobody reported", |digest| digest.reporters = 0, false),
+        case(
+            "a million reported",
+            |digest| digest.reporters = 1_000_000,
+            false,
+        ),
+        case(
+            "a service with more reporters than hosts",
+            |digest| digest.services[0].reporters = 9,
+            false,
+        ),
+        case(
+            "66,000 requests in progress",
+            |digest| digest.services[0].rest = rates(66_000_000, 132_000_000),
+            false,
+        ),
+        case(
+            "65,000 requests in progress",
+            |digest| digest.services[0].rest = rates(65_000_000, 130_000_000),
+            true,
+        ),
+        case(
+            "over 500 ms a request",
+            |digest| digest.services[0].upstreams = vec![(1, rates(5010, 10_000))],
+            false,
+        ),
+        case(
+            "more sheds than arrivals",
+            |digest| digest.services[0].shed_share = 1001,
+            false,
+        ),
+        case(
+            "absurd pressure",
+            |digest| digest.services[0].pressure = u32::MAX,
+            false,
+        ),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1]);
+        let mut digest = ledger_digest(1, 4, 900);
+        (case.change)(&mut digest);
+        rig.core.heard_digest(rig.now, peer(0), &digest);
+        rig.pass(300);
+        assert_eq!(rejected(&rig), usize::from(!case.valid), "{}", case.name);
+        assert_eq!(is_contended(&rig), case.valid, "{}", case.name);
+    }
+}
+
+/// Guards against hosts with another configuration that demote the classes of this one: priorities that no route of this host
+/// has count as the least urgent.
+#[test]
+fn test_priorities_of_another_configuration() {
+    let mut rig = CoreRig::with_ledger(&[1]);
+    let mut config = usual_routes(2);
+    config.routes[0].priority = RequestPriority(4);
+    let mut other = config.routes[0].clone();
+    other.address = certs();
+    other.priority = RequestPriority(8);
+    config.routes[1] = other;
+    rig.publish(|revision| routes_item(revision, config));
+    rig.pass(300);
+    rig.open(1, 0);
+    let mut digest = ledger_digest(1, 1, 900);
+    let asked = ClassCounts {
+        asked: 5,
+        ..ClassCounts::default()
+    };
+    digest.services[0].classes = vec![(RequestPriority(1), asked), (RequestPriority(2), asked)];
+    rig.core.heard_digest(rig.now, peer(0), &digest);
+    rig.pass(100);
+    let class = |rank, priority| RequestClass {
+        rank,
+        classes: 2,
+        priority: RequestPriority(priority),
+    };
+    let load = rig.core.load();
+    assert_eq!(load.active_class(rig.now, 0, class(0, 4)), class(0, 4));
+    assert_eq!(load.active_class(rig.now, 0, class(1, 8)), class(1, 8));
+}
+
+fn ledger_report(sequence: u64, answered: u32, time: u32) -> LoadReport {
+    let requests = RequestCounts {
+        time,
+        answered,
+        shed: 0,
+    };
+    LoadReport {
+        sequence,
+        span: 250,
+        services: vec![ServiceReport {
+            service: service_tag(&"ledger".into()),
+            requests,
+            ..ServiceReport::default()
+        }],
+    }
+}
+
+fn ledger_digest(sequence: u64, reporters: u32, pressure: u32) -> LoadDigest {
+    LoadDigest {
+        sequence,
+        reporters,
+        services: vec![ServiceDigest {
+            service: service_tag(&"ledger".into()),
+            reporters,
+            is_contended: true,
+            pressure,
+            ..ServiceDigest::default()
+        }],
+    }
+}
+
+fn rates(in_progress: u64, answered: u64) -> RequestRates {
+    RequestRates {
+        in_progress,
+        answered,
+        shed: 0,
+    }
+}
+
+fn requests(report: &mut LoadReport) -> &mut RequestCounts {
+    &mut report.services[0].requests
+}
+
+fn set_requests(report: &mut LoadReport, time: u32, answered: u32) {
+    let requests = requests(report);
+    requests.time = time;
+    requests.answered = answered;
+}
+
+fn rejected(rig: &CoreRig) -> usize {
+    let events = rig.events.iter();
+    events
+        .filter(
+            |event| matches!(event, DecisionEvent::LoadRejected { peer: from } if *from == peer(0)),
+        )
+        .count()
+}
