--- a/packet/src/load/load_view.rs
+++ b/packet/src/load/load_view.rs
@@ -467,9 +467,8 @@
 
     /// The digest in use: of those that are fresh, the one with the most reporters, and the latest of equals.
     pub fn digest(&self) -> Option<(Instant, &LoadDigest)> {
-        let digests = self.digests.values();
-        let best = digests.max_by_key(|heard| (heard.digest.reporters, heard.heard));
-        best.map(|heard| (heard.heard, &heard.digest))
+        let heard = best_digest(&self.digests)?;
+        Some((heard.heard, &heard.digest))
     }
 
     fn reject(&mut self, from: SocketAddrV4) {
@@ -521,10 +520,7 @@
         // Fewer counts than of a second say little, and are taken as those of a second.
         let span = self.spans.iter().sum::<Duration>().max(COUNT_SPAN * 4);
         let measured_at = self.span_start.unwrap_or(now);
-        let best = self
-            .digests
-            .values()
-            .max_by_key(|heard| (heard.digest.reporters, heard.heard));
+        let best = best_digest(&self.digests);
         for (place, load) in self.services.iter_mut().enumerate() {
             let service = place as ServiceIndex;
             let digest =
@@ -626,6 +622,12 @@
     }
 }
 
+/// The digest with the most reporters, and the latest of equals.
+fn best_digest(digests: &BTreeMap<SocketAddrV4, HeardDigest>) -> Option<&HeardDigest> {
+    let digests = digests.values();
+    digests.max_by_key(|heard| (heard.digest.reporters, heard.heard))
+}
+
 /// Sets the loads of a contended service's upstreams: from the digest, or from this host's counts times the
 /// hosts of the zone.
 fn apply_loads(
--- a/packet/src/load/service_load.rs
+++ b/packet/src/load/service_load.rs
@@ -186,6 +186,6 @@
             .is_some_and(|(_at, digest)| digest.is_contended);
         let is_loaded = exceeds(config.contended_share);
         let sheds = erred && exceeds(config.shedding_share);
-        slots > 0 && (is_loaded || sheds || is_marked)
+        is_loaded || sheds || is_marked
     }
 }
--- a/packet/tests/load_rig.rs
+++ b/packet/tests/load_rig.rs
@@ -1,5 +1,7 @@
 //! Callers with requests in progress, for tests of load.
 
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use lagoonproxy_packet::load::load_view::AddressedDatagram;
@@ -109,8 +111,8 @@
 }
 
 /// The address of another host of the zone.
-pub fn peer(number: u8) -> std::net::SocketAddrV4 {
-    std::net::SocketAddrV4::new(std::net::Ipv4Addr::new(10, 1, 1, number), 7720)
+pub fn peer(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 1, number), 7720)
 }
 
 /// The datagrams about load that a host sends within a time.
--- a/packet/tests/test_load_exchange.rs
+++ b/packet/tests/test_load_exchange.rs
@@ -1,7 +1,10 @@
 //! Tests of the load exchange: which services are contended, which errors are sheds, and what hosts learn.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
 
+use lagoonproxy::ids::ZoneName;
 use lagoonproxy_packet::load::load_report::LoadDigest;
 use lagoonproxy_packet::load::load_report::ServiceDigest;
 use lagoonproxy_packet::load::load_report::service_tag;
@@ -13,10 +16,14 @@
 use lagoonproxy_packet::load::service_room::raised_pressure;
 use lagoonproxy_packet::load::service_room::shed_share;
 use lagoonproxy_packet::load::service_room::slot_pressure;
+use lagoonproxy_packet::load::shed_detection::is_shed;
 use lagoonproxy_packet::packet_action::DecisionEvent;
 use lagoonproxy_packet::packet_action::PacketOutput;
+use lagoonproxy_packet::policy_config::PolicyConfig;
 use lagoonproxy_packet::routes::route_config::RequestPriority;
+use lagoonproxy_packet::routes::route_table::RequestClass;
 use lagoonproxy_packet::upstreams::upstream_entry::UpstreamEntry;
+use lagoonproxy_packet::upstreams::upstream_table::UpstreamTable;
 
 use crate::core_rig::*;
 use crate::load_rig::*;
@@ -43,7 +50,7 @@
 #[test]
 fn test_classes_beyond_the_limit_count_as_least_urgent() {
     let mut meters = ClassMeters::default();
-    let now = std::time::Instant::now();
+    let now = Instant::now();
     let one = ClassCounts {
         asked: 1,
         ..ClassCounts::default()
@@ -360,6 +367,40 @@
     }
 }
 
+#[test]
+fn test_shed_conditions() {
+    struct ConditionCase {
+        name: &'static str,
+        contended: bool,
+        in_progress: u32,
+        pressure: u32,
+        is_shed: bool,
+    }
+    let case = |name, contended, in_progress, pressure, is_shed| ConditionCase {
+        name,
+        contended,
+        in_progress,
+        pressure,
+        is_shed,
+    };
+    let cases = [
+        case("calm", false, 9000, 9000, false),
+        case("free", true, 1999, 999, false),
+        case("full upstream", true, 2000, 0, true),
+        case("full service", true, 0, 1000, true),
+    ];
+    for case in cases {
+        let zone = ZoneName::from(ZONE);
+        let config = PolicyConfig::default();
+        let mut table = UpstreamTable::new(zone, Duration::from_secs(60), config);
+        let index = table.register(Instant::now(), &entry(1, "ledger"));
+        table.get_mut(index).load.in_progress = case.in_progress;
+        table.set_contended(0, case.contended);
+        table.set_pressure(0, case.pressure);
+        assert_eq!(is_shed(&table, index), case.is_shed, "{}", case.name);
+    }
+}
+
 /// Guards against a share of sheds so high that the mean size of responses falls until sheds pass for responses.
 #[test]
 fn test_sheds_do_not_become_the_usual_size() {
@@ -383,7 +424,7 @@
     config.routes[1] = urgent;
     rig.publish(|revision| routes_item(revision, config));
     rig.pass(300);
-    let class = lagoonproxy_packet::routes::route_table::RequestClass {
+    let class = RequestClass {
         rank: 1,
         classes: 2,
         priority: RequestPriority(4),
@@ -476,7 +517,7 @@
         .load_sent
         .iter()
         .filter(|(at, _host, _bytes)| *at > since);
-    let mut by_host = std::collections::BTreeMap::new();
+    let mut by_host = BTreeMap::new();
     for (_at, host, bytes) in recent {
         *by_host.entry(*host).or_insert(0) += bytes / 2;
     }
@@ -495,6 +536,40 @@
     }
 }
 
+/// Guards against hosts that keep a service contended only because they report: the load has fallen to half of the
+/// slots, and each host has one flow.
+#[test]
+fn test_contention_of_a_zone_ends_with_its_load() {
+    let mut fleet = LoadFleet::new(8, &[6; 4]);
+    fleet.work(3000);
+    assert_eq!(fleet.contended_hosts(), 8);
+    fleet.flows.truncate(8);
+    for (host, flow) in fleet.flows.iter_mut().enumerate() {
+        flow.host = host;
+    }
+    fleet.work(5500);
+    assert_eq!(fleet.contended_hosts(), 0);
+    let sent = fleet.rig.load_sent.len();
+    fleet.work(2000);
+    assert_eq!(fleet.rig.load_sent.len(), sent, "nothing is sent any more");
+}
+
+/// Guards against errors that are far apart and make a service contended together.
+#[test]
+fn test_short_errors_far_apart_do_not_count_together() {
+    for (pause, contended) in [(600, true), (1400, false)] {
+        let mut rig = CoreRig::with_ledger(&[1, 2]);
+        let mut flows = flows_to(&[2, 2]);
+        work(&mut rig, &mut flows, 1600);
+        for _error in 0..2 {
+            rig.packet(&flows[0].request());
+            rig.packet(&flows[0].response(ERROR_BYTES));
+            work(&mut rig, &mut flows, pause);
+        }
+        assert_eq!(is_contended(&rig), contended, "{pause} ms apart");
+    }
+}
+
 /// Guards against traffic in calm: flows with little load cause no datagram about load.
 #[test]
 fn test_nothing_is_sent_in_calm() {
--- a/packet/tests/test_load_failures.rs
+++ b/packet/tests/test_load_failures.rs
@@ -200,10 +200,10 @@
         answered,
     };
     let cases = [
-        case("all", &[1, 2, 3, 4], 40_000),
-        case("lost", &[1, 4], 40_000),
-        case("repeated", &[1, 2, 2, 2, 3, 4], 40_000),
-        case("reordered", &[1, 3, 2, 4], 40_000),
+        case("all", &[1, 2, 3, 4], 100_000),
+        case("lost", &[1, 4], 100_000),
+        case("repeated", &[1, 2, 2, 2, 3, 4], 100_000),
+        case("reordered", &[1, 3, 2, 4], 106_667),
         case("none", &[], 0),
     ];
     let rig = CoreRig::with_ledger(&[1]);
@@ -211,7 +211,9 @@
     for case in cases {
         let mut store = ReportStore::default();
         for sequence in case.arrivals {
-            store.insert(rig.now, peer(0), &ledger_report(*sequence, 10, 2000));
+            let answered = 10 * u32::try_from(*sequence).expect("small");
+            let report = ledger_report(*sequence, answered, 2000);
+            store.insert(rig.now, peer(0), &report);
         }
         let digest = store.digest(&config, 1, 1, rig.core.upstreams());
         let answered: u64 = digest
@@ -417,7 +419,9 @@
     config.routes[1] = other;
     rig.publish(|revision| routes_item(revision, config));
     rig.pass(300);
-    rig.open(1, 0);
+    let mut head = open_head(1, 0);
+    head.service = certs();
+    rig.packet(&head);
     let mut digest = ledger_digest(1, 1, 900);
     let asked = ClassCounts {
         asked: 5,
@@ -426,14 +430,37 @@
     digest.services[0].classes = vec![(RequestPriority(1), asked), (RequestPriority(2), asked)];
     rig.core.heard_digest(rig.now, peer(0), &digest);
     rig.pass(100);
-    let class = |rank, priority| RequestClass {
+    let class = |rank, classes, priority| RequestClass {
         rank,
-        classes: 2,
+        classes,
         priority: RequestPriority(priority),
     };
     let load = rig.core.load();
-    assert_eq!(load.active_class(rig.now, 0, class(0, 4)), class(0, 4));
-    assert_eq!(load.active_class(rig.now, 0, class(1, 8)), class(1, 8));
+    let active = |rank, priority| load.active_class(rig.now, 0, class(rank, 2, priority));
+    assert_eq!(
+        active(0, 4),
+        class(0, 2, 4),
+        "only the least urgent is in use"
+    );
+    assert_eq!(active(1, 8), class(0, 1, 8), "nothing more urgent is");
+}
+
+/// Guards against one host whose upstreams do not fit its sums, and for which all hosts reject the digest.
+#[test]
+fn test_reports_that_contradict_themselves_spoil_no_digest() {
+    let mut rig = CoreRig::with_ledger(&[1]);
+    hear_peers(&mut rig, 1);
+    rig.pass(100);
+    let mut report = ledger_report(1, 10, 2000);
+    let counts = RequestCounts {
+        answered: 10,
+        ..RequestCounts::default()
+    };
+    report.services[0].upstreams = vec![(tag(1), counts)];
+    rig.core.heard_load(rig.now, peer(0), &report);
+    let sent = sent_within(&mut rig, 300);
+    assert!(!sent.is_empty());
+    assert_eq!(rig.core.load().rejections(), 0);
 }
 
 fn ledger_report(sequence: u64, answered: u32, time: u32) -> LoadReport {
