load: lost datagrams make no second aggregator; many small digests keep no larger one out

With 48 hosts some host reported to a second aggregator most of the time, which doubled the digests: one lost heartbeat made the aggregator leave that host out, or made the host take the aggregator for dead, and in zones of 60 hosts and more one lost digest exceeded the life of two intervals.

Digests go to every host that reports, a host keeps its aggregator while digests of it come and it is ready, and lives are at least two and a half intervals. A digest with more reporters evicts one with fewer if four senders are known. An aggregator does not send a digest that receivers would reject, and cuts a digest to size last, so that what is added to it counts.

--- a/packet/src/load/aggregator_choice.rs
+++ b/packet/src/load/aggregator_choice.rs
@@ -34,6 +34,14 @@
         self.chosen = None;
     }
 
+    /// The chosen host, which was not skipped, so that its digests come: it is alive, even if heartbeats of it were
+    /// lost. In a large zone they come seldom.
+    fn kept(&self, peers: &PeerTable) -> Option<(SocketAddrV4, u32)> {
+        let (address, _since) = self.chosen?;
+        let peer = peers.peers.get(&address).filter(|peer| peer.ready)?;
+        Some((address, peer.capacity))
+    }
+
     /// The live, ready host with the most capacity that is not skipped. `heard` is when a host's last digest came;
     /// an aggregator without one for `silence` is skipped.
     pub fn choose(
@@ -52,7 +60,7 @@
                 self.skipped.insert(address, now + config.skip_time);
             }
         }
-        let others = peers.local_candidates(now);
+        let others = peers.local_candidates(now).chain(self.kept(peers));
         let usable = others.filter(|(address, _capacity)| !self.skipped.contains_key(address));
         let rank = |(address, capacity): &(SocketAddrV4, u32)| {
             let weight = rendezvous_weight(AGGREGATOR_KEY, address_key(*address));
--- a/packet/src/load/load_view.rs
+++ b/packet/src/load/load_view.rs
@@ -4,6 +4,7 @@
 //! flows. What one host measures says little; the sum over the zone says which upstream has room.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
@@ -36,6 +37,10 @@
 /// Length of one span of this host's counts. [`KEPT_SPANS`] of them are the last second.
 const COUNT_SPAN: Duration = Duration::from_millis(250);
 
+/// Half intervals that reports and digests are used for at least. With two whole ones, a single lost digest makes its host
+/// skip a sound aggregator.
+const HALF_INTERVALS: u32 = 5;
+
 /// Most senders of digests that are told apart. Two hosts are taken for the aggregator after a failure; more only by
 /// mistake.
 const MOST_AGGREGATORS: usize = 4;
@@ -68,7 +73,7 @@
     pub shed_pressure_base: u32,
     /// What is added to it for the share of shed arrivals, if all were shed.
     pub shed_pressure_slope: u32,
-    /// Age from which a digest is not used. At least two intervals in a large zone.
+    /// Age from which a digest is not used; more in a large zone, see [`HALF_INTERVALS`].
     pub digest_life: Duration,
     /// Interval of reports and of digests.
     pub interval: Duration,
@@ -78,7 +83,7 @@
     pub interval_step: Duration,
     /// Longest interval.
     pub longest_interval: Duration,
-    /// How long an aggregator keeps reports. At least two intervals in a large zone.
+    /// How long an aggregator keeps reports; more in a large zone, see [`HALF_INTERVALS`].
     pub report_life: Duration,
     /// How long a failed aggregator is skipped.
     pub skip_time: Duration,
@@ -134,9 +139,9 @@
         grown.min(self.longest_interval)
     }
 
-    /// A time that covers at least two intervals.
+    /// A time that covers at least [`HALF_INTERVALS`].
     fn life(&self, least: Duration, hosts: u32) -> Duration {
-        least.max(self.interval(hosts) * 2)
+        least.max(self.interval(hosts) * HALF_INTERVALS / 2)
     }
 }
 
@@ -453,8 +458,8 @@
         }
         let held = self.digests.get(&from);
         let is_older = held.is_some_and(|held| digest.sequence <= held.digest.sequence);
-        let has_room = held.is_some() || self.digests.len() < MOST_AGGREGATORS;
-        if is_older || !has_room {
+        let is_known = held.is_some();
+        if is_older || !(is_known || self.make_digest_room(digest.reporters)) {
             return;
         }
         let heard = HeardDigest {
@@ -471,6 +476,18 @@
         Some((heard.heard, &heard.digest))
     }
 
+    /// Makes room for a digest of another sender, if one with fewer reporters can be evicted. Hosts that know
+    /// few others yet aggregate their own reports, and must not keep out the aggregator of the zone.
+    fn make_digest_room(&mut self, reporters: u32) -> bool {
+        if self.digests.len() < MOST_AGGREGATORS {
+            return true;
+        }
+        let held = self.digests.iter();
+        let counts = held.map(|(sender, heard)| (heard.digest.reporters, *sender));
+        let least = counts.min().filter(|(fewest, _sender)| *fewest < reporters);
+        least.is_some_and(|(_fewest, sender)| self.digests.remove(&sender).is_some())
+    }
+
     fn reject(&mut self, from: SocketAddrV4) {
         self.rejections += 1;
         if self.rejected.len() < MOST_REJECTED {
@@ -610,14 +627,25 @@
         upstreams: &UpstreamTable,
     ) -> Option<AddressedDatagram> {
         self.digest_sequence += 1;
-        let digest = self
-            .reports
-            .digest(&self.config, self.digest_sequence, self.hosts, upstreams);
+        let (config, hosts) = (&self.config, self.hosts);
+        let sequence = self.digest_sequence;
+        let mut digest = self.reports.digest(config, sequence, hosts, upstreams);
+        digest.shorten(config);
+        if !digest.is_valid(&self.config) {
+            self.reject(peers.own);
+            return None;
+        }
         self.heard_digest(now, peers.own, &digest);
-        let targets = peers.local_addresses(now);
+        // A host that reports is alive, even if its heartbeats were lost.
+        let reporting = self.reports.hosts().filter(|host| *host != peers.own);
+        let targets: BTreeSet<SocketAddrV4> = peers
+            .local_addresses(now)
+            .into_iter()
+            .chain(reporting)
+            .collect();
         (!targets.is_empty()).then_some(AddressedDatagram {
             datagram: PeerDatagram::Digest(digest),
-            targets,
+            targets: targets.into_iter().collect(),
         })
     }
 }
--- a/packet/src/load/report_store.rs
+++ b/packet/src/load/report_store.rs
@@ -64,6 +64,11 @@
         u32::try_from(self.hosts.len()).unwrap_or(u32::MAX)
     }
 
+    /// The hosts of which reports are kept.
+    pub fn hosts(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.hosts.keys().copied()
+    }
+
     /// Keeps a report unless a later one of its sender is kept.
     pub fn insert(&mut self, now: Instant, from: SocketAddrV4, report: &LoadReport) {
         if self.reporters() >= MOST_REPORTERS && !self.hosts.contains_key(&from) {
@@ -88,7 +93,7 @@
         });
     }
 
-    /// The sum of the reports. `hosts` is how many the zone has.
+    /// The sum of the reports, which may not fit into a datagram yet. `hosts` is how many the zone has.
     pub fn digest(
         &self,
         config: &LoadExchangeConfig,
@@ -152,13 +157,11 @@
             })
             .collect();
         digests.sort_by_key(|digest| std::cmp::Reverse(digest.pressure));
-        let mut digest = LoadDigest {
+        LoadDigest {
             sequence,
             reporters: self.reporters(),
             services: digests,
-        };
-        digest.shorten(config);
-        digest
+        }
     }
 }
 
--- a/packet/tests/test_load_failures.rs
+++ b/packet/tests/test_load_failures.rs
@@ -130,6 +130,22 @@
     assert_eq!(pressure, 900 * 8 / 3, "the other is older than a second");
 }
 
+/// Guards against hosts that know nobody yet, each of which aggregates, and that keep out the digest of the zone.
+#[test]
+fn test_many_small_digests_keep_no_larger_one_out() {
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    hear_peers(&mut rig, 7);
+    rig.pass(300);
+    for sender in 0..20 {
+        rig.core
+            .heard_digest(rig.now, peer(sender), &ledger_digest(1, 1, 3000));
+    }
+    rig.core
+        .heard_digest(rig.now, peer(20), &ledger_digest(1, 8, 900));
+    rig.pass(100);
+    assert_eq!(rig.core.load().room(rig.now, 0).pressure, 900);
+}
+
 /// Guards against a host that takes part in the exchange only late after its start.
 #[test]
 fn test_host_that_has_just_started_learns_the_load() {
@@ -225,6 +241,51 @@
     }
 }
 
+/// Guards against a second aggregator after each lost datagram: with 48 hosts a digest or a heartbeat is lost every few
+/// seconds.
+#[test]
+fn test_lost_datagrams_make_no_second_aggregator() {
+    let mut fleet = LoadFleet::new(48, &[8; 14]);
+    fleet.rig.pass(2000);
+    fleet.work(3000);
+    let aggregators = fleet.aggregators();
+    assert_eq!(aggregators.len(), 1);
+    for _second in 0..10 {
+        fleet.work(1000);
+        assert_eq!(fleet.aggregators(), aggregators);
+    }
+}
+
+/// Guards against a sound aggregator that is skipped because one of its digests was lost: 60 hosts have an interval of
+/// 600 ms, and the next digest comes one poll late.
+#[test]
+fn test_aggregator_is_kept_after_one_lost_digest() {
+    for phase in 0..6 {
+        let mut rig = CoreRig::with_ledger(&[1, 2]);
+        let mut flows = flows_to(&[1, 1]);
+        let mut targets = Vec::new();
+        for step in 0..60_u64 {
+            hear_peers(&mut rig, 58);
+            hear_peer_with(&mut rig, 60, 900);
+            work(&mut rig, &mut flows, 80);
+            rig.pass(20);
+            let is_lost = step == 36 + phase || step == 42 + phase;
+            let is_late = step == 43 + phase;
+            if step % 6 == phase && !is_lost || is_late {
+                let digest = ledger_digest(step + 1, 60, 900);
+                rig.core.heard_digest(rig.now, peer(60), &digest);
+            }
+            let due = rig.core.due_load_datagrams(rig.now);
+            targets.extend(due.into_iter().flat_map(|due| due.targets));
+        }
+        assert!(targets.len() > 6, "{}", targets.len());
+        assert!(
+            targets.iter().all(|target| *target == peer(60)),
+            "{targets:?}"
+        );
+    }
+}
+
 /// Guards against old digests that replace newer ones.
 #[test]
 fn test_digests_that_are_repeated_or_reordered() {
