load: the first report covers a whole interval

A host sent its first report in the same poll in which its service became contended. The report covered no time, and the aggregator rejected it as invalid: 7 rejections in a zone of 8 hosts. The first report now goes out one interval later.

--- a/packet/src/load/load_view.rs
+++ b/packet/src/load/load_view.rs
@@ -425,6 +425,9 @@
         if !self.is_contended() {
             self.choice.clear();
             self.next_report = None;
+        } else if self.next_report.is_none() {
+            // The first report covers a whole interval: one that covers no time is invalid.
+            self.next_report = Some(now + self.config.interval(self.hosts));
         } else if is_due(now, &mut self.next_report, self.config.interval(self.hosts)) {
             due.extend(self.due_report(now, peers, upstreams));
         }
@@ -577,11 +580,14 @@
         upstreams: &UpstreamTable,
     ) -> Option<AddressedDatagram> {
         let since = self.unsent_since.replace(now)?;
-        let span = now.saturating_duration_since(since);
+        let span = now.saturating_duration_since(since).as_millis();
+        if span == 0 {
+            return None;
+        }
         self.report_sequence += 1;
         let mut report = LoadReport {
             sequence: self.report_sequence,
-            span: u32::try_from(span.as_millis()).unwrap_or(u32::MAX),
+            span: u32::try_from(span).unwrap_or(u32::MAX),
             services: Vec::new(),
         };
         for (place, load) in self.services.iter_mut().enumerate() {
--- a/packet/tests/test_load_exchange.rs
+++ b/packet/tests/test_load_exchange.rs
@@ -496,6 +496,9 @@
             }
         }
         assert_eq!(fleet.aggregators().len(), 1, "{hosts} hosts");
+        let loads = fleet.rig.hosts.iter().map(|host| host.core.load());
+        let rejections: u64 = loads.map(|load| load.rejections()).sum();
+        assert_eq!(rejections, 0, "hosts send only what is valid");
         let longest = fleet.rig.load_sent.iter().map(|(_at, _host, bytes)| *bytes);
         assert!(longest.max().expect("some were sent") <= 1400);
     }
