--- a/packet/src/load/report_store.rs
+++ b/packet/src/load/report_store.rs
@@ -64,6 +64,11 @@
         u32::try_from(self.hosts.len()).unwrap_or(u32::MAX)
     }
 
+    /// The hosts of which reports are kept.
+    pub fn hosts(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.hosts.keys().copied()
+    }
+
     /// Keeps a report unless a later one of its sender is kept.
     pub fn insert(&mut self, now: Instant, from: SocketAddrV4, report: &LoadReport) {
         if self.reporters() >= MOST_REPORTERS && !self.hosts.contains_key(&from) {
@@ -88,7 +93,7 @@
         });
     }
 
-    /// The sum of the reports. `hosts` is how many the zone has.
+    /// The sum of the reports, which may not fit into a datagram yet. `hosts` is how many the zone has.
     pub fn digest(
         &self,
         config: &LoadExchangeConfig,
@@ -131,7 +136,7 @@
                 let (mut slots, mut listed) = (0, RequestSum::default());
                 for record in members {
                     if record.takes_flows() {
-                        slots += record.slots;
+                        slots = u32::saturating_add(slots, record.slots);
                     }
                     let held = record.tag.and_then(|tag| Some((tag, by_tag.get(&tag)?)));
                     match held {
@@ -145,21 +150,19 @@
                 digest.upstreams.sort_unstable_by_key(|(tag, rates)| {
                     (std::cmp::Reverse(rates.in_progress), *tag)
                 });
-                digest.rest = sum.requests.less(&listed).rates();
+                digest.rest = sum.requests.less(&listed).rates().clamped(config);
                 digest.pressure = slot_pressure(sum.requests.rates().in_progress, slots);
                 digest.is_contended = digest.shows_contention(config, hosts);
                 Some(digest)
             })
             .collect();
         digests.sort_by_key(|digest| std::cmp::Reverse(digest.pressure));
-        let mut digest = LoadDigest {
+        LoadDigest {
             sequence,
             reporters: self.reporters(),
             services: digests,
             zones: Vec::new(),
-        };
-        digest.shorten(config);
-        digest
+        }
     }
 }
 
--- a/packet/src/load/service_load.rs
+++ b/packet/src/load/service_load.rs
@@ -136,6 +136,9 @@
         if let Some((at, digest)) = query.digest {
             let active = digest.classes.iter();
             for (priority, _rates) in active.filter(|(_priority, rates)| rates.has_demand()) {
+                let is_known = pool.priorities.binary_search(priority).is_ok();
+                let least_urgent = pool.priorities.last().filter(|_last| !is_known);
+                let priority = least_urgent.unwrap_or(priority);
                 self.classes.record_demand(query.now, *priority, at);
             }
         }
@@ -183,6 +186,6 @@
             .is_some_and(|(_at, digest)| digest.is_contended);
         let is_loaded = exceeds(config.contended_share);
         let sheds = erred && exceeds(config.shedding_share);
-        slots > 0 && (is_loaded || sheds || is_marked)
+        is_loaded || sheds || is_marked
     }
 }
--- a/packet/src/selection/zone_spill.rs
+++ b/packet/src/selection/zone_spill.rs
@@ -59,6 +59,9 @@
     pub decay_divisor: u32,
     /// Least difference of pressure, in thousandths, from which a zone is a target.
     pub spill_margin: u32,
+    /// Requests in progress for each slot, in thousandths, up to which a zone takes flows that find no room in theirs. A
+    /// short queue there is better for them than a refusal.
+    pub overflow_pressure: u32,
     /// Increase of that difference for zones that are far.
     pub far_margin: u32,
     /// A zone is far if the delay exceeds one part in this many of the latency objective, or is not known.
@@ -100,6 +103,7 @@
             most_rise: 50,
             decay_divisor: 5,
             spill_margin: 500,
+            overflow_pressure: 2 * REQUEST_LOAD,
             far_margin: 500,
             far_divisor: 10,
             end_divisor: 2,
@@ -171,7 +175,8 @@
     /// Ordered by zone, so that every host draws alike. The sum of shares is at most that of the parameters.
     shares: Vec<ZoneShare>,
     next_step: Instant,
-    /// Zones with free slots, and how many, in parts of [`REQUEST_LOAD`]; none is 0.
+    /// Zones with room for flows that find none here, and how many requests they have room for, in parts of
+    /// [`REQUEST_LOAD`]; none is 0.
     open_zones: Vec<(ZoneName, u32)>,
     demand_pressure: u32,
     /// Moving mean of the demand, in thousandths of a request; 0 before the first step.
@@ -237,8 +242,7 @@
         share.map(|share| &share.zone)
     }
 
-    /// The zone for a new flow that finds no room in its own, drawn by the free slots of other zones; `None` if none
-    /// has any.
+    /// The zone for a new flow that finds no room in its own, drawn by the room of other zones; `None` if none has any.
     pub fn overflow_target(&self, service: ServiceIndex, flow_hash: u64) -> Option<&ZoneName> {
         let open = &self.services.get(&service)?.open_zones;
         let sum: u64 = open.iter().map(|(_zone, free)| u64::from(*free)).sum();
@@ -300,7 +304,7 @@
                     limits: BTreeMap::new(),
                 });
             spill.update(now, &config, local, &self.zone, &zones, input.evacuated);
-            spill.open_zones = open_zones(local, &self.zone, &zones, input.evacuated);
+            spill.open_zones = open_zones(&config, local, &self.zone, &zones, input.evacuated);
             spill.record(&config, local, events);
         }
         self.services.retain(|index, spill| {
@@ -671,8 +675,9 @@
     share.clamp(0.0, f64::from(WHOLE_SHARE)) as u32
 }
 
-/// The other zones that have free slots of a service.
+/// The other zones that have room for flows of a service that find none here.
 fn open_zones(
+    config: &ZoneSpillConfig,
     local: &LocalLoad,
     own_zone: &ZoneName,
     zones: &[ZoneState],
@@ -685,9 +690,10 @@
     let free = usable.filter_map(|state| {
         let mut services = state.services.iter();
         let entry = services.find(|entry| entry.service == local.tag)?;
-        let slots = entry.slots.saturating_mul(REQUEST_LOAD);
-        let free = slots.saturating_sub(entry.in_progress);
-        (free > 0 && entry.pressure < REQUEST_LOAD).then(|| (state.zone.clone(), free))
+        let most = entry.slots.saturating_mul(config.overflow_pressure);
+        let room = most.saturating_sub(entry.in_progress);
+        let is_open = room > 0 && entry.pressure < config.overflow_pressure;
+        is_open.then(|| (state.zone.clone(), room))
     });
     free.collect()
 }
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -3,6 +3,7 @@
 mod core_rig;
 mod fleet_rig;
 mod fleet_store;
+mod load_rig;
 mod queue_rig;
 mod test_allocations;
 mod test_answer_record;
@@ -13,6 +14,9 @@
 mod test_flow_cost;
 mod test_flow_evidence;
 mod test_flow_load;
+mod test_load_exchange;
+mod test_load_failures;
+mod test_load_reports;
 mod test_lost_upstreams;
 mod test_moved_callers;
 mod test_names;
