selection: new upstreams start at the mean weight; fewer samples and logarithms a draw

Change: weights of new upstreams start at the mean of the service; while contended, 32 upstreams are sampled, and the logarithm is spared for those that cannot win; a bench row for selection while contended.

--- a/bench/src/bin/lagoon-packet-bench.rs
+++ b/bench/src/bin/lagoon-packet-bench.rs
@@ -7,6 +7,7 @@
 
 use argh::FromArgs;
 use lagoonproxy_bench::packet_cost::PacketBench;
+use lagoonproxy_bench::packet_cost::SelectionBench;
 use lagoonproxy_bench::packet_cost::relay_round;
 
 /// Flows that a host of the size aimed at carries.
@@ -18,6 +19,9 @@
 /// Packets of one measurement.
 const PACKETS: u32 = 400_000;
 
+/// Rounds of selections, of which the fastest counts.
+const SELECT_ROUNDS: u32 = 40;
+
 /// Windows of datagrams in one round of relaying, and rounds.
 const WINDOWS: u32 = 400;
 const ROUNDS: usize = 15;
@@ -69,6 +73,17 @@
         let placed = bench.new_flow(FLOWS, FLOWS);
         println!("new flow, {upstreams} upstreams: {} ns", placed.as_nanos());
     }
+    for upstreams in UPSTREAMS {
+        let [calm, contended] = [false, true].map(|is_contended| {
+            SelectionBench::new(upstreams, is_contended)
+                .select(SELECT_ROUNDS, PACKETS / SELECT_ROUNDS)
+        });
+        println!(
+            "selection, {upstreams} upstreams: {} ns, while contended {} ns",
+            calm.as_nanos(),
+            contended.as_nanos()
+        );
+    }
     let mut ratios = Vec::new();
     for _round in 0..ROUNDS {
         let pair = relay_round(&mut bench, FLOWS, WINDOWS, &target)?;
--- a/bench/src/packet_cost.rs
+++ b/bench/src/packet_cost.rs
@@ -9,7 +9,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lagoonproxy_packet::flows::flow_cost::FlowCosts;
 use lagoonproxy_packet::host_settings::HostSettings;
+use lagoonproxy_packet::load::service_room::ServiceRoom;
+use lagoonproxy_packet::load::service_room::UpstreamLoad;
 use lagoonproxy_packet::packet_action::PacketAction;
 use lagoonproxy_packet::packet_action::PacketOutput;
 use lagoonproxy_packet::packet_core::PacketCore;
@@ -21,6 +24,8 @@
 use lagoonproxy_packet::routes::route_config::RouteConfig;
 use lagoonproxy_packet::routes::route_config::ServiceRoute;
 use lagoonproxy_packet::routes::route_config::ServiceShare;
+use lagoonproxy_packet::selection::upstream_selection::SelectionQuery;
+use lagoonproxy_packet::selection::upstream_selection::select_upstream;
 use lagoonproxy_packet::state::state_snapshot::ItemContent;
 use lagoonproxy_packet::state::state_snapshot::ItemKey;
 use lagoonproxy_packet::state::state_snapshot::PublishedItem;
@@ -28,6 +33,7 @@
 use lagoonproxy_packet::state::store_position::StorePosition;
 use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
 use lagoonproxy_packet::upstreams::upstream_entry::UpstreamEntry;
+use lagoonproxy_packet::upstreams::upstream_table::UpstreamTable;
 use lagoonproxy_packet::upstreams::upstream_table::flow_tag;
 
 /// Bytes of a relayed datagram: a request of 900 bytes with its head.
@@ -116,6 +122,68 @@
     }
 }
 
+/// The upstreams of one service with the loads that a digest states.
+pub struct SelectionBench {
+    table: UpstreamTable,
+    now: Instant,
+    room: ServiceRoom,
+}
+
+impl SelectionBench {
+    /// A service with so many upstreams in the host's zone, contended or not.
+    pub fn new(upstreams: u32, is_contended: bool) -> Self {
+        let now = Instant::now();
+        let age = Duration::from_secs(60);
+        let mut table = UpstreamTable::new("a".into(), age, PolicyConfig::default());
+        for round in 0..2 {
+            for number in 0..upstreams {
+                let entry = upstream_entry(number, SERVICE);
+                let index = match round {
+                    0 => table.register(now, &entry),
+                    _ => table.by_name(&entry.name).unwrap_or_default(),
+                };
+                table.get_mut(index).load = UpstreamLoad {
+                    in_progress: 1000 + number % 3000,
+                    response_time: Duration::from_millis(20),
+                    shed_rate: 0,
+                    updated_at: Some(now + Duration::from_millis(round)),
+                };
+            }
+            table.learn_loads(&FlowCosts::default());
+        }
+        let room = ServiceRoom {
+            pressure: 900,
+            is_contended,
+            updated_at: Some(now),
+        };
+        Self { table, now, room }
+    }
+
+    /// The mean time of a selection, in the fastest of some rounds: other processes slow the others down.
+    pub fn select(&self, rounds: u32, flows: u32) -> Duration {
+        let times = (0..rounds).map(|_round| self.select_round(flows));
+        times.min().unwrap_or_default()
+    }
+
+    fn select_round(&self, flows: u32) -> Duration {
+        let started = Instant::now();
+        for flow in 0..flows {
+            let flow_hash = u64::from(flow).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let query = SelectionQuery {
+                now: self.now,
+                service: 0,
+                flow_hash,
+                local_hosts: 30,
+                tried: &[],
+                room: self.room,
+                leaves_for: None,
+            };
+            black_box(select_upstream(&self.table, query));
+        }
+        started.elapsed() / flows
+    }
+}
+
 /// What one round of relaying measured, in datagrams a second of this thread.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayPair {
@@ -219,10 +287,9 @@
     }
 }
 
-fn upstream_item(number: u32, address: SocketAddrV4) -> PublishedItem {
-    let name = upstream_name(number);
-    let entry = UpstreamEntry {
-        name: name.clone().into(),
+fn upstream_entry(number: u32, address: SocketAddrV4) -> UpstreamEntry {
+    UpstreamEntry {
+        name: upstream_name(number).into(),
         number: u64::from(number),
         service: "service".into(),
         address,
@@ -232,9 +299,13 @@
         warmup_left: Duration::ZERO,
         born: None,
         write_count: 1,
-    };
+    }
+}
+
+fn upstream_item(number: u32, address: SocketAddrV4) -> PublishedItem {
+    let entry = upstream_entry(number, address);
     PublishedItem {
-        key: ItemKey::Upstream(name.into()),
+        key: ItemKey::Upstream(entry.name.clone()),
         position: FIRST,
         content: ItemContent::Upstream(Arc::new(entry)),
     }
--- a/packet/src/selection/room_weight.rs
+++ b/packet/src/selection/room_weight.rs
@@ -45,6 +45,9 @@
     /// that follow them at once fill the upstream that was empty, and empty the one that was full, in turn. The load
     /// of long flows changes little between two measurements.
     pub turnover_damping: u32,
+    /// Most upstreams of a zone that are sampled for a new flow. Fewer than in calm, because weighing one takes longer,
+    /// and a draw needs no more.
+    pub max_sampled: usize,
     /// Age from which the load of an upstream is not used.
     pub load_life: Duration,
     /// Percentage of the published maximum of connections from which an upstream counts as saturated.
@@ -60,6 +63,7 @@
             least_in_progress: 250,
             assumed_response: Duration::from_millis(20),
             turnover_damping: 7,
+            max_sampled: 32,
             load_life: Duration::from_secs(1),
             connection_percent: 95,
         }
@@ -103,36 +107,35 @@
 }
 
 impl MeasuredWeight {
-    /// Whether the load was measured anew.
-    pub fn is_behind(&self, load: &UpstreamLoad) -> bool {
-        load.updated_at.is_some() && load.updated_at != self.since
-    }
-
-    /// Follows the load of an upstream that was measured anew. One that was not measured before starts at
-    /// `mean_weight` per slot: it would else get the new flows of all hosts until the next measurement.
+    /// Follows the load of an upstream, if it was measured anew and not long after the last time.
     pub fn learn(
         &mut self,
         config: &RoomWeightConfig,
         slots: u32,
         turnover: u32,
-        mean_weight: f64,
         load: &UpstreamLoad,
     ) {
-        let Some(measured_at) = load.updated_at else {
+        let (Some(last), Some(present)) = (self.since, load.updated_at) else {
             return;
         };
-        let start = f64::from(slots.max(1)) * mean_weight;
-        let last = self.since.replace(measured_at);
-        let is_continued =
-            last.is_some_and(|last| measured_at.saturating_duration_since(last) < config.load_life);
-        if !is_continued {
-            self.weight = start;
+        let is_continued = present.saturating_duration_since(last) < config.load_life;
+        if last == present || !is_continued {
             return;
         }
         let measured = load_weight(config, slots, load, load.in_progress);
         let share = f64::from(turnover) / f64::from(FULL_TURNOVER);
         let divisor = 1.0 + f64::from(config.turnover_damping) * share;
         self.weight *= (measured / self.weight).powf(1.0 / divisor);
+        self.since = Some(present);
+    }
+
+    /// Starts at `mean_weight` per slot, if the load is not followed yet. From its own load alone, an upstream that
+    /// is new and empty would get the new flows of all hosts until the next measurement.
+    pub fn start(&mut self, slots: u32, mean_weight: f64, load: &UpstreamLoad) {
+        if load.updated_at.is_some() && load.updated_at != self.since {
+            self.weight = f64::from(slots.max(1)) * mean_weight;
+            self.since = load.updated_at;
+        }
     }
 
     /// The weight, if it follows the load that was measured last.
@@ -150,16 +153,20 @@
     now: Instant,
     local_hosts: u32,
 ) -> u32 {
-    let is_recent = |at: &Instant| now.saturating_duration_since(*at) < config.load_life;
-    match record.load.updated_at.filter(is_recent) {
-        Some(at) => {
-            let placed = record.placed.load(Some(at));
-            record.load.in_progress.saturating_add(placed)
-        }
-        None => record.requests(local_hosts).saturating_mul(REQUEST_LOAD),
+    if is_recent(config, record, now) {
+        let placed = record.placed.load(record.load.updated_at);
+        record.load.in_progress.saturating_add(placed)
+    } else {
+        record.requests(local_hosts).saturating_mul(REQUEST_LOAD)
     }
 }
 
+/// Whether the load of an upstream was measured recently.
+fn is_recent(config: &RoomWeightConfig, record: &UpstreamRecord, now: Instant) -> bool {
+    let measured_at = record.load.updated_at;
+    measured_at.is_some_and(|at| now.saturating_duration_since(at) < config.load_life)
+}
+
 /// The weight of an upstream in the draw; always above 0.
 ///
 /// `mean_weight` is that of a slot of the service in this zone, if there is a digest. An upstream of the zone that no
@@ -173,16 +180,16 @@
     now: Instant,
 ) -> f64 {
     let (slots, load) = (record.slots, &record.load);
-    let is_recent = load
-        .updated_at
-        .is_some_and(|at| now.saturating_duration_since(at) < config.load_life);
     let is_new = record.is_local && load.updated_at.is_none();
-    let current = record.weight.current(load).filter(|_weight| is_recent);
+    let current = record.weight.current(load);
     let weight = match (current, mean_weight) {
-        (Some(weight), _) if in_progress == load.in_progress => weight,
-        (Some(weight), _) => {
-            let with_placed = load_weight(config, slots, load, in_progress);
-            weight * with_placed / load_weight(config, slots, load, load.in_progress)
+        (Some(weight), _) if is_recent(config, record, now) => {
+            if in_progress == load.in_progress {
+                weight
+            } else {
+                let with_placed = load_weight(config, slots, load, in_progress);
+                weight * with_placed / load_weight(config, slots, load, load.in_progress)
+            }
         }
         (None, Some(mean_weight)) if is_new => f64::from(slots.max(1)) * mean_weight,
         _ => load_weight(config, slots, load, in_progress),
@@ -232,10 +239,20 @@
 /// The order of a candidate in a weighted draw: the smallest wins, with odds in proportion to the weights, if the
 /// hashes of the candidates are independent.
 pub fn draw_order(hash: u64, weight: f64) -> u64 {
-    let point = (hash >> (u64::BITS - DRAW_BITS)) as f64 + 0.5;
-    let unit = point / (1_u64 << DRAW_BITS) as f64;
     // The bits of floating-point numbers above 0 are in the order of the numbers.
-    (-unit.ln() / weight).to_bits()
+    (-draw_point(hash).ln() / weight).to_bits()
+}
+
+/// Whether the order of a candidate certainly comes after `limit`, which is another's order. Spares the logarithm for
+/// most candidates: `1 - u` is at most `-ln(u)`.
+pub fn is_drawn_after(hash: u64, weight: f64, limit: u64) -> bool {
+    1.0 - draw_point(hash) > f64::from_bits(limit) * weight
+}
+
+/// A number above 0 and below 1.
+fn draw_point(hash: u64) -> f64 {
+    let point = (hash >> (u64::BITS - DRAW_BITS)) as f64 + 0.5;
+    point / (1_u64 << DRAW_BITS) as f64
 }
 
 /// Whether an upstream holds about as many connections as its service publishes as the maximum.
--- a/packet/src/selection/upstream_selection.rs
+++ b/packet/src/selection/upstream_selection.rs
@@ -24,6 +24,7 @@
 use crate::policy_config::SelectionConfig;
 use crate::selection::room_weight::draw_order;
 use crate::selection::room_weight::is_at_connection_limit;
+use crate::selection::room_weight::is_drawn_after;
 use crate::selection::room_weight::known_in_progress;
 use crate::selection::room_weight::room_weight;
 use crate::upstreams::upstream_record::UpstreamRecord;
@@ -92,7 +93,10 @@
 /// How an upstream of a contended service ranks, and what is known of its room.
 #[derive(Clone, Copy, Debug)]
 struct UpstreamRank {
+    /// Its key, without the load.
     key: SelectionKey,
+    /// Its weight in the draw.
+    weight: f64,
     has_free_slot: bool,
     has_room: bool,
 }
@@ -120,7 +124,7 @@
     zone: &ZoneName,
 ) -> Option<SampledUpstreams> {
     let pool = table.pool(query.service);
-    let max_sampled = table.config().selection.max_sampled;
+    let max_sampled = max_sampled(table, query);
     let remote = sample(&pool.remote, query.flow_hash, pool.remote.len());
     let of_zone = remote.filter(|index| table.get(*index).zone == *zone);
     let mut sampled = SampledUpstreams::default();
@@ -132,8 +136,8 @@
 /// Upstreams of this zone, and those of other zones if these do not do.
 fn sample_pool(table: &UpstreamTable, query: SelectionQuery<'_>) -> SampledUpstreams {
     let pool = table.pool(query.service);
-    let config = &table.config().selection;
-    let local = sample(&pool.local, query.flow_hash, config.max_sampled);
+    let max_sampled = max_sampled(table, query);
+    let local = sample(&pool.local, query.flow_hash, max_sampled);
     let panic = is_panic_among(table, local.clone(), UpstreamRecord::is_degraded)
         && is_panic(table, query.service, UpstreamRecord::is_degraded);
     let mut sampled = SampledUpstreams::default();
@@ -142,12 +146,20 @@
         sampled.mark_saturated();
     }
     if !sampled.is_enough(table) {
-        let remote = sample(&pool.remote, query.flow_hash, config.max_sampled);
+        let remote = sample(&pool.remote, query.flow_hash, max_sampled);
         sampled.add_all(table, remote, query, panic);
     }
     sampled
 }
 
+/// Most upstreams of a zone that are sampled for this flow.
+fn max_sampled(table: &UpstreamTable, query: SelectionQuery<'_>) -> usize {
+    match query.room.is_contended {
+        true => table.config().room.max_sampled,
+        false => table.config().selection.max_sampled,
+    }
+}
+
 /// The runner-up, if the SYN is to be hedged with it.
 fn hedge(
     table: &UpstreamTable,
@@ -222,7 +234,12 @@
         query: SelectionQuery<'_>,
         panic: bool,
     ) {
-        let connection_limit = table.pool(query.service).connection_limit;
+        let pool = table.pool(query.service);
+        let connection_limit = pool.connection_limit;
+        let load_life = table.config().room.load_life;
+        let is_measured = |at: Instant| query.now.saturating_duration_since(at) < load_life;
+        let has_digest = query.room.updated_at.is_some_and(is_measured);
+        let mean_weight = has_digest.then_some(pool.mean_weight);
         for index in members {
             let record = table.get(index);
             if !record.takes_flows() {
@@ -238,19 +255,45 @@
                 self.probe = Some(index);
             }
             let is_full = is_at_connection_limit(&table.config().room, record, connection_limit);
-            let mut key = if query.room.is_contended {
-                let rank = contended_rank(table, record, index, query, panic);
-                self.has_free_slot |= rank.has_free_slot && !is_full;
-                self.has_room |= rank.has_room && !is_full;
-                rank.key
+            let key = if query.room.is_contended {
+                let rank = contended_rank(table, record, index, query, panic, is_full, mean_weight);
+                self.has_free_slot |= rank.has_free_slot;
+                self.has_room |= rank.has_room;
+                match self.draw(record, rank, query.flow_hash) {
+                    Some(key) => key,
+                    None => continue,
+                }
             } else {
-                selection_key(&table.config().selection, record, index, query, panic)
+                let mut key = selection_key(&table.config().selection, record, index, query, panic);
+                key.saturated |= is_full;
+                key
             };
-            key.saturated |= is_full;
             self.add(table, UpstreamCandidate { key, index }, query.flow_hash);
         }
     }
 
+    /// The key of an upstream of a contended service; `None` if it comes after the two best.
+    fn draw(
+        &self,
+        record: &UpstreamRecord,
+        rank: UpstreamRank,
+        flow_hash: u64,
+    ) -> Option<SelectionKey> {
+        let tag = record.tag.unwrap_or_default();
+        let hash = rendezvous_weight(flow_hash, u64::from(tag));
+        let loses = self.runner_up.is_some_and(|held| {
+            let key = SelectionKey {
+                load: held.key.load,
+                ..rank.key
+            };
+            key >= held.key && is_drawn_after(hash, rank.weight, held.key.load)
+        });
+        (!loses).then(|| SelectionKey {
+            load: draw_order(hash, rank.weight),
+            ..rank.key
+        })
+    }
+
     /// Prefers upstreams that are not saturated to all of these.
     fn mark_saturated(&mut self) {
         for candidate in [&mut self.best, &mut self.runner_up].into_iter().flatten() {
@@ -314,17 +357,12 @@
     index: UpstreamIndex,
     query: SelectionQuery<'_>,
     panic: bool,
+    is_full: bool,
+    mean_weight: Option<f64>,
 ) -> UpstreamRank {
     let config = table.config();
     let in_progress = known_in_progress(&config.room, record, query.now, query.local_hosts);
     let cold_load = config.selection.cold_load;
-    let measured_at = query.room.updated_at;
-    let is_measured = measured_at
-        .is_some_and(|at| query.now.saturating_duration_since(at) < config.room.load_life);
-    let mean_weight = table
-        .pool(query.service)
-        .mean_weight
-        .filter(|_weight| is_measured);
     let weight = room_weight(
         &config.room,
         cold_load,
@@ -333,8 +371,6 @@
         mean_weight,
         query.now,
     );
-    let tag = record.tag.unwrap_or_default();
-    let hash = rendezvous_weight(query.flow_hash, u64::from(tag));
     let slots = u64::from(record.slots) * u64::from(REQUEST_LOAD);
     let full = slots * u64::from(config.selection.full_requests);
     let degraded = record.is_degraded() && !panic;
@@ -343,13 +379,14 @@
     UpstreamRank {
         key: SelectionKey {
             degraded,
-            saturated: saturated && !record.is_local,
+            saturated: is_full || (saturated && !record.is_local),
             tried: query.tried.contains(&index),
             remote: !record.is_local,
-            load: draw_order(hash, weight),
+            load: 0,
         },
-        has_free_slot: is_known && !degraded && u64::from(in_progress) < slots,
-        has_room: !degraded && !saturated,
+        weight,
+        has_free_slot: is_known && !degraded && !is_full && u64::from(in_progress) < slots,
+        has_room: !degraded && !is_full && !saturated,
     }
 }
 
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -51,8 +51,8 @@
     pub is_contended: bool,
     /// The most connections that one upstream holds; `None` if it is not published.
     pub connection_limit: Option<u32>,
-    /// Mean weight of a slot of its local upstreams whose load was measured; `None` if none was.
-    pub mean_weight: Option<f64>,
+    /// Mean weight of a slot of its local upstreams; above 0.
+    pub mean_weight: f64,
 }
 
 /// Every upstream that is registered, or was and may still have flows.
@@ -143,7 +143,7 @@
             warmup: None,
             is_contended: false,
             connection_limit: None,
-            mean_weight: None,
+            mean_weight: slot_weight(&self.config.room),
         });
         self.pool_by_name.insert(name.clone(), index);
         index
@@ -413,27 +413,29 @@
 
     /// Lets weights follow the loads that were measured anew. To be called after each change of loads.
     pub fn learn_loads(&mut self, costs: &FlowCosts) {
-        for (place, pool) in self.pools.iter_mut().enumerate() {
-            let start = pool.mean_weight.unwrap_or(slot_weight(&self.config.room));
-            let turnover = costs.turnover(&self.config.costs, place as ServiceIndex);
+        let config = &self.config.room;
+        for (service, pool) in self.pools.iter_mut().enumerate() {
+            let turnover = costs.turnover(&self.config.costs, service as ServiceIndex);
             let (mut weights, mut slots) = (0.0, 0.0);
             for index in &pool.local {
                 let record = &mut self.records[*index as usize];
-                if record.weight.is_behind(&record.load) {
-                    record.weight.learn(
-                        &self.config.room,
-                        record.slots,
-                        turnover,
-                        start,
-                        &record.load,
-                    );
-                }
+                record
+                    .weight
+                    .learn(config, record.slots, turnover, &record.load);
                 if let Some(weight) = record.weight.current(&record.load) {
                     weights += weight;
                     slots += f64::from(record.slots);
                 }
             }
-            pool.mean_weight = (slots > 0.0).then_some(weights / slots);
+            let mean_weight = match slots > 0.0 {
+                true => weights / slots,
+                false => slot_weight(config),
+            };
+            for index in &pool.local {
+                let record = &mut self.records[*index as usize];
+                record.weight.start(record.slots, mean_weight, &record.load);
+            }
+            pool.mean_weight = mean_weight;
         }
     }
 
--- a/packet/tests/queue_rig.rs
+++ b/packet/tests/queue_rig.rs
@@ -172,7 +172,7 @@
                 let flow = QueueFlow {
                     host,
                     upstream,
-                    number: opened as u16,
+                    number: (opened % 60_000) as u16,
                     left: case.requests,
                 };
                 let record = rig.table.get_mut(index);
--- a/packet/tests/test_flow_cost.rs
+++ b/packet/tests/test_flow_cost.rs
@@ -135,6 +135,64 @@
     assert_eq!(expected_load(&rig), 0);
 }
 
+#[test]
+fn test_turnover_is_the_share_of_short_flows() {
+    // Guards against weights that follow a digest at once although its load is over before it arrives.
+    struct Case {
+        name: &'static str,
+        short: u16,
+        long: u16,
+        expected: (u32, u32),
+    }
+    let cases = [
+        Case {
+            name: "nothing seen",
+            short: 0,
+            long: 0,
+            expected: (1000, 1000),
+        },
+        Case {
+            name: "all end within a second",
+            short: 8,
+            long: 0,
+            expected: (1000, 1000),
+        },
+        Case {
+            name: "all last longer",
+            short: 0,
+            long: 8,
+            expected: (0, 0),
+        },
+        Case {
+            name: "half of the request time",
+            short: 8,
+            long: 8,
+            expected: (400, 600),
+        },
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1]);
+        for flow in 0..case.short + case.long {
+            rig.establish(flow);
+            exchange(&mut rig, flow, 0, 20);
+            if flow < case.short {
+                end(&mut rig, flow, PacketKind::Carry);
+            }
+        }
+        rig.pass(2000);
+        let index = rig.core.upstreams().by_tag(tag(1)).unwrap_or_default();
+        let service = rig.core.upstreams().get(index).service;
+        let costs = rig.core.evidence().costs();
+        let turnover = costs.turnover(&FlowCostConfig::default(), service);
+        let (least, most) = case.expected;
+        assert!(
+            (least..=most).contains(&turnover),
+            "{}: {turnover}",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn test_only_flows_that_open_here_are_measured() {
     // Guards against the first second being taken from the middle of a flow that the fabric moved here.
--- a/packet/tests/test_room_selection.rs
+++ b/packet/tests/test_room_selection.rs
@@ -5,6 +5,7 @@
 
 use lagoonproxy::flow_hash::rendezvous_weight;
 use lagoonproxy::ids::ZoneName;
+use lagoonproxy_packet::flows::flow_cost::FlowCosts;
 use lagoonproxy_packet::ids::ServiceIndex;
 use lagoonproxy_packet::ids::UpstreamIndex;
 use lagoonproxy_packet::load::service_room::ServiceRoom;
@@ -14,6 +15,7 @@
 use lagoonproxy_packet::selection::room_weight::RoomMeasure;
 use lagoonproxy_packet::selection::room_weight::RoomWeightConfig;
 use lagoonproxy_packet::selection::room_weight::draw_order;
+use lagoonproxy_packet::selection::room_weight::is_drawn_after;
 use lagoonproxy_packet::selection::room_weight::room_weight;
 use lagoonproxy_packet::selection::upstream_selection::FlowSelection;
 use lagoonproxy_packet::selection::upstream_selection::SelectionQuery;
@@ -170,7 +172,7 @@
     /// How many of so many flows go to each upstream, of flows that sample the first ones.
     fn counts(&self, flows: u64) -> Vec<u32> {
         let length = self.members.len() as u64;
-        let sampled = self.table.config().selection.max_sampled;
+        let sampled = self.table.config().room.max_sampled;
         let mut counts = vec![0; self.members.len().min(sampled)];
         for flow in 0..flows {
             let flow_hash = rendezvous_weight(flow, 77);
@@ -608,6 +610,35 @@
     }
 }
 
+#[test]
+fn test_new_upstreams_start_at_the_mean_weight() {
+    // Guards against an empty upstream that gets the new flows of all hosts until the next digest.
+    let costs = FlowCosts::default();
+    for measure in MEASURES {
+        let mut rig = RoomRig::new(measure, &[FULL; 9]);
+        rig.table.learn_loads(&costs);
+        rig.room.updated_at = Some(rig.now);
+        let entry = room_entry(9, ZONE);
+        rig.members.push(rig.table.register(rig.now, &entry));
+        let before = busiest_share(&rig.counts(20_000));
+        assert!(before < 1.15, "{measure:?}, not in the digest: {before}");
+        let mut shares = Vec::new();
+        for _digest in 0..12 {
+            rig.now += Duration::from_millis(250);
+            for member in 0..9 {
+                rig.measure(member, FULL.in_progress, FULL.response_ms);
+            }
+            rig.measure(9, EMPTY.in_progress, EMPTY.response_ms);
+            rig.table.learn_loads(&costs);
+            let counts = rig.counts(10_000);
+            shares.push(f64::from(counts[9]) / 1000.0);
+        }
+        assert!(shares[0] < 1.2, "{measure:?}, first digest: {shares:?}");
+        assert!(shares[1] < 4.0, "{measure:?}, second digest: {shares:?}");
+        assert!(shares[11] > 4.0, "{measure:?}, after 3 s: {shares:?}");
+    }
+}
+
 #[test]
 fn test_saturated_by_known_requests() {
     // Guards against local upstreams that are full through other hosts and get this host's flows as well.
@@ -645,6 +676,15 @@
         }
     }
 
+    /// What spares the logarithm of a draw never changes who wins it.
+    #[test]
+    fn test_spared_draws_lose(hash: u64, other: u64, weight in 1e-3..1e6_f64, factor in 1e-3..1e3_f64) {
+        let limit = draw_order(other, weight * factor);
+        if is_drawn_after(hash, weight, limit) {
+            prop_assert!(draw_order(hash, weight) > limit);
+        }
+    }
+
     /// Hosts with the same digest do not all select the upstream with the most room: of 1,000 flows, each
     /// upstream gets at most 1.5 times the share of its weight, and 20 flows.
     #[test]
