--- a/packet/tests/test_allocations.rs
+++ b/packet/tests/test_allocations.rs
@@ -1,9 +1,13 @@
 //! Packets of open flows allocate nothing, so that their cost does not depend on the heap.
 
+use lagoonproxy_packet::flows::flow_cost::FlowCosts;
 use lagoonproxy_packet::packet_action::PacketOutput;
 use lagoonproxy_packet::packet_head::PacketHead;
+use lagoonproxy_packet::selection::room_weight::RoomMeasure;
 
 use crate::core_rig::*;
+use crate::test_room_selection::KnownUpstream;
+use crate::test_room_selection::RoomRig;
 
 /// A request, a copy of it, and the acknowledgement of its answer, on each flow.
 fn turn_heads(flows: &[(u16, u8)], turn: u32) -> Vec<PacketHead> {
@@ -34,3 +38,22 @@
     }
     assert_eq!(allocations[1], 0, "once the output has its room");
 }
+
+#[test]
+fn test_selection_by_room_allocates_nothing() {
+    // Guards against a heap allocation for each new flow while a service is contended.
+    let upstream = KnownUpstream {
+        slots: 2,
+        in_progress: 1600,
+        response_ms: 20,
+        warmup_ms: 0,
+    };
+    let mut rig = RoomRig::new(RoomMeasure::default(), &[upstream; 40]);
+    rig.table.learn_loads(&FlowCosts::default());
+    let counted = allocation_counter::measure(|| {
+        for flow_hash in 0..200 {
+            rig.select(flow_hash, None);
+        }
+    });
+    assert_eq!(counted.count_total, 0);
+}
