admission: SYNs of contended services are judged by priority class

While a service is contended, each host decides on a SYN by pressure, class rank, copy number, the caller's share, objective and timeout. It keeps three bounded records for that: demand by class, callers by class, and the flows of which it deferred every SYN. Sound hedges stop, and doubtful ones are taken from a budget. In calm, the only addition is the time of the class's last demand.

--- a/lib/src/caller_usage.rs
+++ b/lib/src/caller_usage.rs
@@ -57,6 +57,11 @@
         *used > self.hot_use()
     }
 
+    /// Callers that are remembered.
+    pub fn callers(&self) -> usize {
+        self.callers.len()
+    }
+
     /// Whether any caller used much more than an even share, as of the last sweep.
     pub fn has_hot(&self) -> bool {
         self.has_hot
--- a/packet/src/admission/opening_admission.rs
+++ b/packet/src/admission/opening_admission.rs
@@ -13,15 +13,9 @@
 
 use std::time::Duration;
 
+use crate::admission::syn_copies::copy_age;
 use crate::policy_config::AdmissionConfig;
 
-/// How long after its first copy callers send each copy of an opening packet.
-const COPY_AGES: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(200),
-    Duration::from_millis(600),
-];
-
 /// An opening packet to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct OpeningQuery {
@@ -39,8 +33,7 @@
 
 /// Whether the packet is left to its caller's next copy.
 pub fn is_deferred(config: &AdmissionConfig, query: &OpeningQuery) -> bool {
-    let last = COPY_AGES.len() - 1;
-    let age = COPY_AGES[(query.copy as usize).min(last)];
+    let age = copy_age(query.copy);
     let late = query.target.is_some_and(|target| age >= target);
     let busy = query.requests >= query.slots * config.busy_requests;
     query.copy > 0 && late && busy && !query.placed_before
--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -5,10 +5,11 @@
 
 use lagoonproxy::result_code::ResultCode;
 
+use crate::admission::admission_state::SynArrival;
 use crate::admission::class_admission::SynQuery;
 use crate::admission::class_admission::SynVerdict;
-use crate::admission::class_admission::judge_syn;
 use crate::flows::flow_evidence::CopySeen;
+use crate::flows::flow_table::FlowKey;
 use crate::ids::ServiceIndex;
 use crate::ids::UpstreamIndex;
 use crate::load::load_report::LoadDigest;
@@ -52,7 +53,7 @@
             .tick(now, &self.peers, &mut self.upstreams, &mut output.events);
         self.spill
             .tick(now, &self.load, &self.upstreams, &mut output.events);
-        self.callers.tick(now);
+        self.admission.tick(now);
     }
 
     /// Whether a SYN may be placed now; carries out the refusal or deferral otherwise. Always true in calm.
@@ -67,27 +68,27 @@
             return true;
         };
         if !syn.room.is_contended {
+            self.admission.record_demand(now, service, class.rank);
             self.load
                 .record_syn(now, service, class, head.ack, SynOutcome::Placed);
             return true;
         }
-        let caller = *head.caller.ip();
-        if head.ack == 0 {
-            self.callers.record_flow(now, service, class.rank, caller);
-        }
-        let query = SynQuery {
+        let arrival = SynArrival {
+            key: FlowKey {
+                caller: head.caller,
+                service: head.service,
+            },
+            flow_hash: syn.flow_hash,
+            service,
             room: syn.room,
             class,
             copy: head.ack,
-            flow_hash: syn.flow_hash,
             placed_before: !syn.copy.tried.is_empty(),
-            deferred_before: head.ack == 0,
             has_free_slot: syn.has_free_slot,
-            is_heavy_caller: self.callers.is_heavy(service, class.rank, caller),
             target: self.routes.target(head.service),
             timeout: self.routes.timeout(head.service),
         };
-        let verdict = judge_syn(&self.upstreams.config().classes, &query);
+        let (query, verdict) = self.admission.judge(now, &arrival);
         let outcome = match verdict {
             SynVerdict::Admit => SynOutcome::Placed,
             SynVerdict::Defer(_) => SynOutcome::Deferred,
@@ -104,6 +105,18 @@
         false
     }
 
+    /// Whether a second upstream gets a SYN too. While the service is contended, hedges are taken from a budget;
+    /// probes are not.
+    pub(crate) fn admits_second(
+        &mut self,
+        now: Instant,
+        room: ServiceRoom,
+        second: UpstreamIndex,
+    ) -> bool {
+        let is_probe = self.upstreams.get(second).silence.wants_probe(now);
+        !room.is_contended || is_probe || self.admission.spend_hedge()
+    }
+
     /// Records the end of a request on a flow.
     pub(crate) fn record_request(
         &mut self,
@@ -114,6 +127,7 @@
     ) {
         let service = self.upstreams.get(index).service;
         if let Some(class) = self.routes.class(head.service, service) {
+            self.admission.record_demand(now, service, class.rank);
             self.load
                 .record_request(now, index, class, end, &self.upstreams);
         }
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -11,7 +11,7 @@
 use lagoonproxy::result_code::ResultCode;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::caller_share::CallerShares;
+use crate::admission::admission_state::AdmissionState;
 use crate::admission::opening_admission::OpeningQuery;
 use crate::admission::opening_admission::is_deferred;
 use crate::admission::warmup_admission::WarmupTolerance;
@@ -70,7 +70,7 @@
     pub(crate) peers: PeerTable,
     pub(crate) load: LoadView,
     pub(crate) spill: ZoneSpill,
-    pub(crate) callers: CallerShares,
+    pub(crate) admission: AdmissionState,
     pub(crate) zone: ZoneName,
     /// The zones that the settings name.
     pub(crate) zones: Vec<ZoneName>,
@@ -104,7 +104,7 @@
             evidence: FlowEvidence::default(),
             load: LoadView::new(config.exchange),
             spill: ZoneSpill::default(),
-            callers: CallerShares::default(),
+            admission: AdmissionState::new(config.classes),
             peers: PeerTable::new(
                 settings.peer_address,
                 settings.zone.clone(),
@@ -177,6 +177,7 @@
     pub fn woke_up(&mut self, now: Instant) {
         self.upstreams.reset_detectors();
         self.load.reset();
+        self.admission.restart(now);
         self.evidence.restart_waits(now);
     }
 
@@ -322,22 +323,17 @@
         if !self.admits_class(now, syn, output) {
             return;
         }
-        self.record_placed(
-            now,
-            head,
-            selection.first,
-            selection.second.is_some(),
-            output,
-        );
-        for index in std::iter::once(selection.first).chain(selection.second) {
+        let second = selection
+            .second
+            .filter(|second| self.admits_second(now, room, *second));
+        self.record_placed(now, head, selection.first, second.is_some(), output);
+        for index in std::iter::once(selection.first).chain(second) {
             self.evidence
                 .opening_sent(now, key, index, &mut self.upstreams);
             self.upstreams.flow_placed(now, index);
             self.forward(head, index, output);
         }
-        let probed = selection
-            .second
-            .filter(|second| self.upstreams.get(*second).silence.is_ejected());
+        let probed = second.filter(|second| self.upstreams.get(*second).silence.is_ejected());
         if let Some(second) = probed {
             self.upstreams.probe_sent(second, now);
         }
--- a/packet/src/selection/upstream_selection.rs
+++ b/packet/src/selection/upstream_selection.rs
@@ -101,7 +101,8 @@
     })
 }
 
-/// The runner-up, if the SYN is to be hedged with it.
+/// The runner-up, if the SYN is to be hedged with it. While the service is contended, only a SYN to an upstream in
+/// doubt is: any other hedge takes room that requests need.
 fn hedge(
     table: &UpstreamTable,
     query: SelectionQuery<'_>,
@@ -112,7 +113,8 @@
     let record = table.get(runner_up.index);
     let doubtful = config.hedges_doubtful && table.get(first).silence.is_doubtful();
     let has_free_slot = record.requests(query.local_hosts) < record.slots;
-    let sound = config.hedges_sound && !runner_up.key.degraded && has_free_slot;
+    let is_calm = !query.room.is_contended;
+    let sound = is_calm && config.hedges_sound && !runner_up.key.degraded && has_free_slot;
     let hedges = !table.is_warming(query.now, record) && (doubtful || sound);
     hedges.then_some(runner_up.index)
 }
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -5,6 +5,7 @@
 mod fleet_store;
 mod test_allocations;
 mod test_answer_record;
+mod test_class_admission;
 mod test_failing_upstreams;
 mod test_failure_detector;
 mod test_fleet_reading;
