admission: the rate of admitted flows is controlled, not their share

An admitted share that follows the pressure oscillates: the pressure is a mean of the last second, and deferred copies and retries arrive together within it. Each host now derives the pressure at which it judges SYNs from the flows that it admitted in the second of that pressure, and the ramps of the classes do not overlap.

--- /dev/null
+++ b/packet/src/admission/admission_pressure.rs
@@ -0,0 +1,175 @@
+//! Derives the pressure at which SYNs of a service are judged from the pressure of the service and the flows offered.
+//!
+//! Load pattern: the pressure of a service is a mean of the last second, and deferred SYNs return within that time.
+//! An admitted share that follows the pressure alone is too small for a second and then too large when the
+//! deferred copies and the retries arrive together; upstreams then shed more than without admission, also
+//! when demand has long been below the room. So the rate of admitted flows is controlled instead of their share.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::admission::class_admission::ClassAdmissionConfig;
+use crate::admission::class_admission::PressureRamp;
+use crate::admission::class_admission::WHOLE_SHARE;
+use crate::ids::ClassRank;
+use crate::load::service_room::REQUEST_LOAD;
+use crate::routes::route_table::MOST_CLASSES;
+
+/// Copies of a SYN whose decreases of pressure differ.
+const COPIES: usize = 3;
+
+/// Time of one interval: that between two digests.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Intervals over which admitted flows are counted: as long as the pressure is a mean of.
+const WINDOW: usize = 4;
+
+/// Intervals over which the demand that is expected next is counted.
+const RECENT: usize = 2;
+
+/// Bisections of the range of pressures; they leave an uncertainty of 1.
+const BISECTIONS: u32 = 14;
+
+/// SYNs of one interval.
+#[derive(Clone, Copy, Debug, Default)]
+struct OfferedSyns {
+    /// SYNs by class and by the copy number that decreases the pressure.
+    offered: [[u32; COPIES]; MOST_CLASSES],
+    /// Sum of the admitted shares at which they were judged, in parts of [`WHOLE_SHARE`].
+    admitted: u64,
+}
+
+/// The pressure at which SYNs of one service are judged.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AdmissionPressure {
+    /// The present interval, and the complete ones before it, newest first.
+    intervals: [OfferedSyns; WINDOW + 1],
+    /// When the present interval ends; `None` before the first SYN.
+    interval_end: Option<Instant>,
+    /// `None` if no pressure was derived since the service became contended.
+    pressure: Option<u32>,
+}
+
+impl AdmissionPressure {
+    /// Records a SYN and the admitted share at which it was judged; that is [`WHOLE_SHARE`] in calm.
+    pub fn record(&mut self, now: Instant, rank: ClassRank, copy: u32, share: u32) {
+        self.advance(now);
+        let class = usize::from(rank).min(MOST_CLASSES - 1);
+        let copy = (copy as usize).min(COPIES - 1);
+        let present = &mut self.intervals[0];
+        present.offered[class][copy] += 1;
+        present.admitted += u64::from(share);
+    }
+
+    /// Ends the contention of the service.
+    pub fn relieve(&mut self) {
+        self.pressure = None;
+    }
+
+    /// The pressure at which SYNs are judged, given that of the service and the ramps of its classes by rank. Until
+    /// this host has counted flows for long enough, it is the pressure of the service.
+    pub fn derive(
+        &mut self,
+        now: Instant,
+        service_pressure: u32,
+        config: &ClassAdmissionConfig,
+        ramps: impl Fn(ClassRank) -> PressureRamp,
+    ) -> u32 {
+        let advanced = self.advance(now);
+        if let (Some(pressure), false) = (self.pressure, advanced) {
+            return pressure;
+        }
+        let pressure = self.solve(service_pressure, config, ramps);
+        let pressure = pressure.or(self.pressure).unwrap_or(service_pressure);
+        self.pressure = Some(pressure);
+        pressure
+    }
+
+    /// Begins a new interval if the present one has ended; whether it did.
+    fn advance(&mut self, now: Instant) -> bool {
+        let end = *self.interval_end.get_or_insert(now + INTERVAL);
+        if now < end {
+            return false;
+        }
+        let passed = now.saturating_duration_since(end).as_nanos() / INTERVAL.as_nanos();
+        let count = (passed as usize + 1).min(self.intervals.len());
+        self.intervals.rotate_right(count);
+        self.intervals[..count].fill(OfferedSyns::default());
+        let since_end = (passed % u128::from(u32::MAX)) as u32;
+        self.interval_end = Some(end + INTERVAL * (since_end + 1));
+        true
+    }
+
+    /// The pressure at which as many flows as the service has room for are admitted; `None` if none were counted.
+    fn solve(
+        &self,
+        service_pressure: u32,
+        config: &ClassAdmissionConfig,
+        ramps: impl Fn(ClassRank) -> PressureRamp,
+    ) -> Option<u32> {
+        let window = &self.intervals[1..];
+        let offered: u32 = window.iter().map(OfferedSyns::sum).sum();
+        if offered == 0 {
+            return None;
+        }
+        let admitted: u64 = window.iter().map(|syns| syns.admitted).sum();
+        let mut expected = [[0; COPIES]; MOST_CLASSES];
+        for syns in &window[..RECENT] {
+            for (sums, counts) in expected.iter_mut().zip(&syns.offered) {
+                for (sum, count) in sums.iter_mut().zip(counts) {
+                    *sum += count * (WINDOW / RECENT) as u32;
+                }
+            }
+        }
+        let expected_sum: u32 = expected.iter().flatten().sum();
+        let usual = f64::from(config.usual_flows);
+        let growth = (f64::from(expected_sum) + usual) / (f64::from(offered) + usual);
+        let share = admitted as f64 / f64::from(offered) / growth;
+        let share = share * room_factor(service_pressure, config);
+        let budget = share * f64::from(expected_sum);
+        let admitted_at = |pressure: u32| -> f64 {
+            let mut sum = 0;
+            for (rank, counts) in expected.iter().enumerate() {
+                let ramp = ramps(rank as ClassRank);
+                for (copy, count) in counts.iter().enumerate() {
+                    let pressure = pressure.saturating_sub(config.copy_decrease * copy as u32);
+                    sum +=
+                        u64::from(*count) * u64::from(ramp.share(pressure, config.minimum_share));
+                }
+            }
+            sum as f64
+        };
+        let ends = (0..MOST_CLASSES).map(|rank| ramps(rank as ClassRank).end);
+        let last_decrease = config.copy_decrease * (COPIES as u32 - 1);
+        let (mut low, mut high) = (0, ends.max().unwrap_or_default() + last_decrease);
+        for _bisection in 0..BISECTIONS {
+            let middle = u32::midpoint(low, high);
+            match admitted_at(middle) > budget {
+                true => low = middle,
+                false => high = middle,
+            }
+        }
+        Some(if low == 0 { 0 } else { high })
+    }
+}
+
+impl OfferedSyns {
+    fn sum(&self) -> u32 {
+        self.offered.iter().flatten().sum()
+    }
+}
+
+/// The flows that the service has room for, as a multiple of those that were admitted while it had this pressure.
+fn room_factor(pressure: u32, config: &ClassAdmissionConfig) -> f64 {
+    let correction = |pressure: u32| {
+        let lack = config.target_pressure.saturating_sub(pressure) * config.rate_increase;
+        let excess = pressure.saturating_sub(config.shed_pressure) * config.rate_decrease;
+        1.0 + (f64::from(lack) - f64::from(excess)) / f64::from(REQUEST_LOAD * WHOLE_SHARE)
+    };
+    // Below one request per slot, the pressure is the part of the slots that are busy.
+    if pressure < REQUEST_LOAD {
+        let idle_factor = f64::from(REQUEST_LOAD) / f64::from(pressure.max(1));
+        return correction(REQUEST_LOAD) * idle_factor.min(f64::from(config.maximum_growth));
+    }
+    correction(pressure).max(1.0 / f64::from(config.maximum_fall))
+}
--- a/packet/src/admission/admission_state.rs
+++ b/packet/src/admission/admission_state.rs
@@ -5,11 +5,15 @@
 
 use lagoonproxy::retry_budget::RetryBudget;
 
+use crate::admission::admission_pressure::AdmissionPressure;
 use crate::admission::caller_share::CallerShares;
 use crate::admission::class_admission::ClassAdmissionConfig;
 use crate::admission::class_admission::SynQuery;
 use crate::admission::class_admission::SynVerdict;
+use crate::admission::class_admission::WHOLE_SHARE;
+use crate::admission::class_admission::admitted_share;
 use crate::admission::class_admission::judge_syn;
+use crate::admission::class_admission::waited_copies;
 use crate::admission::class_demand::ClassDemand;
 use crate::admission::deferred_syns::DeferredSyns;
 use crate::flows::flow_table::FlowKey;
@@ -50,6 +54,8 @@
     callers: CallerShares,
     deferred: DeferredSyns,
     demand: ClassDemand,
+    /// By service.
+    pressures: Vec<AdmissionPressure>,
     /// Hedges while a service is contended.
     hedges: RetryBudget,
 }
@@ -63,6 +69,7 @@
             callers: CallerShares::default(),
             deferred: DeferredSyns::default(),
             demand: ClassDemand::default(),
+            pressures: Vec::new(),
             hedges: RetryBudget::new(ratio, f64::from(config.hedge_burst)),
         }
     }
@@ -72,6 +79,14 @@
         self.demand.record(now, service, rank);
     }
 
+    /// Records a SYN that was placed in calm.
+    pub fn record_placed(&mut self, now: Instant, service: ServiceIndex, rank: ClassRank) {
+        self.demand.record(now, service, rank);
+        let pressure = self.pressure(service);
+        pressure.relieve();
+        pressure.record(now, rank, 0, WHOLE_SHARE);
+    }
+
     /// Decides about a SYN of a contended service, and remembers the decision.
     pub fn judge(&mut self, now: Instant, syn: &SynArrival) -> (SynQuery, SynVerdict) {
         let (service, rank) = (syn.service, syn.class.rank);
@@ -85,6 +100,7 @@
             .rank(now, service, rank, self.config.demand_memory);
         let query = SynQuery {
             room: syn.room,
+            pressure: self.derived_pressure(now, service, syn.room),
             class: syn.class,
             demand_rank: demand.rank,
             demanding_classes: demand.classes,
@@ -98,6 +114,11 @@
             timeout: syn.timeout,
         };
         let verdict = judge_syn(&self.config, &query);
+        if !syn.placed_before {
+            let share = admitted_share(&self.config, &query);
+            let copy = waited_copies(&query);
+            self.pressure(service).record(now, rank, copy, share);
+        }
         match verdict {
             SynVerdict::Defer(_) => self.deferred.record(now, syn.key, syn.copy),
             SynVerdict::Admit | SynVerdict::Refuse(_) => self.deferred.remove(&syn.key),
@@ -108,6 +129,27 @@
         (query, verdict)
     }
 
+    fn pressure(&mut self, service: ServiceIndex) -> &mut AdmissionPressure {
+        let place = service as usize;
+        if place >= self.pressures.len() {
+            self.pressures.resize(place + 1, Default::default());
+        }
+        &mut self.pressures[place]
+    }
+
+    /// The pressure at which SYNs of a service are judged.
+    fn derived_pressure(&mut self, now: Instant, service: ServiceIndex, room: ServiceRoom) -> u32 {
+        let config = self.config;
+        let mut pressure = *self.pressure(service);
+        let demand = &self.demand;
+        let derived = pressure.derive(now, room.pressure, &config, |rank| {
+            let demand = demand.rank(now, service, rank, config.demand_memory);
+            config.ramp(demand.rank, demand.classes)
+        });
+        self.pressures[service as usize] = pressure;
+        derived
+    }
+
     /// Takes one hedge of a SYN of a contended service from the budget; false if none is left.
     pub fn spend_hedge(&mut self) -> bool {
         self.hedges.spend()
--- a/packet/src/admission/class_admission.rs
+++ b/packet/src/admission/class_admission.rs
@@ -31,12 +31,30 @@
 pub struct ClassAdmissionConfig {
     /// Minimum admitted share of a class, in parts of [`WHOLE_SHARE`]. Above 0, so that no class starves.
     pub minimum_share: u32,
-    /// Ramp of the most urgent of several classes.
-    pub most_urgent: PressureRamp,
     /// Ramp of the least urgent of several classes.
     pub least_urgent: PressureRamp,
+    /// Distance between the ramps of a class and the next more urgent one. At least the length of a ramp and the decrease
+    /// for the last copy, so that all SYNs of a class get the minimum share before a more urgent class is deferred.
+    pub class_distance: u32,
     /// Ramp of the only class.
     pub only_class: PressureRamp,
+    /// Pressure below which the admitted rate rises: half as many requests wait as run, so that slots are seldom idle
+    /// and a request waits for less than its own time.
+    pub target_pressure: u32,
+    /// Pressure above which the admitted rate falls: that from which upstreams with short queues shed.
+    pub shed_pressure: u32,
+    /// Increase of the admitted rate per [`REQUEST_LOAD`](crate::load::service_room::REQUEST_LOAD) of pressure below
+    /// `target_pressure`, in parts of [`WHOLE_SHARE`].
+    pub rate_increase: u32,
+    /// Decrease of the admitted rate per `REQUEST_LOAD` of pressure above `shed_pressure`, in parts of [`WHOLE_SHARE`].
+    /// More than the shed share that such a pressure stands for, so that sheds end within seconds.
+    pub rate_decrease: u32,
+    /// Largest multiple by which the admitted rate rises within a second.
+    pub maximum_growth: u32,
+    /// Largest divisor by which it falls within a second.
+    pub maximum_fall: u32,
+    /// New flows a second on one host below which a change of their number is taken for chance.
+    pub usual_flows: u32,
     /// Time for which a class counts after its last new flow or request.
     pub demand_memory: Duration,
     /// Decrease of pressure per copy number, so that callers that have waited go first.
@@ -53,18 +71,22 @@
     fn default() -> Self {
         Self {
             minimum_share: 100,
-            most_urgent: PressureRamp {
-                start: 4000,
-                end: 6000,
-            },
             least_urgent: PressureRamp {
                 start: 1750,
                 end: 3500,
             },
+            class_distance: 3250,
             only_class: PressureRamp {
                 start: 2500,
                 end: 4500,
             },
+            target_pressure: 1500,
+            shed_pressure: 2000,
+            rate_increase: 200,
+            rate_decrease: 80,
+            maximum_growth: 10,
+            maximum_fall: 2,
+            usual_flows: 10,
             demand_memory: Duration::from_secs(3),
             copy_decrease: 750,
             heavy_increase: 1500,
@@ -79,6 +101,8 @@
 pub struct SynQuery {
     /// The load of its service.
     pub room: ServiceRoom,
+    /// The pressure at which it is judged; see [`crate::admission::admission_pressure`].
+    pub pressure: u32,
     /// The class of the request inside.
     pub class: RequestClass,
     /// Rank of the class among those of the service that have demand; below `demanding_classes`.
@@ -138,11 +162,11 @@
         if last == 0 {
             return self.only_class;
         }
-        let rank = u32::from(demand_rank).min(last);
-        let spaced = |first: u32, end: u32| (first * (last - rank) + end * rank) / last;
+        let less_urgent = last - u32::from(demand_rank).min(last);
+        let distance = self.class_distance.saturating_mul(less_urgent);
         PressureRamp {
-            start: spaced(self.most_urgent.start, self.least_urgent.start),
-            end: spaced(self.most_urgent.end, self.least_urgent.end),
+            start: self.least_urgent.start.saturating_add(distance),
+            end: self.least_urgent.end.saturating_add(distance),
         }
     }
 }
@@ -180,17 +204,32 @@
 
 /// Whether the draw of a SYN falls within the admitted share of its class.
 fn is_drawn(config: &ClassAdmissionConfig, query: &SynQuery, is_heavy: bool) -> bool {
-    let in_time = is_within(copy_age(query.copy), query.target);
-    let decrease = match in_time {
-        true => config.copy_decrease.saturating_mul(query.copy),
-        false => 0,
-    };
+    syn_draw(query.flow_hash, query.copy) < drawn_share(config, query, is_heavy)
+}
+
+/// The share of SYNs like this one that are admitted, in parts of [`WHOLE_SHARE`].
+pub fn admitted_share(config: &ClassAdmissionConfig, query: &SynQuery) -> u32 {
+    match query.placed_before || query.has_free_slot {
+        true => WHOLE_SHARE,
+        false => drawn_share(config, query, query.is_heavy_caller),
+    }
+}
+
+fn drawn_share(config: &ClassAdmissionConfig, query: &SynQuery, is_heavy: bool) -> u32 {
+    let decrease = config.copy_decrease.saturating_mul(waited_copies(query));
     let increase = if is_heavy { config.heavy_increase } else { 0 };
-    let pressure = query.room.pressure.saturating_add(increase);
+    let pressure = query.pressure.saturating_add(increase);
     let pressure = pressure.saturating_sub(decrease);
     let ramp = config.ramp(query.demand_rank, query.demanding_classes);
-    let share = ramp.share(pressure, config.minimum_share);
-    syn_draw(query.flow_hash, query.copy) < share
+    ramp.share(pressure, config.minimum_share)
+}
+
+/// The copy number, as far as it decreases the pressure: 0 for a copy that is late already.
+pub fn waited_copies(query: &SynQuery) -> u32 {
+    match is_within(copy_age(query.copy), query.target) {
+        true => query.copy,
+        false => 0,
+    }
 }
 
 /// Whether the caller's next copy can still be answered, if this one is dropped.
--- a/packet/src/admission/mod.rs
+++ b/packet/src/admission/mod.rs
@@ -1,5 +1,6 @@
 //! Admission of new flows: which are placed now, deferred or refused.
 
+pub mod admission_pressure;
 pub mod admission_state;
 pub mod caller_share;
 pub mod class_admission;
--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -68,7 +68,7 @@
             return true;
         };
         if !syn.room.is_contended {
-            self.admission.record_demand(now, service, class.rank);
+            self.admission.record_placed(now, service, class.rank);
             self.load
                 .record_syn(now, service, class, head.ack, SynOutcome::Placed);
             return true;
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -1,8 +1,10 @@
 //! The tests of the packet path's decisions, in one program so that linking is fast.
 
+mod admission_rig;
 mod core_rig;
 mod fleet_rig;
 mod fleet_store;
+mod test_admission_loop;
 mod test_allocations;
 mod test_answer_record;
 mod test_class_admission;
