--- a/packet/src/admission/class_admission.rs
+++ b/packet/src/admission/class_admission.rs
@@ -47,7 +47,7 @@
     /// `target_pressure`, in parts of [`WHOLE_SHARE`].
     pub rate_increase: u32,
     /// Decrease of the admitted rate per `REQUEST_LOAD` of pressure above `shed_pressure`, in parts of [`WHOLE_SHARE`].
-    /// More than the shed share that such a pressure stands for, so that sheds end within seconds.
+    /// A pressure raised by sheds stands for a shed share of 50; a little more ends the sheds within seconds.
     pub rate_decrease: u32,
     /// Largest multiple by which the admitted rate rises within a second.
     pub maximum_growth: u32,
@@ -83,7 +83,7 @@
             target_pressure: 1500,
             shed_pressure: 2000,
             rate_increase: 200,
-            rate_decrease: 80,
+            rate_decrease: 60,
             maximum_growth: 10,
             maximum_fall: 2,
             usual_flows: 10,
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -5,6 +5,7 @@
 mod fleet_rig;
 mod fleet_store;
 mod test_admission_loop;
+mod test_admission_state;
 mod test_allocations;
 mod test_answer_record;
 mod test_class_admission;
--- /dev/null
+++ b/packet/tests/test_admission_state.rs
@@ -0,0 +1,479 @@
+//! Tests of what a host remembers for admission by class: deferred flows, callers, and the budget of hedges.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy::result_code::ResultCode;
+use lagoonproxy_packet::admission::admission_pressure::AdmissionPressure;
+use lagoonproxy_packet::admission::admission_state::AdmissionState;
+use lagoonproxy_packet::admission::admission_state::SynArrival;
+use lagoonproxy_packet::admission::caller_share::CallerShares;
+use lagoonproxy_packet::admission::caller_share::MAX_TRACKED_CLASSES;
+use lagoonproxy_packet::admission::caller_share::SHARE_WINDOW;
+use lagoonproxy_packet::admission::class_admission::ClassAdmissionConfig;
+use lagoonproxy_packet::admission::class_admission::SynVerdict;
+use lagoonproxy_packet::admission::class_admission::WHOLE_SHARE;
+use lagoonproxy_packet::admission::class_admission::syn_draw;
+use lagoonproxy_packet::admission::deferred_syns::DeferredSyns;
+use lagoonproxy_packet::admission::deferred_syns::MAX_DEFERRED;
+use lagoonproxy_packet::flows::flow_table::FlowKey;
+use lagoonproxy_packet::load::service_room::ServiceRoom;
+use lagoonproxy_packet::routes::route_config::RequestPriority;
+use lagoonproxy_packet::routes::route_table::RequestClass;
+use lagoonproxy_packet::selection::upstream_selection::SelectionQuery;
+use lagoonproxy_packet::selection::upstream_selection::select_upstream;
+
+use crate::core_rig::*;
+
+const QUEUE_FULL: SynVerdict = SynVerdict::Defer(ResultCode::QueueFull);
+const PRIORITY_REFUSED: SynVerdict = SynVerdict::Refuse(ResultCode::PriorityRefused);
+
+fn key(number: u16) -> FlowKey {
+    FlowKey {
+        caller: caller(number),
+        service: ledger(),
+    }
+}
+
+/// A SYN of a service far above its room, with draws that are beyond the minimum share.
+fn syn(number: u16, copy: u32) -> SynArrival {
+    let is_high = |hash: &u64| (0..3).all(|copy| syn_draw(*hash, copy) >= WHOLE_SHARE / 2);
+    SynArrival {
+        key: key(number),
+        flow_hash: (0..).find(is_high).expect("some hash is"),
+        service: 0,
+        room: ServiceRoom {
+            pressure: 30_000,
+            is_contended: true,
+            updated_at: None,
+        },
+        class: RequestClass {
+            rank: 0,
+            classes: 1,
+            priority: RequestPriority::LEAST_URGENT,
+        },
+        copy,
+        placed_before: false,
+        has_free_slot: false,
+        target: Some(Duration::from_secs(1)),
+        timeout: Some(Duration::from_secs(3)),
+    }
+}
+
+enum Step {
+    /// A copy arrives and gets this.
+    Syn(u32, SynVerdict),
+    /// A copy arrives while a slot is free.
+    Placed(u32),
+    /// Milliseconds pass, with ticks.
+    Pass(u64),
+    /// The process was stalled.
+    Stall,
+    /// The first SYNs of as many other flows as are remembered are deferred.
+    Fill,
+}
+
+#[test]
+fn test_only_flows_that_are_not_open_are_refused() {
+    // Guards against a reset of a flow that another host, or this one before a stall, has opened.
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+    }
+    let cases = [
+        Case {
+            name: "deferred twice by this host",
+            steps: &[
+                Step::Syn(0, QUEUE_FULL),
+                Step::Pass(200),
+                Step::Syn(1, QUEUE_FULL),
+                Step::Pass(400),
+                Step::Syn(2, PRIORITY_REFUSED),
+            ],
+        },
+        Case {
+            name: "the first copy went to another host",
+            steps: &[
+                Step::Syn(1, QUEUE_FULL),
+                Step::Pass(400),
+                Step::Syn(2, SynVerdict::Admit),
+            ],
+        },
+        Case {
+            name: "the second copy went to another host",
+            steps: &[
+                Step::Syn(0, QUEUE_FULL),
+                Step::Pass(600),
+                Step::Syn(2, SynVerdict::Admit),
+            ],
+        },
+        Case {
+            name: "the second copy was placed by this host, which does not remember where",
+            steps: &[
+                Step::Syn(0, QUEUE_FULL),
+                Step::Pass(200),
+                Step::Placed(1),
+                Step::Pass(400),
+                Step::Syn(2, SynVerdict::Admit),
+            ],
+        },
+        Case {
+            name: "the network duplicated the first copy, which came after the second",
+            steps: &[
+                Step::Syn(0, QUEUE_FULL),
+                Step::Syn(1, QUEUE_FULL),
+                Step::Syn(0, QUEUE_FULL),
+                Step::Pass(400),
+                Step::Syn(2, SynVerdict::Admit),
+            ],
+        },
+        Case {
+            name: "longer ago than callers wait",
+            steps: &[
+                Step::Syn(0, QUEUE_FULL),
+                Step::Syn(1, QUEUE_FULL),
+                Step::Pass(1600),
+                Step::Syn(2, SynVerdict::Admit),
+            ],
+        },
+        Case {
+            name: "a stall between the copies",
+            steps: &[
+                Step::Syn(0, QUEUE_FULL),
+                Step::Syn(1, QUEUE_FULL),
+                Step::Stall,
+                Step::Syn(2, SynVerdict::Admit),
+            ],
+        },
+        Case {
+            name: "SYNs that waited in the socket during a stall",
+            steps: &[
+                Step::Stall,
+                Step::Syn(0, QUEUE_FULL),
+                Step::Syn(1, QUEUE_FULL),
+                Step::Syn(2, SynVerdict::Admit),
+                Step::Pass(1600),
+                Step::Syn(0, QUEUE_FULL),
+                Step::Syn(1, QUEUE_FULL),
+                Step::Syn(2, PRIORITY_REFUSED),
+            ],
+        },
+        Case {
+            name: "more flows than are remembered",
+            steps: &[
+                Step::Fill,
+                Step::Syn(0, QUEUE_FULL),
+                Step::Syn(1, QUEUE_FULL),
+                Step::Syn(2, SynVerdict::Admit),
+            ],
+        },
+    ];
+    for case in cases {
+        let mut state = AdmissionState::new(ClassAdmissionConfig::default());
+        let mut now = Instant::now();
+        for step in case.steps {
+            match step {
+                Step::Syn(copy, expected) => {
+                    let verdict = state.judge(now, &syn(1, *copy)).1;
+                    assert_eq!(verdict, *expected, "{}, copy {copy}", case.name);
+                }
+                Step::Placed(copy) => {
+                    let mut syn = syn(1, *copy);
+                    syn.has_free_slot = true;
+                    assert_eq!(state.judge(now, &syn).1, SynVerdict::Admit);
+                }
+                Step::Pass(millis) => {
+                    now += Duration::from_millis(*millis);
+                    state.tick(now);
+                }
+                Step::Stall => state.restart(now),
+                Step::Fill => {
+                    for number in 100..100 + MAX_DEFERRED as u16 {
+                        state.judge(now, &syn(number, 0));
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn test_deferred_flows_are_bounded() {
+    // Guards against a rush that fills the memory of a host.
+    let mut deferred = DeferredSyns::default();
+    let now = Instant::now();
+    for number in 0..10_000 {
+        deferred.record(now, key(number), 0);
+    }
+    assert_eq!(deferred.len(), MAX_DEFERRED);
+    deferred.tick(now + Duration::from_secs(2));
+    assert!(deferred.is_empty());
+}
+
+#[test]
+fn test_callers_with_far_more_flows_are_heavy() {
+    // Guards against ordinary callers that are taken for heavy ones by chance, and heavy ones that are not found.
+    struct Case {
+        name: &'static str,
+        callers: u32,
+        flows: u32,
+        hot_flows: u32,
+        is_heavy: bool,
+    }
+    let cases = [
+        Case {
+            name: "ten times the flows of 19 others",
+            callers: 19,
+            flows: 4,
+            hot_flows: 40,
+            is_heavy: true,
+        },
+        Case {
+            name: "three times those of 99 others",
+            callers: 99,
+            flows: 4,
+            hot_flows: 12,
+            is_heavy: false,
+        },
+        Case {
+            name: "one flow among many callers with one",
+            callers: 500,
+            flows: 1,
+            hot_flows: 1,
+            is_heavy: false,
+        },
+        Case {
+            name: "one of two callers",
+            callers: 1,
+            flows: 1,
+            hot_flows: 3,
+            is_heavy: false,
+        },
+        Case {
+            name: "the only caller",
+            callers: 0,
+            flows: 0,
+            hot_flows: 100,
+            is_heavy: false,
+        },
+    ];
+    for case in cases {
+        let mut shares = CallerShares::default();
+        let start = Instant::now();
+        let address = |number: u32| Ipv4Addr::from_bits(0x6440_0000 + number);
+        for number in 1..=case.callers {
+            for flow in 0..case.flows {
+                let at = start + Duration::from_millis(u64::from(flow) * 900);
+                shares.record_flow(at, 3, 1, address(number));
+            }
+        }
+        for _flow in 0..case.hot_flows {
+            shares.record_flow(start + Duration::from_secs(4), 3, 1, address(0));
+        }
+        let heavy = |shares: &CallerShares, rank| shares.is_heavy(3, rank, address(0));
+        assert_eq!(heavy(&shares, 1), case.is_heavy, "{}", case.name);
+        assert!(!shares.is_heavy(3, 1, address(1)), "{}", case.name);
+        assert!(!heavy(&shares, 0), "{}: another class", case.name);
+        shares.tick(start + SHARE_WINDOW);
+        assert_eq!(
+            heavy(&shares, 1),
+            case.is_heavy,
+            "{}: next window",
+            case.name
+        );
+        shares.tick(start + SHARE_WINDOW * 2);
+        assert!(!heavy(&shares, 1), "{}: two windows later", case.name);
+    }
+}
+
+#[test]
+fn test_callers_of_few_classes_are_tracked() {
+    // Guards against a host with many contended classes whose memory fills.
+    let mut shares = CallerShares::default();
+    let now = Instant::now();
+    let tracked = MAX_TRACKED_CLASSES as u32;
+    for service in 0..=tracked {
+        for number in 0..20 {
+            let flows = if number == 0 { 50 } else { 1 };
+            for _flow in 0..flows {
+                shares.record_flow(now, service, 0, Ipv4Addr::from_bits(number));
+            }
+        }
+    }
+    let hot = Ipv4Addr::from_bits(0);
+    assert!(shares.is_heavy(tracked - 1, 0, hot));
+    assert!(!shares.is_heavy(tracked, 0, hot));
+}
+
+#[test]
+fn test_hedges_stay_within_their_budget() {
+    // Guards against hedges that take the room of requests while a service is contended.
+    let mut state = AdmissionState::new(ClassAdmissionConfig::default());
+    let now = Instant::now();
+    let spent = |state: &mut AdmissionState| (0..100).filter(|_| state.spend_hedge()).count();
+    assert_eq!(spent(&mut state), 10, "the burst");
+    for number in 0..50 {
+        let mut syn = syn(number, 0);
+        syn.has_free_slot = true;
+        state.judge(now, &syn);
+    }
+    assert!((4..=5).contains(&spent(&mut state)), "one per ten flows");
+    for number in 100..200 {
+        state.judge(now, &syn(number, 0));
+    }
+    assert_eq!(spent(&mut state), 0, "deferred flows earn none");
+}
+
+#[test]
+fn test_sound_syns_are_hedged_in_calm_only() {
+    struct Case {
+        name: &'static str,
+        proved: bool,
+        is_contended: bool,
+        is_hedged: bool,
+    }
+    let cases = [
+        Case {
+            name: "sound, calm",
+            proved: true,
+            is_contended: false,
+            is_hedged: true,
+        },
+        Case {
+            name: "sound, contended",
+            proved: true,
+            is_contended: true,
+            is_hedged: false,
+        },
+        Case {
+            name: "in doubt, contended",
+            proved: false,
+            is_contended: true,
+            is_hedged: true,
+        },
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1, 2]);
+        for flow in 0..if case.proved { 6 } else { 0 } {
+            rig.establish(flow);
+        }
+        let upstreams = rig.core.upstreams();
+        let query = SelectionQuery {
+            now: rig.now,
+            service: upstreams.records().next().expect("two").service,
+            flow_hash: 1,
+            local_hosts: 1,
+            tried: &[],
+            room: ServiceRoom {
+                is_contended: case.is_contended,
+                ..Default::default()
+            },
+            leaves_for: None,
+        };
+        let selection = select_upstream(upstreams, query).expect("two upstreams");
+        assert_eq!(selection.second.is_some(), case.is_hedged, "{}", case.name);
+    }
+}
+
+#[test]
+fn test_pressure_of_judgement_follows_the_room() {
+    // Guards against admitted shares that follow the pressure of the last second, and then overshoot.
+    struct Case {
+        name: &'static str,
+        /// First SYNs a second that were offered, and the share at which they were judged.
+        offered: u32,
+        share: u32,
+        service_pressure: u32,
+        /// The admitted share of the only class that follows.
+        expected: std::ops::RangeInclusive<u32>,
+    }
+    let cases = [
+        Case {
+            name: "no flows counted: the pressure of the service",
+            offered: 0,
+            share: 0,
+            service_pressure: 3500,
+            expected: 550..=550,
+        },
+        Case {
+            name: "slots are free",
+            offered: 400,
+            share: 1000,
+            service_pressure: 800,
+            expected: 1000..=1000,
+        },
+        Case {
+            name: "requests wait, but none is shed",
+            offered: 400,
+            share: 1000,
+            service_pressure: 1900,
+            expected: 1000..=1000,
+        },
+        Case {
+            name: "a tenth was shed",
+            offered: 400,
+            share: 1000,
+            service_pressure: 4000,
+            expected: 870..=890,
+        },
+        Case {
+            name: "half was shed: no less than half as many",
+            offered: 400,
+            share: 1000,
+            service_pressure: 12_000,
+            expected: 490..=510,
+        },
+        Case {
+            name: "a share that fits the room is kept",
+            offered: 400,
+            share: 500,
+            service_pressure: 1800,
+            expected: 490..=510,
+        },
+        Case {
+            name: "half of the slots became free",
+            offered: 400,
+            share: 300,
+            service_pressure: 500,
+            expected: 640..=680,
+        },
+    ];
+    let config = ClassAdmissionConfig::default();
+    for case in cases {
+        let mut pressure = AdmissionPressure::default();
+        let start = Instant::now();
+        for number in 0..case.offered * 2 {
+            let at = start + Duration::from_secs(1) * number / case.offered;
+            pressure.record(at, 0, 0, case.share);
+        }
+        let now = start + Duration::from_secs(2);
+        let derived = pressure.derive(now, case.service_pressure, &config, |_rank| {
+            config.only_class
+        });
+        let share = config.only_class.share(derived, config.minimum_share);
+        assert!(case.expected.contains(&share), "{}: {share}", case.name);
+    }
+}
+
+#[test]
+fn test_one_hot_caller_does_not_delay_the_others() {
+    // Guards against a caller that opens ten times as many flows as others and gets ten times the room.
+    let mut state = AdmissionState::new(ClassAdmissionConfig::default());
+    let now = Instant::now();
+    let mut admitted = [0; 2];
+    for turn in 0..4000u32 {
+        let is_hot = turn % 2 == 0;
+        let number = if is_hot { 0 } else { 1 + turn / 2 % 40 };
+        let mut syn = syn(0, 0);
+        let address = Ipv4Addr::from_bits(0x6440_0000 + number);
+        syn.key.caller = SocketAddrV4::new(address, turn as u16);
+        syn.flow_hash = u64::from(turn).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        syn.room.pressure = 2500;
+        let verdict = state.judge(now, &syn).1;
+        admitted[usize::from(is_hot)] += u32::from(verdict == SynVerdict::Admit);
+    }
+    assert_eq!(admitted[0], 2000, "the others");
+    assert!(admitted[1] < 1000, "the hot one: {}", admitted[1]);
+}
