--- a/packet/src/admission/admission_pressure.rs
+++ b/packet/src/admission/admission_pressure.rs
@@ -27,16 +27,22 @@
 /// Intervals over which the demand that is expected next is counted.
 const RECENT: usize = 2;
 
+/// Part of the long-term counts that is forgotten per interval: they cover some 4 s, so that a host with few flows knows
+/// which classes they are of.
+const FORGOTTEN_PART: f64 = 1.0 / 16.0;
+
+/// Flows by class and by the copy number that decreases the pressure.
+type SynCounts = [[f64; COPIES]; MOST_CLASSES];
+
 /// Bisections of the range of pressures; they leave an uncertainty of 1.
 const BISECTIONS: u32 = 14;
 
 /// SYNs of one interval.
 #[derive(Clone, Copy, Debug, Default)]
 struct OfferedSyns {
-    /// SYNs by class and by the copy number that decreases the pressure.
-    offered: [[u32; COPIES]; MOST_CLASSES],
-    /// Sum of the admitted shares at which they were judged, in parts of [`WHOLE_SHARE`].
-    admitted: u64,
+    counts: SynCounts,
+    /// The pressure at which they were judged; 0 in calm.
+    pressure: u32,
 }
 
 /// The pressure at which SYNs of one service are judged.
@@ -44,6 +50,8 @@
 pub struct AdmissionPressure {
     /// The present interval, and the complete ones before it, newest first.
     intervals: [OfferedSyns; WINDOW + 1],
+    /// Counts of all complete intervals, which lose weight with time.
+    long_term: SynCounts,
     /// When the present interval ends; `None` before the first SYN.
     interval_end: Option<Instant>,
     /// `None` if no pressure was derived since the service became contended.
@@ -51,19 +59,18 @@
 }
 
 impl AdmissionPressure {
-    /// Records a SYN and the admitted share at which it was judged; that is [`WHOLE_SHARE`] in calm.
-    pub fn record(&mut self, now: Instant, rank: ClassRank, copy: u32, share: u32) {
+    /// Records a SYN, also in calm.
+    pub fn record(&mut self, now: Instant, rank: ClassRank, copy: u32) {
         self.advance(now);
         let class = usize::from(rank).min(MOST_CLASSES - 1);
         let copy = (copy as usize).min(COPIES - 1);
-        let present = &mut self.intervals[0];
-        present.offered[class][copy] += 1;
-        present.admitted += u64::from(share);
+        self.intervals[0].counts[class][copy] += 1.0;
     }
 
     /// Ends the contention of the service.
     pub fn relieve(&mut self) {
         self.pressure = None;
+        self.intervals[0].pressure = 0;
     }
 
     /// The pressure at which SYNs are judged, given that of the service and the ramps of its classes by rank. Until
@@ -82,6 +89,7 @@
         let pressure = self.solve(service_pressure, config, ramps);
         let pressure = pressure.or(self.pressure).unwrap_or(service_pressure);
         self.pressure = Some(pressure);
+        self.intervals[0].pressure = pressure;
         pressure
     }
 
@@ -93,8 +101,15 @@
         }
         let passed = now.saturating_duration_since(end).as_nanos() / INTERVAL.as_nanos();
         let count = (passed as usize + 1).min(self.intervals.len());
+        let ended = &self.intervals[0].counts;
+        combine(&mut self.long_term, ended, |sum, count| {
+            sum * (1.0 - FORGOTTEN_PART) + count
+        });
         self.intervals.rotate_right(count);
-        self.intervals[..count].fill(OfferedSyns::default());
+        self.intervals[..count].fill(OfferedSyns {
+            counts: SynCounts::default(),
+            pressure: self.pressure.unwrap_or_default(),
+        });
         let since_end = (passed % u128::from(u32::MAX)) as u32;
         self.interval_end = Some(end + INTERVAL * (since_end + 1));
         true
@@ -107,38 +122,38 @@
         config: &ClassAdmissionConfig,
         ramps: impl Fn(ClassRank) -> PressureRamp,
     ) -> Option<u32> {
-        let window = &self.intervals[1..];
-        let offered: u32 = window.iter().map(OfferedSyns::sum).sum();
-        if offered == 0 {
+        let usual = f64::from(config.usual_flows);
+        let long_term = total(&self.long_term);
+        if long_term < 1.0 {
             return None;
         }
-        let admitted: u64 = window.iter().map(|syns| syns.admitted).sum();
-        let mut expected = [[0; COPIES]; MOST_CLASSES];
+        let window = &self.intervals[1..];
+        let offered: f64 = window.iter().map(|syns| total(&syns.counts)).sum();
+        let mut expected = SynCounts::default();
         for syns in &window[..RECENT] {
-            for (sums, counts) in expected.iter_mut().zip(&syns.offered) {
-                for (sum, count) in sums.iter_mut().zip(counts) {
-                    *sum += count * (WINDOW / RECENT) as u32;
-                }
-            }
+            let scale = (WINDOW / RECENT) as f64;
+            combine(&mut expected, &syns.counts, |sum, count| {
+                sum + count * scale
+            });
         }
-        let expected_sum: u32 = expected.iter().flatten().sum();
-        let usual = f64::from(config.usual_flows);
-        let growth = (f64::from(expected_sum) + usual) / (f64::from(offered) + usual);
-        let share = admitted as f64 / f64::from(offered) / growth;
-        let share = share * room_factor(service_pressure, config);
-        let budget = share * f64::from(expected_sum);
+        combine(&mut expected, &self.long_term, |sum, count| {
+            sum + count * usual / long_term
+        });
+        let growth = total(&expected) / (offered + usual);
         let admitted_at = |pressure: u32| -> f64 {
-            let mut sum = 0;
+            let mut sum = 0.0;
             for (rank, counts) in expected.iter().enumerate() {
                 let ramp = ramps(rank as ClassRank);
                 for (copy, count) in counts.iter().enumerate() {
                     let pressure = pressure.saturating_sub(config.copy_decrease * copy as u32);
-                    sum +=
-                        u64::from(*count) * u64::from(ramp.share(pressure, config.minimum_share));
+                    sum += count * f64::from(ramp.share(pressure, config.minimum_share));
                 }
             }
-            sum as f64
+            sum
         };
+        let admitted: f64 = window.iter().map(|syns| admitted_at(syns.pressure)).sum();
+        let mean = admitted / window.len() as f64;
+        let budget = mean / growth * room_factor(service_pressure, config);
         let ends = (0..MOST_CLASSES).map(|rank| ramps(rank as ClassRank).end);
         let last_decrease = config.copy_decrease * (COPIES as u32 - 1);
         let (mut low, mut high) = (0, ends.max().unwrap_or_default() + last_decrease);
@@ -153,9 +168,14 @@
     }
 }
 
-impl OfferedSyns {
-    fn sum(&self) -> u32 {
-        self.offered.iter().flatten().sum()
+fn total(counts: &SynCounts) -> f64 {
+    counts.iter().flatten().sum()
+}
+
+fn combine(sums: &mut SynCounts, counts: &SynCounts, add: impl Fn(f64, f64) -> f64) {
+    let pairs = sums.iter_mut().flatten().zip(counts.iter().flatten());
+    for (sum, count) in pairs {
+        *sum = add(*sum, *count);
     }
 }
 
--- a/packet/src/admission/admission_state.rs
+++ b/packet/src/admission/admission_state.rs
@@ -10,8 +10,6 @@
 use crate::admission::class_admission::ClassAdmissionConfig;
 use crate::admission::class_admission::SynQuery;
 use crate::admission::class_admission::SynVerdict;
-use crate::admission::class_admission::WHOLE_SHARE;
-use crate::admission::class_admission::admitted_share;
 use crate::admission::class_admission::judge_syn;
 use crate::admission::class_admission::waited_copies;
 use crate::admission::class_demand::ClassDemand;
@@ -84,7 +82,7 @@
         self.demand.record(now, service, rank);
         let pressure = self.pressure(service);
         pressure.relieve();
-        pressure.record(now, rank, 0, WHOLE_SHARE);
+        pressure.record(now, rank, 0);
     }
 
     /// Decides about a SYN of a contended service, and remembers the decision.
@@ -115,9 +113,8 @@
         };
         let verdict = judge_syn(&self.config, &query);
         if !syn.placed_before {
-            let share = admitted_share(&self.config, &query);
             let copy = waited_copies(&query);
-            self.pressure(service).record(now, rank, copy, share);
+            self.pressure(service).record(now, rank, copy);
         }
         match verdict {
             SynVerdict::Defer(_) => self.deferred.record(now, syn.key, syn.copy),
--- a/packet/src/admission/class_admission.rs
+++ b/packet/src/admission/class_admission.rs
@@ -86,7 +86,7 @@
             rate_decrease: 60,
             maximum_growth: 10,
             maximum_fall: 2,
-            usual_flows: 10,
+            usual_flows: 50,
             demand_memory: Duration::from_secs(3),
             copy_decrease: 750,
             heavy_increase: 1500,
@@ -207,14 +207,6 @@
     syn_draw(query.flow_hash, query.copy) < drawn_share(config, query, is_heavy)
 }
 
-/// The share of SYNs like this one that are admitted, in parts of [`WHOLE_SHARE`].
-pub fn admitted_share(config: &ClassAdmissionConfig, query: &SynQuery) -> u32 {
-    match query.placed_before || query.has_free_slot {
-        true => WHOLE_SHARE,
-        false => drawn_share(config, query, query.is_heavy_caller),
-    }
-}
-
 fn drawn_share(config: &ClassAdmissionConfig, query: &SynQuery, is_heavy: bool) -> u32 {
     let decrease = config.copy_decrease.saturating_mul(waited_copies(query));
     let increase = if is_heavy { config.heavy_increase } else { 0 };
--- a/packet/tests/test_admission_loop.rs
+++ b/packet/tests/test_admission_loop.rs
@@ -14,6 +14,7 @@
         slots: 4,
         queue: 8,
         upstreams: 12,
+        hosts: 1,
         admission: Some(ClassAdmissionConfig::default()),
     }
 }
@@ -88,3 +89,16 @@
         assert!(share(answered, asked) >= 0.99, "seed {seed}: {result:?}");
     }
 }
+
+#[test]
+fn test_explore_hosts() {
+    for hosts in [1, 8, 30, 300] {
+        let with = run_rushes(LoadCase { hosts, ..rush(1.2) });
+        let in_time = [0, 1, 2].map(|class| share(with.in_time[class], with.asked[class]));
+        println!(
+            "E hosts {hosts} in time {in_time:.4?} shed {:.4} served {}",
+            share(with.shed, with.arrivals),
+            with.answered.iter().sum::<u32>()
+        );
+    }
+}
