--- a/packet/tests/test_admission_loop.rs
+++ b/packet/tests/test_admission_loop.rs
@@ -26,7 +26,7 @@
 /// Sums of several rushes.
 fn run_rushes(case: LoadCase) -> LoadResult {
     let mut sums = LoadResult::default();
-    for seed in 1..9 {
+    for seed in 301..317 {
         let result = run_load(case, seed);
         for class in 0..3 {
             sums.asked[class] += result.asked[class];
