--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -7,7 +7,7 @@
 use lagoonproxy::flow_hash::rendezvous_weight;
 use lagoonproxy::result_code::ResultCode;
 
-use crate::admission::opening_admission::SYN_AGES;
+use crate::admission::syn_copies::next_copy_age;
 use crate::core_load::SelectedSyn;
 use crate::dispatch::dispatch_client::DispatchClient;
 use crate::dispatch::dispatch_client::QueryState;
@@ -170,7 +170,7 @@
         let flow = flow_digest(syn.flow_hash);
         match self.dispatch.client.take(now, flow) {
             QueryState::Waiting => return DispatchStep::Alone,
-            QueryState::Replied(verdict) => return self.follow_verdict(syn, verdict),
+            QueryState::Replied(verdict) => return self.follow_verdict(now, syn, verdict),
             QueryState::TimedOut(address) => {
                 if self.dispatch.choice.missed(now, address) {
                     output.events.push(DecisionEvent::DispatcherSilent {
@@ -181,7 +181,7 @@
             }
             QueryState::Absent => {}
         }
-        let query = self.dispatch_query(syn, flow);
+        let query = self.dispatch_query(now, syn, flow);
         if dispatcher == self.peers.own {
             let own = self.peers.own;
             let query = DispatchQuery {
@@ -189,12 +189,9 @@
                 ..query
             };
             let verdict = self.dispatch_verdict(now, own, &query);
-            return self.follow_verdict(syn, verdict);
+            return self.follow_verdict(now, syn, verdict);
         }
-        let key = FlowKey {
-            caller: syn.head.caller,
-            service: syn.head.service,
-        };
+        let key = FlowKey::of(syn.head);
         if !self.dispatch.client.ask(now, key, flow, dispatcher) {
             return DispatchStep::Alone;
         }
@@ -348,7 +345,12 @@
         self.dispatch.client.reply(now, from, flow, verdict)
     }
 
-    fn dispatch_query(&self, syn: SelectedSyn<'_>, flow: FlowDigest) -> DispatchQuery {
+    fn dispatch_query(
+        &self,
+        now: Instant,
+        syn: SelectedSyn<'_>,
+        flow: FlowDigest,
+    ) -> DispatchQuery {
         let class = self.routes.class(syn.head.service, syn.service);
         let tried = syn.copy.tried.iter();
         let tags = tried.filter_map(|index| self.upstreams.get(*index).tag);
@@ -356,33 +358,41 @@
             flow,
             service: service_tag(&self.upstreams.pool(syn.service).name),
             priority: class.map_or(RequestPriority::LEAST_URGENT, |class| class.priority),
-            may_refuse: syn.head.ack == 0,
+            may_refuse: self.may_refuse(now, syn),
             hold_ms: self.hold_millis(syn.head),
             excluded: tags.take(MOST_EXCLUDED).collect(),
         }
     }
 
     /// Carries a verdict out as far as this host's own view of the upstream allows it.
-    fn follow_verdict(&self, syn: SelectedSyn<'_>, verdict: DispatchVerdict) -> DispatchStep {
+    fn follow_verdict(
+        &self,
+        now: Instant,
+        syn: SelectedSyn<'_>,
+        verdict: DispatchVerdict,
+    ) -> DispatchStep {
         match verdict {
             DispatchVerdict::Place(tag) => {
                 let index = self.upstreams.by_tag(tag);
                 let usable = index.filter(|index| self.is_dispatchable(*index, syn.service));
                 usable.map_or(DispatchStep::Alone, DispatchStep::Place)
             }
-            DispatchVerdict::Defer if syn.head.ack == 0 && self.awaits_next_syn(syn.head) => {
-                DispatchStep::Defer
-            }
-            DispatchVerdict::Defer | DispatchVerdict::Refuse if syn.head.ack == 0 => {
-                DispatchStep::Refuse
+            DispatchVerdict::Defer | DispatchVerdict::Refuse if !self.may_refuse(now, syn) => {
+                DispatchStep::Alone
             }
-            DispatchVerdict::Defer
-            | DispatchVerdict::Refuse
-            | DispatchVerdict::Wait
-            | DispatchVerdict::Unknown => DispatchStep::Alone,
+            DispatchVerdict::Defer if self.awaits_next_syn(syn.head) => DispatchStep::Defer,
+            DispatchVerdict::Defer | DispatchVerdict::Refuse => DispatchStep::Refuse,
+            DispatchVerdict::Wait | DispatchVerdict::Unknown => DispatchStep::Alone,
         }
     }
 
+    /// Whether the flow of a SYN cannot be open, so that a reset says truly that its request has not run.
+    fn may_refuse(&self, now: Instant, syn: SelectedSyn<'_>) -> bool {
+        let key = FlowKey::of(syn.head);
+        let is_unopened = self.admission.is_unopened(now, &key, syn.head.ack);
+        is_unopened && syn.copy.tried.is_empty()
+    }
+
     /// How long a SYN may wait for room: a part of the latency objective, so that the request can still be in time.
     fn hold_millis(&self, head: &PacketHead) -> HoldMillis {
         let target = self.routes.target(head.service);
@@ -394,9 +404,9 @@
 
     /// Whether a request can still be answered in time if its next SYN is placed.
     fn awaits_next_syn(&self, head: &PacketHead) -> bool {
-        let next = SYN_AGES.get(head.ack as usize + 1);
+        let next = next_copy_age(head.ack);
         let target = self.routes.target(head.service);
-        next.is_some_and(|age| target.is_none_or(|target| *age < target))
+        next.is_some_and(|age| target.is_none_or(|target| age < target))
     }
 
     fn is_dispatchable(&self, index: UpstreamIndex, service: ServiceIndex) -> bool {
--- a/packet/src/flows/flow_table.rs
+++ b/packet/src/flows/flow_table.rs
@@ -11,6 +11,7 @@
 use foldhash::HashMap;
 
 use crate::ids::UpstreamIndex;
+use crate::packet_head::PacketHead;
 
 /// Most flows that are watched at a time. At 64 bytes a flow this is 4 MB, and three times what
 /// a host of the size aimed at carries (20,000).
@@ -28,6 +29,16 @@
     pub service: SocketAddrV4,
 }
 
+impl FlowKey {
+    /// The flow of a packet.
+    pub fn of(head: &PacketHead) -> Self {
+        Self {
+            caller: head.caller,
+            service: head.service,
+        }
+    }
+}
+
 /// One upstream that an opening packet went to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OpeningAttempt {
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -11,7 +11,7 @@
 use lagoonproxy::result_code::ResultCode;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::caller_share::CallerShares;
+use crate::admission::admission_state::AdmissionState;
 use crate::admission::opening_admission::OpeningQuery;
 use crate::admission::opening_admission::is_deferred;
 use crate::admission::warmup_admission::WarmupTolerance;
@@ -74,7 +74,7 @@
     pub(crate) load: LoadView,
     pub(crate) dispatch: DispatchState,
     pub(crate) spill: ZoneSpill,
-    pub(crate) callers: CallerShares,
+    pub(crate) admission: AdmissionState,
     pub(crate) zone: ZoneName,
     /// The zones that the settings name.
     pub(crate) zones: Vec<ZoneName>,
@@ -109,7 +109,7 @@
             load: LoadView::new(config.exchange).with_capacity(settings.capacity),
             dispatch: DispatchState::default(),
             spill: ZoneSpill::new(settings.zone.clone(), config.spill),
-            callers: CallerShares::default(),
+            admission: AdmissionState::new(config.classes),
             peers: PeerTable::new(
                 settings.peer_address,
                 settings.zone.clone(),
@@ -184,6 +184,7 @@
         self.load.reset();
         self.dispatch = DispatchState::default();
         self.spill.reset();
+        self.admission.restart(now);
         self.evidence.restart_waits(now);
     }
 
@@ -273,7 +274,7 @@
     }
 
     fn open_flow(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
-        let key = flow_key(head);
+        let key = FlowKey::of(head);
         if let Some(flow) = self.evidence.flow(&key) {
             let upstream = flow.upstream;
             self.carry_late_syn(head, upstream, output);
@@ -343,23 +344,24 @@
         if !self.admits_class(now, syn, output) {
             return;
         }
+        let second = selection
+            .second
+            .filter(|second| self.admits_second(now, room, *second));
         self.record_placed(
             now,
             head,
             selection.first,
-            selection.second.is_some(),
+            second.is_some(),
             syn.is_dispatched,
             output,
         );
-        for index in std::iter::once(selection.first).chain(selection.second) {
+        for index in std::iter::once(selection.first).chain(second) {
             self.evidence
                 .opening_sent(now, key, index, &mut self.upstreams);
             self.upstreams.flow_placed(now, index);
             self.forward(head, index, output);
         }
-        let probed = selection
-            .second
-            .filter(|second| self.upstreams.get(*second).silence.is_ejected());
+        let probed = second.filter(|second| self.upstreams.get(*second).silence.is_ejected());
         if let Some(second) = probed {
             self.upstreams.probe_sent(second, now);
         }
@@ -428,7 +430,7 @@
     }
 
     fn carry(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
-        let key = flow_key(head);
+        let key = FlowKey::of(head);
         if !self.routes.contains(head.service) {
             self.evidence.end(&key, &mut self.upstreams);
             self.refuse(head, None, ResultCode::ServiceUnknown, output);
@@ -545,13 +547,6 @@
     }
 }
 
-fn flow_key(head: &PacketHead) -> FlowKey {
-    FlowKey {
-        caller: head.caller,
-        service: head.service,
-    }
-}
-
 /// Hash of a flow, alike on every host.
 fn flow_hash(key: &FlowKey) -> u64 {
     let mut bytes = [0; 12];
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -1,12 +1,16 @@
 //! The tests of the packet path's decisions, in one program so that linking is fast.
 
+mod admission_rig;
 mod core_rig;
 mod fleet_rig;
 mod fleet_store;
 mod load_rig;
 mod queue_rig;
+mod test_admission_loop;
+mod test_admission_state;
 mod test_allocations;
 mod test_answer_record;
+mod test_class_admission;
 mod test_dispatch;
 mod test_failing_upstreams;
 mod test_failure_detector;
--- a/packetd/src/packet_socket.rs
+++ b/packetd/src/packet_socket.rs
@@ -126,11 +126,9 @@
             send_reset(state, socket, &reset);
         }
         PacketAction::Park => {
-            let key = FlowKey {
-                caller: head.caller,
-                service: head.service,
-            };
-            state.parked.park(Instant::now(), key, datagram);
+            state
+                .parked
+                .park(Instant::now(), FlowKey::of(head), datagram);
         }
         PacketAction::Drop { code } => state.metrics.count_result(*code),
     }
