dispatch: faults that hosts together show in virtual time

- A duplicate of a first SYN that had been forwarded could be refused, and a parked SYN that was handed in after the caller's next one as well: both reset a flow that may be open.
- A parked SYN that was handed in more than 20 ms late was parked again.
- A duplicate of a parked SYN was placed, and so was the parked one.
- A dispatcher that was frozen used its counts from before for the peers' datagrams that it read ahead of its next tick.
- A dispatcher that had heard of one service placed flows of another at once.
- A request that began with the packet that acknowledged the answer before it was no longer counted after 2 s.
- A reply that came too late counted as one, so that a dispatcher that always replies late was never skipped.
- Eight hosts that left the zone with an open query filled the list of silent dispatchers for good.

--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -45,7 +45,7 @@
 /// How long a dispatcher hears of requests before it places flows: requests that began before are not counted.
 const LEARNING_TIME: Duration = Duration::from_millis(300);
 
-/// Time without an event after which a dispatcher starts anew.
+/// Time without a reported request of a service after which a dispatcher starts anew.
 const EVENT_SILENCE: Duration = Duration::from_secs(1);
 
 /// What a dispatcher holds, and what a host holds of dispatchers.
@@ -54,10 +54,10 @@
     pub(crate) choice: DispatcherChoice,
     pub(crate) client: DispatchClient,
     pub(crate) ledger: RequestLedger,
-    /// Since when other hosts or this one report requests here without a break; `None` if none does.
-    reported_since: Option<Instant>,
-    /// When the last report came.
-    last_report: Option<Instant>,
+    /// By service, since when its requests are reported here.
+    reports: Vec<Option<ReportSpan>>,
+    /// Whether the packet at hand was parked before.
+    is_resumed: bool,
     /// By service, its dispatcher as of the last tick; `None` for services that are not contended.
     dispatchers: Vec<Option<SocketAddrV4>>,
     /// By service, what its dispatcher was asked for.
@@ -66,6 +66,14 @@
     queries: Vec<(SocketAddrV4, DispatchQuery)>,
 }
 
+/// The time for which requests of a service have been reported here without a break.
+#[derive(Clone, Copy, Debug)]
+struct ReportSpan {
+    since: Instant,
+    /// When the last request was reported.
+    last: Instant,
+}
+
 /// What a dispatcher was asked for of late.
 #[derive(Clone, Debug, Default)]
 struct ServiceDemand {
@@ -78,7 +86,7 @@
 pub(crate) enum DispatchStep {
     /// This host decides.
     Alone,
-    /// The SYN waits for the reply.
+    /// The SYN waits for the reply, or is a duplicate of one that does.
     Wait,
     /// It goes to this upstream.
     Place(UpstreamIndex),
@@ -101,25 +109,30 @@
         &mut self.demands[place]
     }
 
-    fn heard_events(&mut self, now: Instant) {
-        self.last_report = Some(now);
-        self.reported_since.get_or_insert(now);
+    fn heard_request(&mut self, now: Instant, service: ServiceIndex) {
+        let place = service as usize;
+        if self.reports.len() <= place {
+            self.reports.resize(place + 1, None);
+        }
+        let begun = ReportSpan {
+            since: now,
+            last: now,
+        };
+        self.reports[place].get_or_insert(begun).last = now;
     }
 
-    fn knows_requests(&self, now: Instant) -> bool {
-        self.reported_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= LEARNING_TIME)
+    fn knows_requests(&self, now: Instant, service: ServiceIndex) -> bool {
+        let span = self.reports.get(service as usize).copied().flatten();
+        span.is_some_and(|span| now.saturating_duration_since(span.since) >= LEARNING_TIME)
     }
 
     fn tick(&mut self, now: Instant) {
         self.client.expire(now);
         self.ledger.expire_requests(now);
-        let silent = self
-            .last_report
-            .is_some_and(|last| now.saturating_duration_since(last) >= EVENT_SILENCE);
-        if silent {
-            self.last_report = None;
-            self.reported_since = None;
+        let silent =
+            |span: &mut ReportSpan| now.saturating_duration_since(span.last) >= EVENT_SILENCE;
+        for span in &mut self.reports {
+            span.take_if(silent);
         }
     }
 }
@@ -156,7 +169,11 @@
         };
         let flow = flow_digest(syn.flow_hash);
         match self.dispatch.client.take(now, flow) {
-            QueryState::Waiting => return DispatchStep::Alone,
+            QueryState::Waiting => {
+                let code = ResultCode::QueueFull;
+                output.actions.push(PacketAction::Drop { code });
+                return DispatchStep::Wait;
+            }
             QueryState::Replied(verdict) => return self.follow_verdict(syn, verdict),
             QueryState::TimedOut(address) => {
                 if self.dispatch.choice.missed(now, address) {
@@ -166,6 +183,8 @@
                 }
                 return DispatchStep::Alone;
             }
+            QueryState::Outdated => return DispatchStep::Alone,
+            QueryState::Absent if self.dispatch.is_resumed => return DispatchStep::Alone,
             QueryState::Absent => {}
         }
         let query = self.dispatch_query(syn, flow);
@@ -185,16 +204,26 @@
         DispatchStep::Wait
     }
 
-    /// Reports to the dispatcher that a flow's request began or ended with a packet.
+    /// Decides about a packet that was parked; it is not parked again.
+    pub fn resume_packet(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
+        self.detect_stall(now);
+        self.dispatch.is_resumed = true;
+        self.packet(now, head, output);
+        self.dispatch.is_resumed = false;
+    }
+
+    /// Reports to the dispatcher that a flow's request began or ended with a packet. One that began in the packet that
+    /// acknowledged the answer before (`answered`) is reported too, since the count of the former one expires.
     pub(crate) fn report_request(
         &mut self,
         now: Instant,
         key: &FlowKey,
         flow_hash: u64,
         before: Option<UpstreamIndex>,
+        answered: bool,
     ) {
         let after = self.waiting_upstream(key);
-        if before == after {
+        if before == after && !answered {
             return;
         }
         let flow = flow_digest(flow_hash);
@@ -246,11 +275,13 @@
 
     /// Counts the requests that a host reports: this host dispatches for it.
     pub fn heard_requests(&mut self, now: Instant, events: &[RequestEvent]) {
-        self.dispatch.heard_events(now);
+        self.detect_stall(now);
         for event in events {
             match *event {
                 RequestEvent::Began { flow, upstream } => {
                     if let Some(index) = self.upstreams.by_tag(upstream) {
+                        let service = self.upstreams.get(index).service;
+                        self.dispatch.heard_request(now, service);
                         self.dispatch.ledger.begin(now, flow, index);
                     }
                 }
@@ -266,6 +297,7 @@
         from: SocketAddrV4,
         query: &DispatchQuery,
     ) -> AddressedDatagram {
+        self.detect_stall(now);
         let verdict = self.dispatch_verdict(now, query);
         let flow = query.flow;
         AddressedDatagram {
@@ -276,8 +308,11 @@
 
     /// Merges a dispatcher's reply; the flow whose SYN waits for it.
     pub fn heard_reply(&mut self, from: SocketAddrV4, reply: DispatchReply) -> Option<FlowKey> {
-        self.dispatch.choice.replied(from);
-        self.dispatch.client.reply(from, reply.flow, reply.verdict)
+        let key = self.dispatch.client.reply(from, reply.flow, reply.verdict);
+        if key.is_some() {
+            self.dispatch.choice.replied(from);
+        }
+        key
     }
 
     fn dispatch_query(&self, syn: SelectedSyn<'_>, flow: FlowDigest) -> DispatchQuery {
@@ -288,7 +323,7 @@
             flow,
             service: service_tag(&self.upstreams.pool(syn.service).name),
             priority: class.map_or(RequestPriority::LEAST_URGENT, |class| class.priority),
-            may_refuse: syn.head.ack == 0,
+            may_refuse: may_refuse(syn),
             excluded: tags.take(MOST_EXCLUDED).collect(),
         }
     }
@@ -301,10 +336,10 @@
                 let usable = index.filter(|index| self.is_dispatchable(*index, syn.service));
                 usable.map_or(DispatchStep::Alone, DispatchStep::Place)
             }
-            DispatchVerdict::Defer if syn.head.ack == 0 && self.awaits_next_syn(syn.head) => {
+            DispatchVerdict::Defer if may_refuse(syn) && self.awaits_next_syn(syn.head) => {
                 DispatchStep::Defer
             }
-            DispatchVerdict::Defer | DispatchVerdict::Refuse if syn.head.ack == 0 => {
+            DispatchVerdict::Defer | DispatchVerdict::Refuse if may_refuse(syn) => {
                 DispatchStep::Refuse
             }
             DispatchVerdict::Defer | DispatchVerdict::Refuse | DispatchVerdict::Unknown => {
@@ -330,12 +365,12 @@
 
     /// Decides as a dispatcher.
     fn dispatch_verdict(&mut self, now: Instant, query: &DispatchQuery) -> DispatchVerdict {
-        if !self.dispatch.knows_requests(now) {
-            return DispatchVerdict::Unknown;
-        }
         let Some(service) = self.service_by_tag(query.service) else {
             return DispatchVerdict::Unknown;
         };
+        if !self.dispatch.knows_requests(now, service) {
+            return DispatchVerdict::Unknown;
+        }
         self.dispatch.ledger.expire_placements(now);
         let config = &self.upstreams.config();
         let most = config.selection.max_sampled;
@@ -432,6 +467,11 @@
     }
 }
 
+/// Whether a flow cannot be open: this is its first SYN, and no duplicate of it was forwarded.
+fn may_refuse(syn: SelectedSyn<'_>) -> bool {
+    syn.head.ack == 0 && syn.copy.tried.is_empty()
+}
+
 /// The short form of a flow's hash in what hosts and dispatchers send each other.
 fn flow_digest(flow_hash: u64) -> FlowDigest {
     (flow_hash ^ (flow_hash >> 32)) as FlowDigest
--- a/packet/src/dispatch/dispatch_client.rs
+++ b/packet/src/dispatch/dispatch_client.rs
@@ -16,6 +16,13 @@
 /// millisecond, small ones that use up their share of a core within some.
 pub const REPLY_TIMEOUT: Duration = Duration::from_millis(10);
 
+/// How long after [`REPLY_TIMEOUT`] a reply still decides. A host without processor time hands a SYN in later; its
+/// caller has then sent the next one (after 200 ms), which may have opened the flow through another host.
+const REPLY_LIFE: Duration = Duration::from_millis(100);
+
+/// How long after [`REPLY_TIMEOUT`] a query is kept for its SYN. A process that pauses longer was stalled.
+const QUERY_LIFE: Duration = Duration::from_millis(400);
+
 /// Most SYNs that wait at a time; further ones are decided alone.
 const MOST_PENDING: usize = 1024;
 
@@ -40,6 +47,8 @@
     Waiting,
     /// It was replied to; it is removed.
     Replied(DispatchVerdict),
+    /// It was replied to, but its SYN is too old for the reply; it is removed.
+    Outdated,
     /// No reply came in time; it is removed.
     TimedOut(SocketAddrV4),
 }
@@ -96,6 +105,7 @@
             return QueryState::Absent;
         };
         let state = match query.verdict {
+            Some(_verdict) if now >= query.expires_at + REPLY_LIFE => QueryState::Outdated,
             Some(verdict) => QueryState::Replied(verdict),
             None if now < query.expires_at => return QueryState::Waiting,
             None => QueryState::TimedOut(query.dispatcher),
@@ -104,9 +114,9 @@
         state
     }
 
-    /// Removes queries that nobody came back for.
+    /// Removes queries whose SYN was not handed in again.
     pub fn expire(&mut self, now: Instant) {
-        let late = |query: &PendingQuery| now >= query.expires_at + REPLY_TIMEOUT;
+        let late = |query: &PendingQuery| now >= query.expires_at + QUERY_LIFE;
         self.queries.retain(|_flow, query| !late(query));
     }
 
--- a/packet/src/dispatch/dispatcher_choice.rs
+++ b/packet/src/dispatch/dispatcher_choice.rs
@@ -81,8 +81,11 @@
                 missed: 1,
                 skipped_until: None,
             };
-            // Beyond the bound a silent dispatcher goes on being asked, at the price of its timeout.
-            _ = self.watched.try_push(watched);
+            // The oldest one is most likely gone: a dispatcher that lives replies, and leaves the list.
+            if self.watched.is_full() {
+                self.watched.remove(0);
+            }
+            self.watched.push(watched);
             return false;
         };
         watched.missed += 1;
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -170,7 +170,7 @@
     ///
     /// Asked at each packet, because packets that piled up are read before the next tick: copies of
     /// requests that were answered through other hosts, or not sent on, look like silence.
-    fn detect_stall(&mut self, now: Instant) {
+    pub(crate) fn detect_stall(&mut self, now: Instant) {
         let last = self.last_event.replace(now);
         if last.is_some_and(|last| now.saturating_duration_since(last) >= STALL_THRESHOLD) {
             self.woke_up(now);
@@ -427,7 +427,8 @@
             .evidence
             .packet(now, key, head, index, &mut self.upstreams);
         if is_contended {
-            self.report_request(now, &key, flow_hash(&key), before);
+            let answered = seen.answered.is_some();
+            self.report_request(now, &key, flow_hash(&key), before, answered);
         }
         if let Some(took) = seen.answered {
             output.events.push(DecisionEvent::Answered { took });
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -1,11 +1,13 @@
 //! The tests of the packet path's decisions, in one program so that linking is fast.
 
 mod core_rig;
+mod dispatch_rig;
 mod fleet_rig;
 mod fleet_store;
 mod test_allocations;
 mod test_answer_record;
 mod test_dispatch;
+mod test_dispatch_fleet;
 mod test_failing_upstreams;
 mod test_failure_detector;
 mod test_fleet_reading;
--- a/packet/tests/test_dispatch.rs
+++ b/packet/tests/test_dispatch.rs
@@ -393,6 +393,17 @@
     assert!(choice.missed(now, host(9)), "the third one in a row");
 }
 
+#[test]
+fn test_many_former_dispatchers_do_not_hide_a_silent_one() {
+    // Guards against a dead dispatcher that is asked for good because the list is full of hosts that left the zone.
+    let now = Instant::now();
+    let mut choice = DispatcherChoice::default();
+    (10..30).for_each(|number| _ = choice.missed(now, host(number)));
+    assert!(!choice.missed(now, host(9)));
+    assert!(!choice.missed(now, host(9)));
+    assert!(choice.missed(now, host(9)));
+}
+
 proptest! {
     #[test]
     fn test_counts_equal_the_requests_in_progress(
--- a/packetd/src/packet_socket.rs
+++ b/packetd/src/packet_socket.rs
@@ -50,7 +50,7 @@
             };
             let datagram = &mut buffer[..INTENDED_BYTES + length];
             state.metrics.received.inc();
-            handle_packet(&state, &socket, datagram, &mut output);
+            handle_packet(&state, &socket, datagram, false, &mut output);
         }
         if state.core.borrow().has_dispatch_datagrams() {
             state.dispatch_due.notify_one();
@@ -64,15 +64,16 @@
     let mut output = PacketOutput::default();
     loop {
         let mut datagram = state.parked.next_due().await;
-        handle_packet(&state, &socket, &mut datagram, &mut output);
+        handle_packet(&state, &socket, &mut datagram, true, &mut output);
     }
 }
 
-/// Handles one datagram: room for the number in front, then the packet.
+/// Handles one datagram: room for the number in front, then the packet, which was parked before if `is_resumed`.
 fn handle_packet(
     state: &HostState,
     socket: &UdpSocket,
     datagram: &mut [u8],
+    is_resumed: bool,
     output: &mut PacketOutput,
 ) {
     let now = Instant::now();
@@ -86,7 +87,10 @@
         }
     };
     output.clear();
-    state.core.borrow_mut().packet(now, &head, output);
+    match is_resumed {
+        true => state.core.borrow_mut().resume_packet(now, &head, output),
+        false => state.core.borrow_mut().packet(now, &head, output),
+    }
     for action in &output.actions {
         carry_out(state, socket, &head, datagram, action);
     }
