packetd: test of a dispatching host that is killed

Three hosts, two upstreams whose answers take 100 ms and ten callers: the service becomes contended on every host, the dispatcher of the service is killed, and all callers go on being served on the flows that they hold. The stand-in of an upstream gets an answer delay for it.

--- a/packet/src/state/state_source.rs
+++ b/packet/src/state/state_source.rs
@@ -108,6 +108,6 @@
 }
 
 /// What rendezvous weights of hosts are made of.
-pub(crate) fn address_key(address: SocketAddrV4) -> u64 {
+pub fn address_key(address: SocketAddrV4) -> u64 {
     u64::from(u32::from(*address.ip()))
 }
--- a/packetd/tests/runner.rs
+++ b/packetd/tests/runner.rs
@@ -3,6 +3,7 @@
 mod faulty_peer;
 #[path = "../src/service_metrics.rs"]
 mod service_metrics;
+mod test_dispatch_processes;
 mod test_packet_changes;
 mod test_packet_failures;
 mod test_packet_soak;
--- a/standin/src/packet_upstream.rs
+++ b/standin/src/packet_upstream.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
@@ -52,6 +53,8 @@
     flows: HashMap<SocketAddrV4, HeldFlow>,
     tally: UpstreamTally,
     dark: bool,
+    /// Time from a request to its answer.
+    answer_delay: Duration,
 }
 
 /// One upstream.
@@ -93,6 +96,11 @@
         lock(&self.inner).dark = dark;
     }
 
+    /// Lets each answer take so long from now.
+    pub fn set_answer_delay(&self, delay: Duration) {
+        lock(&self.inner).answer_delay = delay;
+    }
+
     /// Ends it, so that another may have its address.
     pub async fn end(self) {
         self.task.abort();
@@ -105,6 +113,7 @@
 }
 
 async fn serve(socket: UdpSocket, number: u64, caller_port: u16, inner: Arc<Mutex<Inner>>) {
+    let socket = Arc::new(socket);
     let mut buffer = [0; 2048];
     while let Ok((length, _source)) = socket.recv_from(&mut buffer).await {
         let Some((front, body)) = buffer[..length].split_first_chunk::<FRONT>() else {
@@ -117,7 +126,16 @@
         let reply = lock(&inner).take(number, meant, &packet);
         if let Some(reply) = reply {
             let target = SocketAddrV4::new(*packet.source.ip(), caller_port);
-            let _sent = socket.send_to(&reply.encode(), target).await;
+            let delay = lock(&inner).answer_delay;
+            if reply.data.is_empty() || delay.is_zero() {
+                let _sent = socket.send_to(&reply.encode(), target).await;
+                continue;
+            }
+            let socket = socket.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                let _sent = socket.send_to(&reply.encode(), target).await;
+            });
         }
     }
 }
