dispatch: a parked SYN counts a silent upstream once

A SYN that is parked passes the core twice, and each pass counted the flow's earlier SYNs as unanswered attempts: with two attempts an upstream is ejected, so that one caller's second SYN was enough. A parked SYN that is handed in again no longer counts them.

--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -57,7 +57,7 @@
     /// By service, since when its requests are reported here.
     reports: Vec<Option<ReportSpan>>,
     /// Whether the packet at hand was parked before.
-    is_resumed: bool,
+    pub(crate) is_resumed: bool,
     /// By service, its dispatcher as of the last tick; `None` for services that are not contended.
     dispatchers: Vec<Option<SocketAddrV4>>,
     /// By service, what its dispatcher was asked for.
--- a/packet/src/flows/flow_evidence.rs
+++ b/packet/src/flows/flow_evidence.rs
@@ -127,6 +127,16 @@
         seen
     }
 
+    /// Handles a SYN that was parked: what its earlier ones tell was counted before.
+    pub fn resumed_copy(&self, key: &FlowKey) -> CopySeen {
+        let mut seen = CopySeen::default();
+        if let Some(opening) = self.table.openings.get(key) {
+            let attempts = opening.attempts.iter();
+            seen.tried.extend(attempts.map(|attempt| attempt.upstream));
+        }
+        seen
+    }
+
     /// Records where a SYN was sent.
     pub fn opening_sent(
         &mut self,
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -282,7 +282,10 @@
             self.refuse(head, None, ResultCode::ServiceUnknown, output);
             return;
         };
-        let copy = self.evidence.opening_copy(now, &key, &mut self.upstreams);
+        let copy = match self.dispatch.is_resumed {
+            true => self.evidence.resumed_copy(&key),
+            false => self.evidence.opening_copy(now, &key, &mut self.upstreams),
+        };
         for index in copy.avoided.iter().copied() {
             self.record_upstream(now, index, UpstreamChange::Avoided, output);
         }
--- a/packet/tests/test_dispatch_fleet.rs
+++ b/packet/tests/test_dispatch_fleet.rs
@@ -378,6 +378,24 @@
     assert!(rig.placed[0].dispatched);
 }
 
+#[test]
+fn test_parked_syn_counts_a_silent_upstream_once() {
+    // Guards against a sound upstream that is ejected after half of the evidence, because each parked SYN counts twice.
+    let mut rig = DispatchRig::new(8, 6);
+    rig.warm_up();
+    rig.packet(1, &open_head(1, 0));
+    rig.pass(200);
+    let before = rig.parks;
+    rig.packet(1, &open_head(1, 1));
+    rig.pass(20);
+    assert_eq!(rig.parks - before, 1);
+    let records = rig.cores[1].upstreams().records();
+    assert_eq!(
+        records.map(|record| record.silence.attempts()).sum::<u32>(),
+        1
+    );
+}
+
 #[test]
 fn test_data_of_a_flow_whose_syn_is_parked_is_forwarded() {
     // Guards against a flow that another host has opened, and that breaks or moves when its parked SYN is handed in.
