--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -52,7 +52,7 @@
 /// How long a dispatcher hears of requests before it places flows: requests that began before are not counted.
 const LEARNING_TIME: Duration = Duration::from_millis(300);
 
-/// Time without an event after which a dispatcher starts anew.
+/// Time without a reported request of a service after which a dispatcher starts anew.
 const EVENT_SILENCE: Duration = Duration::from_secs(1);
 
 /// A SYN waits for room for at most one part in this many of the latency objective.
@@ -64,10 +64,10 @@
     pub(crate) choice: DispatcherChoice,
     pub(crate) client: DispatchClient,
     pub(crate) ledger: RequestLedger,
-    /// Since when other hosts or this one report requests here without a break; `None` if none does.
-    reported_since: Option<Instant>,
-    /// When the last report came.
-    last_report: Option<Instant>,
+    /// By service, since when its requests are reported here.
+    reports: Vec<Option<ReportSpan>>,
+    /// Whether the packet at hand was parked before.
+    pub(crate) is_resumed: bool,
     /// By service, its dispatcher as of the last tick; `None` for services that are not contended.
     dispatchers: Vec<Option<SocketAddrV4>>,
     /// By service, what its dispatcher was asked for.
@@ -80,6 +80,14 @@
     replies: Vec<(SocketAddrV4, DispatchReply)>,
 }
 
+/// The time for which requests of a service have been reported here without a break.
+#[derive(Clone, Copy, Debug)]
+struct ReportSpan {
+    since: Instant,
+    /// When the last request was reported.
+    last: Instant,
+}
+
 /// What a dispatcher was asked for of late.
 #[derive(Clone, Debug, Default)]
 struct ServiceDemand {
@@ -92,7 +100,7 @@
 pub(crate) enum DispatchStep {
     /// This host decides.
     Alone,
-    /// The SYN waits for the reply.
+    /// The SYN waits for the reply, or is a duplicate of one that does.
     Wait,
     /// It goes to this upstream.
     Place(UpstreamIndex),
@@ -115,25 +123,30 @@
         &mut self.demands[place]
     }
 
-    fn heard_events(&mut self, now: Instant) {
-        self.last_report = Some(now);
-        self.reported_since.get_or_insert(now);
+    fn heard_request(&mut self, now: Instant, service: ServiceIndex) {
+        let place = service as usize;
+        if self.reports.len() <= place {
+            self.reports.resize(place + 1, None);
+        }
+        let begun = ReportSpan {
+            since: now,
+            last: now,
+        };
+        self.reports[place].get_or_insert(begun).last = now;
     }
 
-    fn knows_requests(&self, now: Instant) -> bool {
-        self.reported_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= LEARNING_TIME)
+    fn knows_requests(&self, now: Instant, service: ServiceIndex) -> bool {
+        let span = self.reports.get(service as usize).copied().flatten();
+        span.is_some_and(|span| now.saturating_duration_since(span.since) >= LEARNING_TIME)
     }
 
     fn tick(&mut self, now: Instant) {
         self.client.expire(now);
         self.ledger.expire_requests(now);
-        let silent = self
-            .last_report
-            .is_some_and(|last| now.saturating_duration_since(last) >= EVENT_SILENCE);
-        if silent {
-            self.last_report = None;
-            self.reported_since = None;
+        let silent =
+            |span: &mut ReportSpan| now.saturating_duration_since(span.last) >= EVENT_SILENCE;
+        for span in &mut self.reports {
+            span.take_if(silent);
         }
     }
 }
@@ -171,7 +184,11 @@
         };
         let flow = flow_digest(syn.flow_hash);
         match self.dispatch.client.take(now, flow) {
-            QueryState::Waiting => return DispatchStep::Alone,
+            QueryState::Waiting => {
+                let code = ResultCode::QueueFull;
+                output.actions.push(PacketAction::Drop { code });
+                return DispatchStep::Wait;
+            }
             QueryState::Replied(verdict) => return self.follow_verdict(now, syn, verdict),
             QueryState::TimedOut(address) => {
                 if self.dispatch.choice.missed(now, address) {
@@ -181,6 +198,8 @@
                 }
                 return DispatchStep::Alone;
             }
+            QueryState::Outdated => return DispatchStep::Alone,
+            QueryState::Absent if self.dispatch.is_resumed => return DispatchStep::Alone,
             QueryState::Absent => {}
         }
         let query = self.dispatch_query(now, syn, flow);
@@ -202,16 +221,26 @@
         DispatchStep::Wait
     }
 
-    /// Reports to the dispatcher that a flow's request began or ended with a packet.
+    /// Decides about a packet that was parked; it is not parked again.
+    pub fn resume_packet(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
+        self.detect_stall(now);
+        self.dispatch.is_resumed = true;
+        self.packet(now, head, output);
+        self.dispatch.is_resumed = false;
+    }
+
+    /// Reports to the dispatcher that a flow's request began or ended with a packet. One that began in the packet that
+    /// acknowledged the answer before (`answered`) is reported too, since the count of the former one expires.
     pub(crate) fn report_request(
         &mut self,
         now: Instant,
         key: &FlowKey,
         flow_hash: u64,
         before: Option<UpstreamIndex>,
+        answered: bool,
     ) {
         let after = self.waiting_upstream(key);
-        if before == after {
+        if before == after && !answered {
             return;
         }
         let flow = flow_digest(flow_hash);
@@ -269,11 +298,13 @@
     ///
     /// Replies that room has become free for wait in [`Self::take_dispatch_datagrams`].
     pub fn heard_requests(&mut self, now: Instant, events: &[RequestEvent]) {
-        self.dispatch.heard_events(now);
+        self.detect_stall(now);
         for event in events {
             match *event {
                 RequestEvent::Began { flow, upstream } => {
                     if let Some(index) = self.upstreams.by_tag(upstream) {
+                        let service = self.upstreams.get(index).service;
+                        self.dispatch.heard_request(now, service);
                         self.dispatch.ledger.begin(now, flow, index);
                     }
                 }
@@ -326,6 +357,7 @@
         from: SocketAddrV4,
         query: &DispatchQuery,
     ) -> AddressedDatagram {
+        self.detect_stall(now);
         self.dispatch.waiting.remove(query.flow);
         let verdict = self.dispatch_verdict(now, from, query);
         let flow = query.flow;
@@ -342,9 +374,12 @@
         from: SocketAddrV4,
         reply: DispatchReply,
     ) -> Option<(FlowKey, Instant)> {
-        self.dispatch.choice.replied(from);
         let (flow, verdict) = (reply.flow, reply.verdict);
-        self.dispatch.client.reply(now, from, flow, verdict)
+        let due = self.dispatch.client.reply(now, from, flow, verdict);
+        if due.is_some() {
+            self.dispatch.choice.replied(from);
+        }
+        due
     }
 
     fn dispatch_query(
@@ -432,12 +467,12 @@
         from: SocketAddrV4,
         query: &DispatchQuery,
     ) -> DispatchVerdict {
-        if !self.dispatch.knows_requests(now) {
-            return DispatchVerdict::Unknown;
-        }
         let Some(service) = self.service_by_tag(query.service) else {
             return DispatchVerdict::Unknown;
         };
+        if !self.dispatch.knows_requests(now, service) {
+            return DispatchVerdict::Unknown;
+        }
         self.dispatch.ledger.expire_placements(now);
         let config = &self.upstreams.config();
         let most = config.selection.max_sampled;
--- a/packet/src/core_load.rs
+++ b/packet/src/core_load.rs
@@ -84,7 +84,9 @@
             room: syn.room,
             class,
             copy: head.ack,
-            placed_before: !syn.copy.tried.is_empty(),
+            // A SYN that was parked may be handed in after the caller's next one, which may have opened the flow
+            // through another host.
+            placed_before: !syn.copy.tried.is_empty() || self.dispatch.is_resumed,
             has_free_slot: syn.has_free_slot,
             target: self.routes.target(head.service),
             timeout: self.routes.timeout(head.service),
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod admission_rig;
 mod core_rig;
+mod dispatch_rig;
 mod fleet_rig;
 mod fleet_store;
 mod load_rig;
@@ -12,6 +13,7 @@
 mod test_answer_record;
 mod test_class_admission;
 mod test_dispatch;
+mod test_dispatch_fleet;
 mod test_failing_upstreams;
 mod test_failure_detector;
 mod test_fleet_reading;
