--- a/packet/src/selection/room_weight.rs
+++ b/packet/src/selection/room_weight.rs
@@ -63,7 +63,7 @@
             least_in_progress: 250,
             assumed_response: Duration::from_millis(20),
             turnover_damping: 7,
-            max_sampled: 24,
+            max_sampled: 48,
             load_life: Duration::from_secs(1),
             connection_percent: 95,
         }
