--- a/packet/src/load/load_view.rs
+++ b/packet/src/load/load_view.rs
@@ -73,7 +73,7 @@
     pub shed_pressure_base: u32,
     /// What is added to it for the share of shed arrivals, if all were shed.
     pub shed_pressure_slope: u32,
-    /// Age from which a digest is not used; more in a large zone, see [`HALF_INTERVALS`].
+    /// Age from which a digest is not used; more in a large zone, to cover at least two intervals.
     pub digest_life: Duration,
     /// Interval of reports and of digests.
     pub interval: Duration,
@@ -83,7 +83,7 @@
     pub interval_step: Duration,
     /// Longest interval.
     pub longest_interval: Duration,
-    /// How long an aggregator keeps reports; more in a large zone, see [`HALF_INTERVALS`].
+    /// How long an aggregator keeps reports; more in a large zone, to cover at least two intervals.
     pub report_life: Duration,
     /// How long a failed aggregator is skipped.
     pub skip_time: Duration,
