--- a/packet/src/load/load_view.rs
+++ b/packet/src/load/load_view.rs
@@ -53,9 +53,10 @@
 pub struct LoadExchangeConfig {
     /// Whether services can become contended. If not, every decision is made as in calm.
     pub is_enabled: bool,
-    /// Longest time from a request to a short error that counts as a shed.
+    /// Longest time from a request to a short error that counts as a shed: a request is shed after it has waited in the
+    /// upstream's queue. Later ones have failed for want of an answer before.
     pub shed_wait: Duration,
-    /// Pressure from which prompt short errors of any upstream are sheds.
+    /// Pressure from which short errors of any upstream are sheds.
     pub shed_pressure: u32,
     /// How long a service stays contended after the last moment at which a condition held.
     pub contended_time: Duration,
@@ -103,7 +104,7 @@
     fn default() -> Self {
         Self {
             is_enabled: true,
-            shed_wait: Duration::from_millis(10),
+            shed_wait: Duration::from_millis(450),
             shed_pressure: 1000,
             contended_time: Duration::from_secs(3),
             contended_share: 750,
--- a/packet/src/load/shed_detection.rs
+++ b/packet/src/load/shed_detection.rs
@@ -1,8 +1,9 @@
 //! Tells sheds from failures.
 //!
-//! Load pattern: upstreams without room answer at once with a short error that says that the request has not
-//! run. Taken for failures, these eject upstreams whose only fault is that they are busy, and the others get
-//! their load on top. An upstream with free slots has no reason to shed, so that its short errors stay failures.
+//! Load pattern: upstreams without room answer with a short error that says that the request has not run, at once
+//! or after it has waited in their queue. Taken for failures, these eject upstreams whose only fault is that they
+//! are busy, and the others get their load on top. An upstream with free slots has no reason to shed, so that its
+//! short errors stay failures.
 
 use crate::ids::UpstreamIndex;
 use crate::load::service_room::REQUEST_LOAD;
--- a/packetd/src/event_log.rs
+++ b/packetd/src/event_log.rs
@@ -35,6 +35,9 @@
             if *hedged {
                 metrics.hedged.inc();
             }
+            if *dispatched {
+                metrics.dispatched.inc();
+            }
             let heard_ms = millis(*heard_ago);
             log::info!(caller:% = caller, service:% = service, copy, upstream:% = upstream, zone:% = zone, flows, heard_ms, hedged, dispatched, version; "flow placed");
         }
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -42,6 +42,8 @@
     pub placed: Counter,
     /// Of them, those sent to two upstreams at once.
     pub hedged: Counter,
+    /// Of them, those whose upstream the dispatcher of their service selected.
+    pub dispatched: Counter,
     /// Copies of opening packets that were left to their callers' next ones.
     pub deferred: Counter,
     /// Requests that callers sent again.
@@ -83,6 +85,7 @@
             unsent: Counter::default(),
             placed: Counter::default(),
             hedged: Counter::default(),
+            dispatched: Counter::default(),
             deferred: Counter::default(),
             repeated: Counter::default(),
             answer_seconds: Histogram::new(LATENCY_CLASSES),
@@ -118,6 +121,11 @@
             ("unsent", "Packets that the network refused", &self.unsent),
             ("placed", "New flows placed, with copies", &self.placed),
             ("hedged", "New flows sent to two upstreams", &self.hedged),
+            (
+                "dispatched",
+                "New flows placed by the dispatcher of their service",
+                &self.dispatched,
+            ),
             (
                 "deferred",
                 "Copies of opening packets left to the next",
