dispatch: a waiting flow counts once; the dispatcher's side stands in a module of its own

Cause: a waiting flow was looked at with each event, and each look counted as a limited flow, so that one passed for a rush that lasts. Change: finding room and counting are apart; core_dispatcher holds what a host does as a dispatcher.

--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -1,10 +1,9 @@
-//! How a core asks the dispatcher of a contended service where a flow goes, and acts as one.
+//! How a core asks the dispatcher of a contended service where a flow goes.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
-use lagoonproxy::flow_hash::rendezvous_weight;
 use lagoonproxy::result_code::ResultCode;
 
 use crate::admission::syn_copies::next_copy_age;
@@ -17,37 +16,26 @@
 use crate::dispatch::dispatch_message::MOST_EXCLUDED;
 use crate::dispatch::dispatch_message::MOST_HOLD_MS;
 use crate::dispatch::dispatch_message::RequestEvent;
-use crate::dispatch::dispatch_policy::DispatchCandidate;
 use crate::dispatch::dispatch_policy::LimitedShare;
 use crate::dispatch::dispatch_policy::RecentDemand;
-use crate::dispatch::dispatch_policy::is_limited;
-use crate::dispatch::dispatch_policy::kept_reserve;
-use crate::dispatch::dispatch_policy::least_loaded;
 use crate::dispatch::dispatcher_choice::DispatcherChoice;
 use crate::dispatch::request_ledger::RequestLedger;
-use crate::dispatch::waiting_flows::WaitingFlow;
 use crate::dispatch::waiting_flows::WaitingFlows;
 use crate::flows::flow_table::FlowKey;
 use crate::ids::FlowDigest;
 use crate::ids::HoldMillis;
 use crate::ids::ServiceIndex;
-use crate::ids::ServiceTag;
 use crate::ids::UpstreamIndex;
 use crate::load::load_report::service_tag;
 use crate::load::load_view::AddressedDatagram;
 use crate::load::load_view::SynOutcome;
-use crate::load::service_room::REQUEST_LOAD;
 use crate::packet_action::DecisionEvent;
 use crate::packet_action::PacketAction;
 use crate::packet_action::PacketOutput;
 use crate::packet_core::PacketCore;
 use crate::packet_head::PacketHead;
 use crate::peers::peer_datagram::PeerDatagram;
-use crate::policy_config::FLOW_LOAD;
 use crate::routes::route_config::RequestPriority;
-use crate::selection::upstream_selection::is_panic;
-use crate::selection::upstream_selection::sample;
-use crate::upstreams::upstream_record::UpstreamRecord;
 
 /// How long a dispatcher hears of requests before it places flows: requests that began before are not counted.
 const LEARNING_TIME: Duration = Duration::from_millis(300);
@@ -73,11 +61,11 @@
     /// By service, what its dispatcher was asked for.
     demands: Vec<ServiceDemand>,
     /// Flows that wait for room at this dispatcher.
-    waiting: WaitingFlows,
+    pub(crate) waiting: WaitingFlows,
     /// Queries to send.
     queries: Vec<(SocketAddrV4, DispatchQuery)>,
     /// Replies to send.
-    replies: Vec<(SocketAddrV4, DispatchReply)>,
+    pub(crate) replies: Vec<(SocketAddrV4, DispatchReply)>,
 }
 
 /// The time for which requests of a service have been reported here without a break.
@@ -90,9 +78,9 @@
 
 /// What a dispatcher was asked for of late.
 #[derive(Clone, Debug, Default)]
-struct ServiceDemand {
-    recent: RecentDemand,
-    limited: LimitedShare,
+pub(crate) struct ServiceDemand {
+    pub(crate) recent: RecentDemand,
+    pub(crate) limited: LimitedShare,
 }
 
 /// What becomes of a SYN that a dispatcher may place.
@@ -115,7 +103,7 @@
         self.dispatchers.get(service as usize).copied().flatten()
     }
 
-    fn demand(&mut self, service: ServiceIndex) -> &mut ServiceDemand {
+    pub(crate) fn demand(&mut self, service: ServiceIndex) -> &mut ServiceDemand {
         let place = service as usize;
         if self.demands.len() <= place {
             self.demands.resize(place + 1, ServiceDemand::default());
@@ -123,7 +111,7 @@
         &mut self.demands[place]
     }
 
-    fn heard_request(&mut self, now: Instant, service: ServiceIndex) {
+    pub(crate) fn heard_request(&mut self, now: Instant, service: ServiceIndex) {
         let place = service as usize;
         if self.reports.len() <= place {
             self.reports.resize(place + 1, None);
@@ -135,7 +123,7 @@
         self.reports[place].get_or_insert(begun).last = now;
     }
 
-    fn knows_requests(&self, now: Instant, service: ServiceIndex) -> bool {
+    pub(crate) fn knows_requests(&self, now: Instant, service: ServiceIndex) -> bool {
         let span = self.reports.get(service as usize).copied().flatten();
         span.is_some_and(|span| now.saturating_duration_since(span.since) >= LEARNING_TIME)
     }
@@ -294,79 +282,6 @@
             .collect()
     }
 
-    /// Counts the requests that a host reports: this host dispatches for it.
-    ///
-    /// Replies that room has become free for wait in [`Self::take_dispatch_datagrams`].
-    pub fn heard_requests(&mut self, now: Instant, events: &[RequestEvent]) {
-        self.detect_stall(now);
-        for event in events {
-            match *event {
-                RequestEvent::Began { flow, upstream } => {
-                    if let Some(index) = self.upstreams.by_tag(upstream) {
-                        let service = self.upstreams.get(index).service;
-                        self.dispatch.heard_request(now, service);
-                        self.dispatch.ledger.begin(now, flow, index);
-                    }
-                }
-                RequestEvent::Ended { flow } => self.dispatch.ledger.end(flow),
-            }
-        }
-        self.serve_waiting(now);
-    }
-
-    /// Replies to flows that waited: those for which there is room now, and those whose time is over.
-    pub(crate) fn serve_waiting(&mut self, now: Instant) {
-        if self.dispatch.waiting.is_empty() {
-            return;
-        }
-        for flow in self.dispatch.waiting.take_expired(now) {
-            let verdict = match self.dispatch.demand(flow.service).limited.share()
-                < self.upstreams.config().dispatch.most_deferred
-            {
-                true => DispatchVerdict::Defer,
-                false => DispatchVerdict::Refuse,
-            };
-            self.reply_later(flow.from, flow.query.flow, verdict);
-        }
-        for place in 0..self.upstreams.pools().len() {
-            let service = place as ServiceIndex;
-            while let Some(flow) = self.dispatch.waiting.next(service).cloned() {
-                let query = DispatchQuery {
-                    hold_ms: 0,
-                    ..flow.query.clone()
-                };
-                let verdict = self.dispatch_verdict(now, flow.from, &query);
-                let DispatchVerdict::Place(_) = verdict else {
-                    break;
-                };
-                self.dispatch.waiting.remove(query.flow);
-                self.reply_later(flow.from, query.flow, verdict);
-            }
-        }
-    }
-
-    fn reply_later(&mut self, target: SocketAddrV4, flow: FlowDigest, verdict: DispatchVerdict) {
-        let reply = DispatchReply { flow, verdict };
-        self.dispatch.replies.push((target, reply));
-    }
-
-    /// Replies to a host's query.
-    pub fn heard_query(
-        &mut self,
-        now: Instant,
-        from: SocketAddrV4,
-        query: &DispatchQuery,
-    ) -> AddressedDatagram {
-        self.detect_stall(now);
-        self.dispatch.waiting.remove(query.flow);
-        let verdict = self.dispatch_verdict(now, from, query);
-        let flow = query.flow;
-        AddressedDatagram {
-            datagram: PeerDatagram::Reply(DispatchReply { flow, verdict }),
-            targets: vec![from],
-        }
-    }
-
     /// Merges a dispatcher's reply; the flow whose SYN waits for it, and when it is to be handed in again.
     pub fn heard_reply(
         &mut self,
@@ -447,133 +362,6 @@
         next.is_some_and(|age| target.is_none_or(|target| age < target))
     }
 
-    /// Whether an upstream gets new flows of a service. So many may be ejected that the fault is likely on this host's
-    /// path; their ejection is then ignored, as in the selection.
-    fn is_dispatchable(&self, index: UpstreamIndex, service: ServiceIndex, panic: bool) -> bool {
-        let record = self.upstreams.get(index);
-        let usable = record.takes_flows() && (panic || !record.is_degraded());
-        let evacuated = self.upstreams.evacuated().contains_key(&record.zone);
-        usable && record.service == service && !evacuated
-    }
-
-    fn is_panic(&self, service: ServiceIndex) -> bool {
-        is_panic(&self.upstreams, service, UpstreamRecord::is_degraded)
-    }
-
-    /// Decides as a dispatcher.
-    fn dispatch_verdict(
-        &mut self,
-        now: Instant,
-        from: SocketAddrV4,
-        query: &DispatchQuery,
-    ) -> DispatchVerdict {
-        let Some(service) = self.service_by_tag(query.service) else {
-            return DispatchVerdict::Unknown;
-        };
-        if !self.dispatch.knows_requests(now, service) {
-            return DispatchVerdict::Unknown;
-        }
-        self.dispatch.ledger.expire_placements(now);
-        let config = &self.upstreams.config();
-        let most = config.selection.max_sampled;
-        let Some(mut best) = self.least_loaded(now, service, query, most) else {
-            return DispatchVerdict::Unknown;
-        };
-        let config = config.dispatch;
-        let demand = self.dispatch.demand(service);
-        let more_urgent = demand.recent.more_urgent(query.priority);
-        if let Some(reserve) = kept_reserve(&config, more_urgent) {
-            if is_limited(&config, reserve, &best) {
-                let all = self.least_loaded(now, service, query, usize::MAX);
-                best = all.unwrap_or(best);
-            }
-            let is_limited = is_limited(&config, reserve, &best);
-            let limited = &mut self.dispatch.demand(service).limited;
-            limited.record(is_limited);
-            if query.may_refuse && is_limited {
-                let is_lasting = limited.share() >= config.most_deferred;
-                if query.hold_ms > 0 && self.waits_for_room(now, from, service, query) {
-                    return DispatchVerdict::Wait;
-                }
-                return match !is_lasting {
-                    true => DispatchVerdict::Defer,
-                    false => DispatchVerdict::Refuse,
-                };
-            }
-        }
-        self.dispatch.demand(service).recent.record(query.priority);
-        self.dispatch.ledger.place(now, query.flow, best.index);
-        let tag = self.upstreams.get(best.index).tag;
-        tag.map_or(DispatchVerdict::Unknown, DispatchVerdict::Place)
-    }
-
-    /// Lets a flow wait for room; false if too many wait already.
-    fn waits_for_room(
-        &mut self,
-        now: Instant,
-        from: SocketAddrV4,
-        service: ServiceIndex,
-        query: &DispatchQuery,
-    ) -> bool {
-        let local = self.upstreams.pool(service).local.iter();
-        let slots = local.map(|index| self.upstreams.get(*index).slots).sum();
-        let hold = query.hold_ms.min(MOST_HOLD_MS);
-        let flow = WaitingFlow {
-            from,
-            service,
-            query: query.clone(),
-            expires_at: now + Duration::from_millis(hold.into()),
-        };
-        self.dispatch.waiting.add(flow, slots)
-    }
-
-    /// The least loaded of so many of the zone's upstreams.
-    fn least_loaded(
-        &self,
-        now: Instant,
-        service: ServiceIndex,
-        query: &DispatchQuery,
-        most: usize,
-    ) -> Option<DispatchCandidate> {
-        let panic = self.is_panic(service);
-        let local = &self.upstreams.pool(service).local;
-        let sampled = sample(local, u64::from(query.flow), most);
-        let usable = sampled.filter(|index| {
-            let warming = self.upstreams.is_warming(now, self.upstreams.get(*index));
-            !warming && self.is_dispatchable(*index, service, panic)
-        });
-        least_loaded(usable.map(|index| self.dispatch_candidate(now, index, query)))
-    }
-
-    fn dispatch_candidate(
-        &self,
-        now: Instant,
-        index: UpstreamIndex,
-        query: &DispatchQuery,
-    ) -> DispatchCandidate {
-        let record = self.upstreams.get(index);
-        let tag = record.tag.unwrap_or_default();
-        let cold_load = self.upstreams.config().selection.cold_load;
-        let cold = u64::from(REQUEST_LOAD) * cold_load / FLOW_LOAD;
-        DispatchCandidate {
-            index,
-            in_progress: self.dispatch.ledger.in_progress(index),
-            slots: record.slots,
-            request_load: match record.warm_at > now {
-                true => u32::try_from(cold).unwrap_or(u32::MAX),
-                false => REQUEST_LOAD,
-            },
-            is_excluded: query.excluded.contains(&tag),
-            weight: rendezvous_weight(u64::from(query.flow), u64::from(tag)),
-        }
-    }
-
-    fn service_by_tag(&self, tag: ServiceTag) -> Option<ServiceIndex> {
-        let mut pools = self.upstreams.pools().iter();
-        let place = pools.position(|pool| service_tag(&pool.name) == tag)?;
-        ServiceIndex::try_from(place).ok()
-    }
-
     /// Defers or refuses a SYN whose class has no room.
     pub(crate) fn limit_class(
         &mut self,
--- a/packet/src/lib.rs
+++ b/packet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 mod core_dispatch;
+mod core_dispatcher;
 mod core_events;
 mod core_load;
 pub mod core_peers;
--- a/packet/tests/test_dispatch_fleet.rs
+++ b/packet/tests/test_dispatch_fleet.rs
@@ -397,6 +397,76 @@
     );
 }
 
+/// The replies that a host has queued for a flow.
+fn queued_verdicts(rig: &mut DispatchRig, host: usize, flow: u32) -> Vec<DispatchVerdict> {
+    let datagrams = rig.cores[host].take_dispatch_datagrams();
+    let replies = datagrams.into_iter().filter_map(|due| match due.datagram {
+        PeerDatagram::Reply(reply) if reply.flow == flow => Some(reply.verdict),
+        _ => None,
+    });
+    replies.collect()
+}
+
+/// A dispatcher whose upstreams are full, and which keeps a reserve for urgent flows.
+fn full_dispatcher() -> DispatchRig {
+    let mut rig = DispatchRig::new(2, 2);
+    rig.warm_up();
+    let now = rig.now;
+    for flow in 1000..1100 {
+        let upstream = tag(1 + (flow % 2) as u8);
+        rig.cores[0].heard_requests(now, &[RequestEvent::Began { flow, upstream }]);
+    }
+    for flow in 2000..2100 {
+        let urgent = DispatchQuery {
+            priority: RequestPriority(0),
+            ..query(flow, false)
+        };
+        verdict(&mut rig, 0, &urgent);
+    }
+    rig
+}
+
+#[test]
+fn test_waiting_flow_is_placed_when_requests_end() {
+    // Guards against flows that are refused though requests end within a part of their objective.
+    let mut rig = full_dispatcher();
+    let waiting = DispatchQuery {
+        hold_ms: 100,
+        ..query(1, true)
+    };
+    assert_eq!(verdict(&mut rig, 0, &waiting), DispatchVerdict::Wait);
+    assert_eq!(queued_verdicts(&mut rig, 0, 1), []);
+    let now = rig.now;
+    for flow in (1000..1100).chain(2000..2100) {
+        rig.cores[0].heard_requests(now, &[RequestEvent::Ended { flow }]);
+    }
+    let verdicts = queued_verdicts(&mut rig, 0, 1);
+    assert!(
+        matches!(verdicts[..], [DispatchVerdict::Place(_)]),
+        "{verdicts:?}"
+    );
+}
+
+#[test]
+fn test_flow_that_waited_in_a_short_rush_is_deferred() {
+    // Guards against one waiting flow that is looked at with each event, and so passes for a rush that lasts.
+    let mut rig = full_dispatcher();
+    let waiting = DispatchQuery {
+        hold_ms: 100,
+        ..query(1, true)
+    };
+    assert_eq!(verdict(&mut rig, 0, &waiting), DispatchVerdict::Wait);
+    let now = rig.now;
+    for _event in 0..500 {
+        rig.cores[0].heard_requests(now, &[RequestEvent::Ended { flow: 1 }]);
+    }
+    rig.pass(120);
+    let later = rig.now;
+    rig.cores[0].heard_requests(later, &[RequestEvent::Ended { flow: 1 }]);
+    let replied = queued_verdicts(&mut rig, 0, 1);
+    assert_eq!(replied, [DispatchVerdict::Defer]);
+}
+
 #[test]
 fn test_data_of_a_flow_whose_syn_is_parked_is_forwarded() {
     // Guards against a flow that another host has opened, and that breaks or moves when its parked SYN is handed in.
