packetd: the policy file switches dispatching and sets the margin of spill

Cause: operators with costly links between zones need a larger margin, and a way to let hosts decide alone.

--- a/packetd/tests/test_policy_file.rs
+++ b/packetd/tests/test_policy_file.rs
@@ -72,7 +72,9 @@
             faults: &[
                 &["line 1: overlod: no such field; there are overload"],
                 &["line 3: overload.enabled: ", "expected a boolean"],
-                &["line 4: overload.least: no such field; there are enabled"],
+                &[
+                    "line 4: overload.least: no such field; there are dispatch, enabled, spill_margin",
+                ],
             ],
         },
         Case {
@@ -80,6 +82,11 @@
             text: "# switched off\noverload: false\n",
             faults: &[&["line 2: overload: expected a section"]],
         },
+        Case {
+            name: "a margin out of range",
+            text: "overload:\n  spill_margin: 99\n",
+            faults: &[&["line 2: overload.spill_margin: must be from 100 to 100000"]],
+        },
         Case {
             name: "a field twice",
             text: "overload:\n  enabled: true\n  enabled: false\n",
