--- a/packet/src/admission/class_admission.rs
+++ b/packet/src/admission/class_admission.rs
@@ -1,7 +1,7 @@
 //! Decides which SYNs of a contended service are placed now, by priority class.
 //!
-//! Load pattern: a service has less room than its callers need. If every SYN is placed, upstreams shed a
-//! fifth of the requests without regard to their priority, and the callers' retries add to the load.
+//! Load pattern: a service has less room than its callers need. If every SYN is placed, upstreams shed
+//! requests without regard to their priority, and the callers' retries add to the load.
 
 use std::time::Duration;
 
--- a/packet/src/core_dispatch.rs
+++ b/packet/src/core_dispatch.rs
@@ -26,7 +26,6 @@
 use crate::ids::HoldMillis;
 use crate::ids::ServiceIndex;
 use crate::ids::UpstreamIndex;
-use crate::load::load_report::service_tag;
 use crate::load::load_view::AddressedDatagram;
 use crate::load::load_view::SynOutcome;
 use crate::packet_action::DecisionEvent;
@@ -151,10 +150,9 @@
         self.dispatch.dispatchers.resize(pools.len(), None);
         for (place, pool) in pools.iter().enumerate() {
             let dispatcher = pool.is_contended.then(|| {
-                let tag = service_tag(&pool.name);
                 self.dispatch
                     .choice
-                    .choose(now, &self.peers, self.capacity, tag)
+                    .choose(now, &self.peers, self.capacity, pool.tag)
             });
             self.dispatch.dispatchers[place] = dispatcher;
         }
@@ -308,7 +306,7 @@
         let tags = tried.filter_map(|index| self.upstreams.get(*index).tag);
         DispatchQuery {
             flow,
-            service: service_tag(&self.upstreams.pool(syn.service).name),
+            service: self.upstreams.pool(syn.service).tag,
             priority: class.map_or(RequestPriority::LEAST_URGENT, |class| class.priority),
             may_refuse: self.may_refuse(now, syn),
             hold_ms: self.hold_millis(syn.head),
@@ -326,8 +324,11 @@
         match verdict {
             DispatchVerdict::Place(tag) => {
                 let index = self.upstreams.by_tag(tag);
-                let panic = self.is_panic(syn.service);
-                let usable = index.filter(|index| self.is_dispatchable(*index, syn.service, panic));
+                let usable = index.filter(|index| {
+                    let degraded = self.upstreams.get(*index).is_degraded();
+                    let panic = degraded && self.is_panic(syn.service);
+                    self.is_dispatchable(*index, syn.service, panic)
+                });
                 usable.map_or(DispatchStep::Alone, DispatchStep::Place)
             }
             DispatchVerdict::Defer | DispatchVerdict::Refuse if !self.may_refuse(now, syn) => {
--- a/packet/src/core_dispatcher.rs
+++ b/packet/src/core_dispatcher.rs
@@ -20,7 +20,6 @@
 use crate::ids::ServiceIndex;
 use crate::ids::ServiceTag;
 use crate::ids::UpstreamIndex;
-use crate::load::load_report::service_tag;
 use crate::load::load_view::AddressedDatagram;
 use crate::load::service_room::REQUEST_LOAD;
 use crate::packet_core::PacketCore;
@@ -213,9 +212,10 @@
         query: &DispatchQuery,
         most: usize,
     ) -> Option<DispatchCandidate> {
-        let panic = self.is_panic(service);
         let local = &self.upstreams.pool(service).local;
         let sampled = sample(local, u64::from(query.flow), most);
+        let mut records = sampled.clone().map(|index| self.upstreams.get(index));
+        let panic = records.any(UpstreamRecord::is_degraded) && self.is_panic(service);
         let usable = sampled.filter(|index| {
             let warming = self.upstreams.is_warming(now, self.upstreams.get(*index));
             !warming && self.is_dispatchable(*index, service, panic)
@@ -248,7 +248,7 @@
 
     fn service_by_tag(&self, tag: ServiceTag) -> Option<ServiceIndex> {
         let mut pools = self.upstreams.pools().iter();
-        let place = pools.position(|pool| service_tag(&pool.name) == tag)?;
+        let place = pools.position(|pool| pool.tag == tag)?;
         ServiceIndex::try_from(place).ok()
     }
 
--- a/packet/src/core_spill.rs
+++ b/packet/src/core_spill.rs
@@ -6,7 +6,6 @@
 use lagoonproxy::ids::ZoneName;
 
 use crate::ids::ServiceIndex;
-use crate::load::load_report::service_tag;
 use crate::load::load_view::AddressedDatagram;
 use crate::load::service_room::REQUEST_LOAD;
 use crate::load::zone_load::ZoneLoadReport;
@@ -70,7 +69,7 @@
         }
         let services = 0..self.upstreams.pools().len() as ServiceIndex;
         let is_wanted = |service: &ServiceIndex| {
-            let tag = service_tag(&self.upstreams.pool(*service).name);
+            let tag = self.upstreams.pool(*service).tag;
             let is_asked = report.services.iter().any(|load| load.service == tag);
             is_asked || self.load.room(now, *service).is_contended
         };
@@ -130,7 +129,7 @@
         LocalLoad {
             index: service,
             name: pool.name.clone(),
-            tag: service_tag(&pool.name),
+            tag: pool.tag,
             slots,
             in_progress,
             pressure: match slots {
--- a/packet/src/dispatch/dispatch_policy.rs
+++ b/packet/src/dispatch/dispatch_policy.rs
@@ -57,7 +57,7 @@
     pub request_load: u32,
     /// An earlier SYN of the flow went there.
     pub is_excluded: bool,
-    /// Tells equal candidates apart; larger is better.
+    /// Breaks ties between equal candidates; larger is better.
     pub weight: u64,
 }
 
--- a/packet/src/dispatch/dispatcher_choice.rs
+++ b/packet/src/dispatch/dispatcher_choice.rs
@@ -9,11 +9,9 @@
 use std::time::Instant;
 
 use arrayvec::ArrayVec;
-use lagoonproxy::flow_hash::rendezvous_weight;
 
 use crate::ids::ServiceTag;
 use crate::peers::peer_table::PeerTable;
-use crate::state::state_source::address_key;
 
 /// Queries without a reply, one after another, after which a dispatcher is skipped. One may be lost.
 const MISSED_REPLIES: u32 = 3;
@@ -52,12 +50,7 @@
     ) -> SocketAddrV4 {
         let others = peers.local_candidates(now);
         let usable = others.filter(|(address, _capacity)| !self.is_skipped(now, *address));
-        let rank = |(address, capacity): &(SocketAddrV4, u32)| {
-            let weight = rendezvous_weight(u64::from(service), address_key(*address));
-            (*capacity, weight, *address)
-        };
-        let best = usable.chain([(peers.own, own_capacity)]).max_by_key(rank);
-        best.map_or(peers.own, |(address, _capacity)| address)
+        peers.largest_of(usable, own_capacity, u64::from(service))
     }
 
     /// Records a reply.
--- a/packet/src/flows/flow_evidence.rs
+++ b/packet/src/flows/flow_evidence.rs
@@ -138,7 +138,7 @@
         seen
     }
 
-    /// Handles a SYN that was parked: what its earlier ones tell was counted before.
+    /// Handles a SYN that was parked: its earlier ones were counted before.
     pub fn resumed_copy(&self, key: &FlowKey) -> CopySeen {
         let mut seen = CopySeen::default();
         if let Some(opening) = self.table.openings.get(key) {
--- a/packet/src/load/aggregator_choice.rs
+++ b/packet/src/load/aggregator_choice.rs
@@ -5,11 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use lagoonproxy::flow_hash::rendezvous_weight;
-
 use crate::load::load_view::LoadExchangeConfig;
 use crate::peers::peer_table::PeerTable;
-use crate::state::state_source::address_key;
 
 /// Key of the rendezvous weights of hosts with the same capacity.
 const AGGREGATOR_KEY: u64 = 0x10ad;
@@ -62,12 +59,7 @@
         }
         let others = peers.local_candidates(now).chain(self.kept(peers));
         let usable = others.filter(|(address, _capacity)| !self.skipped.contains_key(address));
-        let rank = |(address, capacity): &(SocketAddrV4, u32)| {
-            let weight = rendezvous_weight(AGGREGATOR_KEY, address_key(*address));
-            (*capacity, weight, *address)
-        };
-        let best = usable.chain([(peers.own, own_capacity)]).max_by_key(rank);
-        let address = best.map_or(peers.own, |(address, _capacity)| address);
+        let address = peers.largest_of(usable, own_capacity, AGGREGATOR_KEY);
         if self.chosen() != Some(address) {
             self.chosen = Some((address, now));
         }
--- a/packet/src/load/load_view.rs
+++ b/packet/src/load/load_view.rs
@@ -14,7 +14,6 @@
 use crate::load::aggregator_choice::AggregatorChoice;
 use crate::load::load_report::LoadDigest;
 use crate::load::load_report::LoadReport;
-use crate::load::load_report::service_tag;
 use crate::load::report_store::ReportStore;
 use crate::load::request_meter::ClassCounts;
 use crate::load::request_meter::ClassMeter;
@@ -504,7 +503,7 @@
         let known = self.services.len();
         let new = upstreams.pools().iter().skip(known);
         self.services
-            .extend(new.map(|pool| ServiceLoad::new(service_tag(&pool.name))));
+            .extend(new.map(|pool| ServiceLoad::new(pool.tag)));
         if self.windows.len() < upstreams.records.len() {
             self.windows
                 .resize(upstreams.records.len(), RequestWindow::default());
--- a/packet/src/load/report_store.rs
+++ b/packet/src/load/report_store.rs
@@ -15,7 +15,6 @@
 use crate::load::load_report::MOST_REPORTERS;
 use crate::load::load_report::RequestRates;
 use crate::load::load_report::ServiceDigest;
-use crate::load::load_report::service_tag;
 use crate::load::load_view::LoadExchangeConfig;
 use crate::load::request_meter::ClassCounts;
 use crate::load::request_meter::RequestCounts;
@@ -129,7 +128,7 @@
             .pools()
             .iter()
             .filter_map(|pool| {
-                let tag = service_tag(&pool.name);
+                let tag = pool.tag;
                 let sum = services.get(&tag)?;
                 let mut digest = sum.digest(tag);
                 let members = pool.local.iter().map(|index| upstreams.get(*index));
--- a/packet/src/load/shed_detection.rs
+++ b/packet/src/load/shed_detection.rs
@@ -1,4 +1,4 @@
-//! Tells sheds from failures.
+//! Distinguishes sheds from failures.
 //!
 //! Load pattern: upstreams without room answer with a short error that says that the request has not run, at once
 //! or after it has waited in their queue. Taken for failures, these eject upstreams whose only fault is that they
--- a/packet/src/load/zone_exchange.rs
+++ b/packet/src/load/zone_exchange.rs
@@ -1,4 +1,4 @@
-//! The exchange of load reports between zones: what this host has asked, heard, and tells its zone.
+//! The exchange of load reports between zones: what this host has asked, heard, and passes on in digests.
 //!
 //! The aggregator of a zone with a contended service asks two hosts of each other zone. What it makes of their
 //! answers reaches the hosts of its zone in the digest, with its age, so that all of them decide alike.
@@ -137,7 +137,7 @@
         report.wants_reply
     }
 
-    /// Merges what a digest of the own zone tells of others.
+    /// Merges what a digest of the own zone contains about others.
     ///
     /// With two aggregators, the digest with more reporters is used while it is not older than a second.
     pub fn heard_digest(
--- a/packet/src/load/zone_load.rs
+++ b/packet/src/load/zone_load.rs
@@ -1,4 +1,4 @@
-//! What zones tell each other about the load of contended services.
+//! What zones report to each other about the load of contended services.
 //!
 //! Load pattern: demand rises and falls at different times in different zones. Only the hosts of a zone see the
 //! requests of its own callers; those that other zones' callers have in progress there are seen by the hosts of
@@ -83,7 +83,7 @@
     pub is_contended: bool,
 }
 
-/// What a digest tells the hosts of a zone about one zone.
+/// What a digest contains about one other zone.
 #[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneLoadEntry {
--- a/packet/src/peers/peer_table.rs
+++ b/packet/src/peers/peer_table.rs
@@ -166,6 +166,24 @@
             .map(|(address, peer)| (address, peer.capacity))
     }
 
+    /// The host with the most capacity among candidates and this one; of equals the first by rendezvous hashing of
+    /// `key`.
+    pub(crate) fn largest_of(
+        &self,
+        candidates: impl Iterator<Item = (SocketAddrV4, u32)>,
+        own_capacity: u32,
+        key: u64,
+    ) -> SocketAddrV4 {
+        let rank = |(address, capacity): &(SocketAddrV4, u32)| {
+            let weight = rendezvous_weight(key, address_key(*address));
+            (*capacity, weight, *address)
+        };
+        let best = candidates
+            .chain([(self.own, own_capacity)])
+            .max_by_key(rank);
+        best.map_or(self.own, |(address, _capacity)| address)
+    }
+
     /// The ready hosts with the most capacity of each other zone, at most so many of each.
     pub fn largest_remote(&self, now: Instant, most: usize) -> Vec<SocketAddrV4> {
         let ready = self.alive(now).filter(|(_address, peer)| {
--- a/packet/src/selection/zone_spill.rs
+++ b/packet/src/selection/zone_spill.rs
@@ -365,14 +365,14 @@
         report.fitted()
     }
 
-    /// What a digest of this host tells of other zones, of the services with the most pressure if there are many.
+    /// What a digest of this host contains about other zones, of the services with the most pressure if there are many.
     pub fn entries(&self, now: Instant, services: &[LocalLoad]) -> Vec<ZoneLoadEntry> {
         let mut services: Vec<&LocalLoad> = services.iter().collect();
         services.sort_by_key(|local| Reverse(local.pressure));
         self.exchange.entries(now, &sent_requests(services))
     }
 
-    /// Merges what a digest of the own zone tells of others.
+    /// Merges what a digest of the own zone contains about others.
     pub fn heard_digest(
         &mut self,
         now: Instant,
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -16,8 +16,10 @@
 use crate::ids::Revision;
 use crate::ids::ServiceIndex;
 use crate::ids::ServiceName;
+use crate::ids::ServiceTag;
 use crate::ids::UpstreamIndex;
 use crate::ids::UpstreamName;
+use crate::load::load_report::service_tag;
 use crate::peers::peer_heartbeat::AnswerReport;
 use crate::peers::peer_heartbeat::FailureReport;
 use crate::peers::peer_heartbeat::MOST_FAILURES;
@@ -40,6 +42,8 @@
 pub struct ServicePool {
     /// The service.
     pub name: ServiceName,
+    /// Its tag in what hosts send each other.
+    pub tag: ServiceTag,
     /// Its upstreams of this host's zone, in any registration state but deregistered.
     pub local: Vec<UpstreamIndex>,
     /// The same of other zones.
@@ -143,6 +147,7 @@
         let index = self.pools.len() as ServiceIndex;
         self.pools.push(ServicePool {
             name: name.clone(),
+            tag: service_tag(name),
             local: Vec::new(),
             remote: Vec::new(),
             evacuated: Vec::new(),
--- a/packet/tests/test_dispatch_fleet.rs
+++ b/packet/tests/test_dispatch_fleet.rs
@@ -411,18 +411,7 @@
 fn full_dispatcher() -> DispatchRig {
     let mut rig = DispatchRig::new(2, 2);
     rig.warm_up();
-    let now = rig.now;
-    for flow in 1000..1100 {
-        let upstream = tag(1 + (flow % 2) as u8);
-        rig.cores[0].heard_requests(now, &[RequestEvent::Began { flow, upstream }]);
-    }
-    for flow in 2000..2100 {
-        let urgent = DispatchQuery {
-            priority: RequestPriority(0),
-            ..query(flow, false)
-        };
-        verdict(&mut rig, 0, &urgent);
-    }
+    fill_upstreams(&mut rig);
     rig
 }
 
@@ -556,8 +545,8 @@
     }
 }
 
-/// Lets the dispatcher count more requests than it places less urgent flows at, in a rush that lasts.
-fn fill_dispatcher(rig: &mut DispatchRig) {
+/// Lets the dispatcher count full upstreams, and keep a reserve for urgent flows.
+fn fill_upstreams(rig: &mut DispatchRig) {
     let now = rig.now;
     for flow in 1000..1100 {
         let upstream = tag(1 + (flow % 2) as u8);
@@ -570,6 +559,11 @@
         };
         verdict(rig, 0, &urgent);
     }
+}
+
+/// Lets the dispatcher count more requests than it places less urgent flows at, in a rush that lasts.
+fn fill_dispatcher(rig: &mut DispatchRig) {
+    fill_upstreams(rig);
     for flow in 3000..3100 {
         verdict(rig, 0, &query(flow, true));
     }
