packet: refusals and ends of registrations log what led to them

The end of a registration did not say whether the upstream was draining, nor how many flows it had. Change: `flow refused` has `trigger`, `registration`, `attempts`, `heard_ms`, `through` and `synced_ms`; `upstream` has `before` and `flows`; the new counter `open_flow_resets_total` counts resets of open flows by code and registration.

--- a/packet/src/core_events.rs
+++ b/packet/src/core_events.rs
@@ -4,17 +4,22 @@
 use std::time::Instant;
 
 use lagoonproxy::ids::ZoneName;
+use lagoonproxy::result_code::ResultCode;
 
 use crate::admission::syn_deferral::SynDeferralQuery;
+use crate::flows::flow_table::FlowKey;
 use crate::ids::UpstreamIndex;
 use crate::packet_action::DecisionEvent;
 use crate::packet_action::PacketOutput;
+use crate::packet_action::RefusalTrigger;
+use crate::packet_action::ResetEvidence;
 use crate::packet_action::UpstreamChange;
 use crate::packet_core::PacketCore;
 use crate::packet_head::PacketHead;
 use crate::state::state_snapshot::MergeOutcome;
 use crate::state::state_snapshot::StateUpdate;
 use crate::state::store_position::StorePosition;
+use crate::upstreams::upstream_record::RegistrationState;
 
 impl PacketCore {
     pub(crate) fn record_merge(&self, outcome: &MergeOutcome, output: &mut PacketOutput) {
@@ -111,6 +116,36 @@
         });
     }
 
+    pub(crate) fn record_refused(
+        &self,
+        now: Instant,
+        key: FlowKey,
+        trigger: RefusalTrigger,
+        index: Option<UpstreamIndex>,
+        code: ResultCode,
+        output: &mut PacketOutput,
+    ) {
+        let evidence = index.map(|index| {
+            let record = self.upstreams.get(index);
+            ResetEvidence {
+                upstream: record.name.clone(),
+                registration: record.registration,
+                heard_ago: time_since(now, record.failure_detector.last_response()),
+                attempts: record.failure_detector.attempts(),
+            }
+        });
+        output.events.push(DecisionEvent::Refused {
+            caller: key.caller,
+            service: key.service,
+            code,
+            trigger,
+            evidence,
+            version: self.version,
+            through: self.snapshot.through(),
+            synced_for: time_since(now, self.synced_since),
+        });
+    }
+
     pub(crate) fn record_evacuation(
         &self,
         zone: &ZoneName,
@@ -139,12 +174,27 @@
         index: UpstreamIndex,
         change: UpstreamChange,
         output: &mut PacketOutput,
+    ) {
+        let registration = self.upstreams.get(index).registration;
+        self.record_registration(now, index, registration, change, output);
+    }
+
+    /// Records a change of an upstream whose registration was in the state `before`.
+    pub(crate) fn record_registration(
+        &self,
+        now: Instant,
+        index: UpstreamIndex,
+        before: RegistrationState,
+        change: UpstreamChange,
+        output: &mut PacketOutput,
     ) {
         let record = self.upstreams.get(index);
         output.events.push(DecisionEvent::Upstream {
             upstream: record.name.clone(),
             zone: record.zone.clone(),
             change,
+            before,
+            flows: record.open_flows(),
             attempts: record.failure_detector.attempts(),
             outcomes: record.outlier_detector.counts(),
             heard_ago: time_since(now, record.failure_detector.last_response()),
@@ -153,6 +203,6 @@
     }
 }
 
-fn time_since(now: Instant, last_response: Option<Instant>) -> Option<Duration> {
-    last_response.map(|last_response| now.saturating_duration_since(last_response))
+fn time_since(now: Instant, time: Option<Instant>) -> Option<Duration> {
+    time.map(|time| now.saturating_duration_since(time))
 }
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -257,13 +257,16 @@
                 }
             }
             StateChange::Removed(name) => {
-                if let Some(index) = self.upstreams.unregister(now, name) {
+                let known = self.upstreams.by_name(name);
+                let before = known.map(|index| self.upstreams.get(index).registration);
+                let index = self.upstreams.unregister(now, name);
+                if let Some((index, before)) = index.zip(before) {
                     let registration = self.upstreams.get(index).registration;
                     let change = match registration {
                         RegistrationState::Lapsed { .. } => UpstreamChange::Missing,
                         _ => UpstreamChange::Gone,
                     };
-                    self.record_upstream(now, index, change, output);
+                    self.record_registration(now, index, before, change, output);
                 }
             }
             StateChange::Evacuated(zone, revision) => {
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -17,6 +17,7 @@
 use crate::routes::route_table::RequestClass;
 use crate::state::read_role::RoleChange;
 use crate::state::store_position::StorePosition;
+use crate::upstreams::upstream_record::RegistrationState;
 
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +60,30 @@
     pub code: ResultCode,
 }
 
+/// What a flow was refused or reset for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalTrigger {
+    /// A SYN: the flow was not open.
+    Syn,
+    /// A packet of an established flow with this tag.
+    Packet(FlowTag),
+    /// No packet: all flows of the upstream were reset at once.
+    Upstream,
+}
+
+/// What a host knew of an upstream when it reset a flow.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResetEvidence {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// State of its registration.
+    pub registration: RegistrationState,
+    /// Time since its last response; `None` before the first.
+    pub heard_ago: Option<Duration>,
+    /// Attempts of all callers that it has not responded to since then.
+    pub attempts: u32,
+}
+
 /// A change of an upstream's state on this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamChange {
@@ -190,10 +215,16 @@
         service: SocketAddrV4,
         /// The reason.
         code: ResultCode,
+        /// The packet that caused it, if any.
+        trigger: RefusalTrigger,
         /// The upstream of the flow, if known.
-        upstream: Option<UpstreamName>,
+        evidence: Option<ResetEvidence>,
         /// The version of the routes in force.
         version: Version,
+        /// The store's position up to which this host knows every change.
+        through: StorePosition,
+        /// How long the state has been in sync with the store; `None` if it is not.
+        synced_for: Option<Duration>,
     },
     /// A caller has received a response.
     Answered {
@@ -223,6 +254,10 @@
         zone: ZoneName,
         /// The change.
         change: UpstreamChange,
+        /// State of its registration before the change.
+        before: RegistrationState,
+        /// Open flows through this host to it, active or idle.
+        flows: u32,
         /// Consecutive unanswered attempts.
         attempts: u32,
         /// Outcomes of its recent requests through the hosts of the zone.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -29,6 +29,7 @@
 use crate::packet_action::FlowReset;
 use crate::packet_action::PacketAction;
 use crate::packet_action::PacketOutput;
+use crate::packet_action::RefusalTrigger;
 use crate::packet_action::UpstreamChange;
 use crate::packet_head::PacketHead;
 use crate::packet_head::PacketKind;
@@ -206,8 +207,8 @@
         self.detect_stall(now);
         self.upstreams.merge_reports(self.peers.local_reports(now));
         let expired = self.upstreams.tick(now);
-        for index in expired.deregistered {
-            self.record_upstream(now, index, UpstreamChange::Gone, output);
+        for (index, before) in expired.deregistered {
+            self.record_registration(now, index, before, UpstreamChange::Gone, output);
         }
         for index in expired.registered {
             self.record_upstream(now, index, UpstreamChange::Registered, output);
@@ -259,13 +260,8 @@
                     acked,
                     code,
                 });
-                output.events.push(DecisionEvent::Refused {
-                    caller,
-                    service,
-                    code,
-                    upstream: Some(self.upstreams.get(index).name.clone()),
-                    version: self.version,
-                });
+                let trigger = RefusalTrigger::Upstream;
+                self.record_refused(now, key, trigger, Some(index), code, output);
             }
         }
     }
@@ -297,7 +293,7 @@
         }
         let flow_hash = flow_hash(&key);
         let Some(service) = self.routes.service(head.service, flow_hash) else {
-            self.refuse(head, None, ResultCode::ServiceUnknown, output);
+            self.refuse(now, head, None, ResultCode::ServiceUnknown, output);
             return;
         };
         let observations = match self.dispatch.is_resumed {
@@ -323,7 +319,7 @@
         };
         let Some(mut selection) = select_upstream(&self.upstreams, query) else {
             let code = self.no_upstream_code(now, service);
-            self.refuse(head, None, code, output);
+            self.refuse(now, head, None, code, output);
             return;
         };
         let mut syn = SelectedSyn {
@@ -457,7 +453,7 @@
         let key = FlowKey::of(head);
         if !self.routes.contains(head.service) {
             self.flow_tracker.remove_flow(&key, &mut self.upstreams);
-            self.refuse(head, None, ResultCode::ServiceUnknown, output);
+            self.refuse(now, head, None, ResultCode::ServiceUnknown, output);
             return;
         }
         let Some(index) = self.upstreams.by_tag(head.tag) else {
@@ -498,7 +494,7 @@
         }
         if head.data_len > 0 && self.is_lost(now, index) {
             self.flow_tracker.remove_flow(&key, &mut self.upstreams);
-            self.refuse(head, Some(index), ResultCode::UpstreamSilent, output);
+            self.refuse(now, head, Some(index), ResultCode::UpstreamSilent, output);
             return;
         }
         self.forward(head, index, output);
@@ -512,7 +508,7 @@
             .synced_since
             .is_some_and(|since| now.saturating_duration_since(since) >= MIN_SYNCED_TIME);
         if is_synced && head.kind == PacketKind::Established {
-            self.refuse(head, None, ResultCode::FlowUnknown, output);
+            self.refuse(now, head, None, ResultCode::FlowUnknown, output);
             return;
         }
         output.actions.push(PacketAction::Drop {
@@ -550,6 +546,7 @@
 
     fn refuse(
         &self,
+        now: Instant,
         head: &PacketHead,
         index: Option<UpstreamIndex>,
         code: ResultCode,
@@ -565,13 +562,11 @@
             head.ack
         };
         output.actions.push(PacketAction::Reset { acked, code });
-        output.events.push(DecisionEvent::Refused {
-            caller: head.caller,
-            service: head.service,
-            code,
-            upstream: index.map(|index| self.upstreams.get(index).name.clone()),
-            version: self.version,
-        });
+        let trigger = match head.kind {
+            PacketKind::Open => RefusalTrigger::Syn,
+            _ => RefusalTrigger::Packet(head.tag),
+        };
+        self.record_refused(now, FlowKey::of(head), trigger, index, code, output);
     }
 }
 
--- a/packet/src/packet_status.rs
+++ b/packet/src/packet_status.rs
@@ -26,7 +26,6 @@
 use crate::routes::route_config::ServiceShare;
 use crate::routes::route_table::MAX_CLASSES;
 use crate::state::store_position::StorePosition;
-use crate::upstreams::upstream_record::RegistrationState;
 use crate::upstreams::upstream_record::UpstreamRecord;
 
 /// The status of one host.
@@ -279,19 +278,13 @@
 }
 
 fn upstream_status(core: &PacketCore, record: &UpstreamRecord, now: Instant) -> UpstreamStatus {
-    let registration = match record.registration {
-        RegistrationState::Ready => "ready",
-        RegistrationState::Draining => "draining",
-        RegistrationState::Lapsed { .. } => "lapsed",
-        RegistrationState::Deregistered { .. } => "deregistered",
-    };
     let last_response = record.failure_detector.last_response();
     UpstreamStatus {
         name: record.name.clone(),
         service: core.upstreams().pool(record.service).name.clone(),
         zone: record.zone.clone(),
         address: record.address,
-        registration: registration.into(),
+        registration: record.registration.name().into(),
         avoided: record.failure_detector.is_ejected(),
         failing: record.outlier_detector.is_failing(),
         flows: record.flows,
--- a/packet/src/upstreams/upstream_record.rs
+++ b/packet/src/upstreams/upstream_record.rs
@@ -41,6 +41,18 @@
     },
 }
 
+impl RegistrationState {
+    /// The name of the state in logs and in the status of a host.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Lapsed { .. } => "lapsed",
+            Self::Deregistered { .. } => "deregistered",
+        }
+    }
+}
+
 /// An outdated registration that is applied only if its upstream does not write a newer one before
 /// the deadline. Until then the store has removed the registrations of upstreams that no longer
 /// exist.
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -90,8 +90,8 @@
 /// Upstreams whose grace time has ended, as returned by [`UpstreamTable::tick`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExpiredUpstreams {
-    /// Upstreams whose lapsed registration has expired.
-    pub deregistered: Vec<UpstreamIndex>,
+    /// Upstreams whose lapsed registration has expired, with its state before.
+    pub deregistered: Vec<(UpstreamIndex, RegistrationState)>,
     /// Upstreams whose held registration has been applied.
     pub registered: Vec<UpstreamIndex>,
 }
@@ -415,7 +415,7 @@
             due.extend(record.held.take_if(|held| held.until <= now));
             match record.registration {
                 RegistrationState::Lapsed { until, .. } if until <= now => {
-                    expired.deregistered.push(index);
+                    expired.deregistered.push((index, record.registration));
                 }
                 RegistrationState::Deregistered { remove_at }
                     if remove_at <= now && !record.has_flows() && record.held.is_none() =>
@@ -425,7 +425,7 @@
                 _ => {}
             }
         }
-        for index in &expired.deregistered {
+        for (index, _before) in &expired.deregistered {
             self.mark_deregistered(now, *index);
         }
         for index in unused {
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -31,6 +31,7 @@
 mod test_packet_core;
 mod test_peer_table;
 mod test_read_role;
+mod test_refusal_events;
 mod test_restored_fleet;
 mod test_restored_store;
 mod test_route_table;
--- a/packetd/src/event_log.rs
+++ b/packetd/src/event_log.rs
@@ -4,6 +4,7 @@
 
 use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::packet_action::DecisionEvent;
+use lagoonproxy_packet::packet_action::RefusalTrigger;
 use lagoonproxy_packet::packet_action::UpstreamChange;
 
 use crate::host_metrics::HostMetrics;
@@ -102,12 +103,23 @@
             caller,
             service,
             code,
-            upstream,
+            trigger,
+            evidence,
             version,
+            through,
+            synced_for,
         } => {
-            let upstream = upstream.as_deref().unwrap_or_default();
+            let evidence = evidence.as_ref();
+            let registration = evidence.map_or("", |evidence| evidence.registration.name());
+            if !matches!(trigger, RefusalTrigger::Syn) {
+                metrics.count_open_flow_reset(*code, registration);
+            }
             let code = code.number();
-            log::info!(request, caller:% = caller, service:% = service, code, upstream, version; "flow refused");
+            let upstream = evidence.map_or("", |evidence| evidence.upstream.as_str());
+            let attempts = evidence.map_or(0, |evidence| evidence.attempts);
+            let heard_ms = millis(evidence.and_then(|evidence| evidence.heard_ago));
+            let synced_ms = millis(*synced_for);
+            log::info!(request, caller:% = caller, service:% = service, code, trigger:? = trigger, upstream, registration, attempts, heard_ms, version, through:%, synced_ms; "flow refused");
         }
         DecisionEvent::Answered { took } => metrics.answer_seconds.observe(took.as_secs_f64()),
         DecisionEvent::Retransmitted {
@@ -127,6 +139,8 @@
             upstream,
             zone,
             change,
+            before,
+            flows,
             attempts,
             outcomes,
             heard_ago,
@@ -139,7 +153,7 @@
             };
             let heard_ms = millis(*heard_ago);
             let (served, failed) = (outcomes.served, outcomes.failed);
-            log::info!(upstream:% = upstream, zone:% = zone, change:? = change, attempts, served, failed, heard_ms, through:%; "upstream");
+            log::info!(upstream:% = upstream, zone:% = zone, change:? = change, before = before.name(), flows, attempts, served, failed, heard_ms, through:%; "upstream");
         }
         DecisionEvent::Role {
             change,
--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -30,6 +30,14 @@
     reason: String,
 }
 
+/// Labels of the counter of resets of open flows.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResetLabels {
+    code: u16,
+    /// State of the upstream's registration; empty if the upstream is not known.
+    registration: &'static str,
+}
+
 /// The metrics of an entry host. Fields have the names under which they are exported.
 pub struct HostMetrics {
     registry: Registry,
@@ -67,6 +75,8 @@
     pub rejected_updates: Counter,
     /// Packets that were not forwarded, and faults of peers, by result code.
     results: Family<ResultLabels, Counter>,
+    /// Resets of open flows.
+    open_flow_resets: Family<ResetLabels, Counter>,
     /// Calls to the store, by result code.
     store_calls: Family<ResultLabels, Counter>,
     routes_version: Gauge<u64, AtomicU64>,
@@ -100,6 +110,7 @@
             services: ServiceMetrics::default(),
             rejected_updates: Counter::default(),
             results: Family::default(),
+            open_flow_resets: Family::default(),
             store_calls: Family::default(),
             routes_version: Gauge::default(),
             store_era: Gauge::default(),
@@ -169,6 +180,11 @@
         for (name, help, family) in families {
             registry.register(name, help, family.clone());
         }
+        registry.register(
+            "open_flow_resets",
+            "Open flows reset, by reason and registration of the upstream",
+            self.open_flow_resets.clone(),
+        );
         let gauges = [
             ("routes_version", "Routes in force", &self.routes_version),
             (
@@ -215,6 +231,16 @@
         self.results.get_or_create(&result_labels(code)).inc();
     }
 
+    /// Counts a reset of an open flow by its result code and the state of its upstream's
+    /// registration.
+    pub fn count_open_flow_reset(&self, code: ResultCode, registration: &'static str) {
+        let labels = ResetLabels {
+            code: code.number(),
+            registration,
+        };
+        self.open_flow_resets.get_or_create(&labels).inc();
+    }
+
     /// Counts a call to the store by its result code.
     pub fn count_store_call(&self, code: ResultCode) {
         self.store_calls.get_or_create(&result_labels(code)).inc();
