packet tests: flows of sound upstreams, three ways in which they are reset (known red)

Three tests in virtual time fail: - the registration of an upstream ends (expired, unlisted or unreadable) and its idle flows are reset within one tick, though no attempt went unanswered; - a registered upstream that answers 1.4 s late loses all its flows after 350 ms; - a host whose configuration lacks a route resets an open flow of that route.

--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -35,6 +35,7 @@
 mod test_restored_fleet;
 mod test_restored_store;
 mod test_route_table;
+mod test_sound_upstreams;
 mod test_start_plan;
 mod test_state_snapshot;
 mod test_store_feed;
--- /dev/null
+++ b/packet/tests/test_sound_upstreams.rs
@@ -0,0 +1,163 @@
+//! Tests of flows whose upstream is sound while the evidence of it is late: its registration, its
+//! responses, or this host's state.
+
+use lagoonproxy_packet::packet_action::PacketAction;
+use lagoonproxy_packet::state::state_snapshot::ItemContent;
+use lagoonproxy_packet::state::state_snapshot::PublishedItem;
+use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
+
+use crate::core_rig::*;
+
+/// How the registration of upstream 1 ends.
+#[derive(Clone, Copy, Debug)]
+enum RegistrationEnd {
+    /// It is removed from the store.
+    Removed,
+    /// It is not in a list of the store.
+    Unlisted,
+    /// It can no longer be decoded.
+    Unreadable,
+}
+
+impl RegistrationEnd {
+    fn publish(self, rig: &mut CoreRig) {
+        match self {
+            Self::Removed => rig.publish(|revision| removed_item(revision, 1)),
+            Self::Unlisted => {
+                rig.revision += 1;
+                let others = [2, 3].map(|number| upstream_item(1, entry(number, "ledger")));
+                let mut items = vec![routes_item(1, default_routes(1))];
+                items.extend(others);
+                rig.merge(&whole(rig.revision, items));
+            }
+            Self::Unreadable => rig.publish(|revision| PublishedItem {
+                content: ItemContent::Unreadable,
+                ..removed_item(revision, 1)
+            }),
+        }
+    }
+}
+
+#[test]
+fn test_idle_flows_survive_the_end_of_a_registration() {
+    // Guards against flows that are reset because the registration of their upstream has ended
+    // and nobody has asked it anything since.
+    struct Case {
+        end: RegistrationEnd,
+        state: EntryState,
+        zone: &'static str,
+    }
+    let case = |end, state, zone| Case { end, state, zone };
+    let cases = [
+        case(RegistrationEnd::Removed, EntryState::Ready, ZONE),
+        case(RegistrationEnd::Removed, EntryState::Draining, ZONE),
+        case(RegistrationEnd::Removed, EntryState::Ready, "b"),
+        case(RegistrationEnd::Unlisted, EntryState::Ready, ZONE),
+        case(RegistrationEnd::Unreadable, EntryState::Ready, ZONE),
+    ];
+    for case in cases {
+        let name = format!("{:?} {:?} in zone {}", case.end, case.state, case.zone);
+        let entries = [1, 2, 3].map(|number| {
+            let mut entry = entry(number, "ledger");
+            entry.zone = case.zone.into();
+            entry
+        });
+        let mut rig = CoreRig::with_entries(entries.to_vec());
+        let flows: Vec<u16> = (0..30).filter(|flow| rig.establish(*flow) == 1).collect();
+        assert!(!flows.is_empty(), "{name}");
+        rig.publish(|revision| {
+            let mut entry = entry(1, "ledger");
+            entry.zone = case.zone.into();
+            entry.state = case.state;
+            upstream_item(revision, entry)
+        });
+        rig.advance_time(6000);
+        case.end.publish(&mut rig);
+        rig.advance_time(6000);
+        assert!(rig.resets.is_empty(), "{name}: idle flows were reset");
+        for flow in &flows {
+            assert_eq!(forwarded(&rig.request(*flow, 1, 0)), [1], "{name}");
+            rig.advance_time(100);
+            rig.acknowledge(*flow, 1, 0);
+        }
+        rig.advance_time(6000);
+        assert!(
+            rig.resets.is_empty(),
+            "{name}: flows of an upstream that responds were reset"
+        );
+    }
+}
+
+#[test]
+fn test_flows_of_a_busy_upstream_are_kept() {
+    // Guards against a registered upstream that counts as dead because it gets no processor time
+    // for less than the three heartbeats after which the store itself removes it.
+    let mut rig = CoreRig::with_ledger(&[1, 2, 3]);
+    let flows: Vec<u16> = (0..30).filter(|flow| rig.establish(*flow) == 1).collect();
+    assert!(flows.len() >= 4);
+    rig.advance_time(1000);
+    for pause in [0, 200, 400, 800] {
+        rig.advance_time(pause);
+        for flow in &flows {
+            assert_eq!(
+                forwarded(&rig.request(*flow, 1, 0)),
+                [1],
+                "a retransmission of a request that is being answered"
+            );
+        }
+    }
+    rig.advance_time(100);
+    for flow in &flows {
+        rig.acknowledge(*flow, 1, 0);
+    }
+    rig.advance_time(3000);
+    assert!(rig.resets.is_empty(), "flows of a busy upstream were reset");
+}
+
+#[test]
+fn test_flow_of_a_route_that_this_host_does_not_know_yet() {
+    // Guards against a host with an older configuration that resets flows which a host with a
+    // newer one has opened.
+    struct Case {
+        name: &'static str,
+        was_known: bool,
+        wait_ms: u64,
+        expected: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "shortly after the start",
+            was_known: false,
+            wait_ms: 100,
+            expected: "forward",
+        },
+        Case {
+            name: "in sync with the store for long",
+            was_known: false,
+            wait_ms: 9000,
+            expected: "reset 200",
+        },
+        Case {
+            name: "the route was removed just now",
+            was_known: true,
+            wait_ms: 100,
+            expected: "reset 200",
+        },
+    ];
+    for case in cases {
+        let mut rig = CoreRig::empty();
+        let first = match case.was_known {
+            true => default_routes(1),
+            false => routes(1, &[(certs(), "certs")]),
+        };
+        let items = vec![routes_item(1, first), upstream_item(1, entry(1, "ledger"))];
+        rig.revision = 10;
+        rig.merge(&whole(10, items));
+        if case.was_known {
+            rig.publish(|revision| routes_item(revision, routes(2, &[(certs(), "certs")])));
+        }
+        rig.advance_time(case.wait_ms);
+        let actions: Vec<PacketAction> = rig.request(1, 1, 0);
+        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+    }
+}
