packet: the end of a registration alone resets no flow

What callers saw: idle flows of a sound upstream were reset (216) within 100 ms of the end of its registration, on every host that had not seen a response for 500 ms. Cause: two absences were taken for evidence of death. A registration expires when the upstream writes late, or is removed before its process ends; and an upstream that nobody asked anything is not heard, least of all by hosts of other zones, which get no reports. Change: flows of an upstream whose registration has ended are reset only after two attempts and 350 ms without a response (`is_dead_unregistered`); then idle ones too.

--- a/packet/src/health/failure_detector.rs
+++ b/packet/src/health/failure_detector.rs
@@ -9,6 +9,7 @@
 //! [`crate::selection::upstream_selection`] bounds how many upstreams are ejected.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 use std::time::Instant;
 
 use lagoonproxy::outlier_record::OutlierRecord;
@@ -68,11 +69,25 @@
 
     /// Whether the upstream is dead, so that its flows are to be reset.
     pub fn is_dead(&self, config: &DetectorConfig, now: Instant) -> bool {
-        let long_silence = self
-            .unanswered_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= config.min_dead_silence);
         let enough_attempts = self.attempts >= config.dead_attempts && self.several_callers;
-        self.is_ejected() && enough_attempts && long_silence && self.has_recent_attempt(config, now)
+        self.is_ejected()
+            && enough_attempts
+            && self.has_recent_attempt(config, now)
+            && self.is_silent_for(config.min_dead_silence, now)
+    }
+
+    /// Whether an upstream whose registration has ended is dead. The end of a registration is no
+    /// evidence by itself, since it expires when the upstream writes too late.
+    pub fn is_dead_unregistered(&self, config: &DetectorConfig, now: Instant) -> bool {
+        self.attempts >= config.unregistered_attempts
+            && self.has_recent_attempt(config, now)
+            && self.is_silent_for(config.min_unregistered_silence, now)
+    }
+
+    /// Whether the earliest unanswered attempt was sent at least this long ago.
+    fn is_silent_for(&self, silence: Duration, now: Instant) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= silence)
     }
 
     fn clear_attempts(&mut self) {
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -54,11 +54,6 @@
 /// two seconds, and a host that reads late needs as long again.
 const MIN_SYNCED_TIME: Duration = Duration::from_secs(5);
 
-/// Time since the last response of a deregistered upstream after which its flows are reset. Since
-/// its registration is gone, a silence longer than the callers' retransmission time (200 ms) is
-/// sufficient evidence.
-const MAX_DEREGISTERED_SILENCE: Duration = Duration::from_millis(500);
-
 /// Time without a tick or a packet from which the process counts as stalled. Pauses of a host that
 /// has used up its CPU quota are shorter.
 const STALL_THRESHOLD: Duration = Duration::from_millis(400);
@@ -521,15 +516,12 @@
     fn is_lost(&self, now: Instant, index: UpstreamIndex) -> bool {
         let record = self.upstreams.get(index);
         let is_deregistered = matches!(record.registration, RegistrationState::Deregistered { .. });
+        let config = &self.upstreams.config().detector;
         if is_deregistered {
-            let last = record.failure_detector.last_response();
-            let is_responding = last.is_some_and(|last_response| {
-                now.saturating_duration_since(last_response) < MAX_DEREGISTERED_SILENCE
-            });
-            return !is_responding && self.synced_since.is_some();
+            let is_dead = record.failure_detector.is_dead_unregistered(config, now);
+            return is_dead && self.synced_since.is_some();
         }
         let is_silent = |record: &UpstreamRecord| record.failure_detector.is_ejected();
-        let config = &self.upstreams.config().detector;
         record.failure_detector.is_dead(config, now)
             && !is_panic(&self.upstreams, record.service, is_silent)
     }
--- a/packet/src/policy_config.rs
+++ b/packet/src/policy_config.rs
@@ -77,6 +77,12 @@
     pub dead_attempts: u32,
     /// Shortest time without a response after which an upstream is dead.
     pub min_dead_silence: Duration,
+    /// Unanswered attempts after which an upstream whose registration has ended is dead. A single
+    /// one may be a lost packet.
+    pub unregistered_attempts: u32,
+    /// Shortest time without a response after which an upstream whose registration has ended is
+    /// dead.
+    pub min_unregistered_silence: Duration,
     /// Shortest time between a packet and its retransmission that counts as an unanswered attempt.
     /// Shorter times indicate reordering or duplication.
     pub min_retransmission_age: Duration,
@@ -164,6 +170,8 @@
             ejection_attempts: 2,
             dead_attempts: 3,
             min_dead_silence: Duration::from_millis(350),
+            unregistered_attempts: 2,
+            min_unregistered_silence: Duration::from_millis(350),
             min_retransmission_age: Duration::from_millis(150),
             attempt_lifetime: Duration::from_secs(2),
             ejection: Duration::from_millis(1000),
--- a/packet/tests/test_lost_upstreams.rs
+++ b/packet/tests/test_lost_upstreams.rs
@@ -255,9 +255,10 @@
     // responds, and against flows that wait for one that no longer exists.
     let mut rig = CoreRig::with_ledger(&[1, 2]);
     rig.advance_time(2000);
-    let flow = (0..10)
-        .find(|flow| rig.establish(*flow) == 1)
-        .expect("a flow at 1");
+    let flows: Vec<u16> = (0..20).filter(|flow| rig.establish(*flow) == 1).collect();
+    let [flow, idle, ..] = flows[..] else {
+        panic!("two flows at 1");
+    };
     let mut leaving = entry(1, "ledger");
     leaving.state = EntryState::Draining;
     rig.publish(|revision| upstream_item(revision, leaving));
@@ -265,14 +266,27 @@
     rig.advance_time(20);
     rig.acknowledge(flow, 1, 0);
     rig.publish(|revision| removed_item(revision, 1));
+    rig.advance_time(10);
     assert_eq!(
         forwarded(&rig.request(flow, 1, 1)),
         [1],
         "it responded recently"
     );
-    rig.advance_time(700);
+    rig.advance_time(200);
+    assert_eq!(
+        forwarded(&rig.request(flow, 1, 1)),
+        [1],
+        "the first retransmission may be for a lost packet"
+    );
+    rig.advance_time(400);
     let actions = rig.request(flow, 1, 1);
     assert_eq!(reset_code(&actions), Some(ResultCode::UpstreamSilent));
+    rig.advance_time(100);
+    let reset_callers: Vec<_> = rig.resets.iter().map(|reset| reset.caller).collect();
+    assert!(
+        reset_callers.contains(&caller(idle)),
+        "idle flows are reset before they are used"
+    );
 }
 
 #[test]
