packet: a host that does not know a route yet keeps its open flows

What callers saw: an open flow was reset (200) when its packets moved to a host whose configuration was older than the flow's route. Cause: the absence of a route was taken for its removal. Change: a flow is reset for its route only if a configuration of this process had the route and a later one removed it, or if the state has been in sync with the store for MIN_SYNCED_TIME. Until then the packet is forwarded by its tag; which service a flow belongs to was decided by its SYN.

--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -8,7 +8,6 @@
 use crate::packet_action::PacketOutput;
 use crate::packet_action::UpstreamChange;
 use crate::packet_core::PacketCore;
-use crate::routes::route_table::RouteTable;
 use crate::state::state_snapshot::StateChange;
 use crate::state::state_snapshot::StateQuery;
 use crate::state::state_snapshot::StateUpdate;
@@ -234,7 +233,9 @@
     ) {
         match change {
             StateChange::Routes(config) => {
-                self.routes = RouteTable::new(config, &mut self.upstreams);
+                let flows_end_at = now + self.upstreams.max_flow_age();
+                self.routes
+                    .update(now, flows_end_at, config, &mut self.upstreams);
                 self.apply_warmups(config);
                 self.upstreams
                     .set_connection_limits(&config.connection_limits);
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -3,6 +3,7 @@
 //! The inputs are packets, published state and ticks, each with the current time; the outputs are
 //! actions and events. The same inputs at the same times give the same outputs.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -50,7 +51,7 @@
 use crate::upstreams::upstream_table::UpstreamTable;
 
 /// How long the published state must have been in sync with the store before a flow with an
-/// unknown tag is reset. Registrations that lapsed during an outage of the store are back within
+/// unknown tag or route is reset. Registrations that lapsed during an outage of the store are back within
 /// two seconds, and a host that reads late needs as long again.
 const MIN_SYNCED_TIME: Duration = Duration::from_secs(5);
 
@@ -446,7 +447,7 @@
 
     fn handle_in_flow(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
         let key = FlowKey::of(head);
-        if !self.routes.contains(head.service) {
+        if self.is_route_gone(now, head.service) {
             self.flow_tracker.remove_flow(&key, &mut self.upstreams);
             self.refuse(now, head, None, ResultCode::ServiceUnknown, output);
             return;
@@ -495,14 +496,25 @@
         self.forward(head, index, output);
     }
 
+    /// Whether the route of an open flow no longer exists. A configuration that lacks it may also
+    /// be older than the one under which the flow was opened.
+    fn is_route_gone(&self, now: Instant, address: SocketAddrV4) -> bool {
+        !self.routes.contains(address)
+            && (self.routes.is_removed(address) || self.is_state_current(now))
+    }
+
+    /// Whether what is missing from the published state does not exist. A state that was in sync
+    /// for a short time only may be older than what other hosts have acted on.
+    fn is_state_current(&self, now: Instant) -> bool {
+        self.synced_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= MIN_SYNCED_TIME)
+    }
+
     /// Handles a packet whose tag belongs to no known upstream. The upstream may have deregistered
     /// before this host started, or this host may not know it yet. The flow is therefore reset only
-    /// after the state has been in sync for [`MIN_SYNCED_TIME`].
+    /// if the state is current.
     fn handle_unknown_tag(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
-        let is_synced = self
-            .synced_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= MIN_SYNCED_TIME);
-        if is_synced && head.kind == PacketKind::Established {
+        if self.is_state_current(now) && head.kind == PacketKind::Established {
             self.refuse(now, head, None, ResultCode::FlowUnknown, output);
             return;
         }
--- a/packet/src/routes/route_table.rs
+++ b/packet/src/routes/route_table.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
+use std::time::Instant;
 
 use foldhash::HashMap;
 
@@ -50,6 +51,9 @@
 #[derive(Debug, Default)]
 pub struct RouteTable {
     routes: HashMap<SocketAddrV4, RouteRecord>,
+    /// Addresses whose route a configuration has removed since this process started, with the time
+    /// until which flows of the route may still be open. Disjoint from `routes`.
+    removed: HashMap<SocketAddrV4, Instant>,
 }
 
 impl RouteTable {
@@ -83,7 +87,27 @@
         for (service, priorities) in priorities {
             upstreams.set_priorities(service, priorities.into_iter().collect());
         }
-        Self { routes }
+        Self {
+            routes,
+            removed: HashMap::default(),
+        }
+    }
+
+    /// Replaces the routes by those of a newer configuration. Flows of routes that it removes may
+    /// still be open until `flows_end_at`.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        flows_end_at: Instant,
+        config: &RouteConfig,
+        upstreams: &mut UpstreamTable,
+    ) {
+        let previous = std::mem::replace(self, Self::new(config, upstreams));
+        let mut removed = previous.removed;
+        let addresses = previous.routes.into_keys();
+        removed.extend(addresses.map(|address| (address, flows_end_at)));
+        removed.retain(|address, until| *until > now && !self.contains(*address));
+        self.removed = removed;
     }
 
     /// Whether the address has a route.
@@ -91,6 +115,11 @@
         self.routes.contains_key(&address)
     }
 
+    /// Whether the route of this address was removed while flows of it could be open.
+    pub fn is_removed(&self, address: SocketAddrV4) -> bool {
+        self.removed.contains_key(&address)
+    }
+
     /// Returns the latency objective of requests to this address, if the operators publish one.
     pub fn objective(&self, address: SocketAddrV4) -> Option<Duration> {
         self.routes.get(&address)?.objective
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -127,6 +127,11 @@
         &self.config
     }
 
+    /// Returns the longest lifetime of a flow.
+    pub fn max_flow_age(&self) -> Duration {
+        self.max_flow_age
+    }
+
     /// Returns the upstream with this tag, deregistered ones included.
     pub fn by_tag(&self, tag: FlowTag) -> Option<UpstreamIndex> {
         self.by_tag.get(&tag).copied()
--- a/packet/tests/test_packet_core.rs
+++ b/packet/tests/test_packet_core.rs
@@ -14,6 +14,7 @@
         kind: PacketKind,
         known_route: bool,
         known_tag: bool,
+        in_sync: bool,
         expected: &'static str,
     }
     let cases = [
@@ -22,6 +23,7 @@
             kind: PacketKind::Open,
             known_route: true,
             known_tag: false,
+            in_sync: false,
             expected: "forward",
         },
         Case {
@@ -29,6 +31,7 @@
             kind: PacketKind::Open,
             known_route: false,
             known_tag: false,
+            in_sync: false,
             expected: "reset 200",
         },
         Case {
@@ -36,6 +39,15 @@
             kind: PacketKind::Established,
             known_route: true,
             known_tag: true,
+            in_sync: false,
+            expected: "forward",
+        },
+        Case {
+            name: "data without a route, shortly after the start",
+            kind: PacketKind::Established,
+            known_route: false,
+            known_tag: true,
+            in_sync: false,
             expected: "forward",
         },
         Case {
@@ -43,6 +55,7 @@
             kind: PacketKind::Established,
             known_route: false,
             known_tag: true,
+            in_sync: true,
             expected: "reset 200",
         },
         Case {
@@ -50,6 +63,7 @@
             kind: PacketKind::Established,
             known_route: true,
             known_tag: false,
+            in_sync: false,
             expected: "drop 208",
         },
         Case {
@@ -57,6 +71,15 @@
             kind: PacketKind::Abort,
             known_route: true,
             known_tag: true,
+            in_sync: false,
+            expected: "forward",
+        },
+        Case {
+            name: "reset by the caller without a route, shortly after the start",
+            kind: PacketKind::Abort,
+            known_route: false,
+            known_tag: true,
+            in_sync: false,
             expected: "forward",
         },
         Case {
@@ -64,6 +87,7 @@
             kind: PacketKind::Abort,
             known_route: false,
             known_tag: true,
+            in_sync: true,
             expected: "drop 200",
         },
         Case {
@@ -71,11 +95,15 @@
             kind: PacketKind::Foreign,
             known_route: true,
             known_tag: true,
+            in_sync: false,
             expected: "drop 303",
         },
     ];
     for case in cases {
         let mut rig = CoreRig::with_ledger(&[1]);
+        if case.in_sync {
+            rig.advance_time(9000);
+        }
         let mut head = established_head(1, 1, 0, 1, 10);
         head.kind = case.kind;
         if !case.known_route {
