packet: flows of unknown upstreams and routes are kept while a peer has a newer state

What callers would see: a flow of an upstream or route that its host has not received yet is reset (208, 200) by a host that has followed a reader for 5 s. Cause: a host that does not read counted as in sync as long as its zone had a reader, whatever the reader's state; the absence of an item was then taken for its removal. Change: what is missing from the state counts as gone only if no live peer is ahead of it. Evidence: test_flows_are_kept_while_a_peer_has_a_newer_state failed before (reset 208) and asserts the reset for hosts that are current.

--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -504,10 +504,13 @@
     }
 
     /// Whether what is missing from the published state does not exist. A state that was in sync
-    /// for a short time only may be older than what other hosts have acted on.
+    /// for a short time only, or that a peer is ahead of, may be older than what other hosts have
+    /// acted on.
     fn is_state_current(&self, now: Instant) -> bool {
-        self.synced_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= MIN_SYNCED_TIME)
+        let is_synced = self
+            .synced_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= MIN_SYNCED_TIME);
+        is_synced && !self.peers.has_newer_state(now, &self.snapshot.query())
     }
 
     /// Handles a packet whose tag belongs to no known upstream. The upstream may have deregistered
--- a/packet/src/peers/peer_table.rs
+++ b/packet/src/peers/peer_table.rs
@@ -23,6 +23,7 @@
 use crate::peers::peer_rounds::RoundCursors;
 use crate::peers::peer_rounds::local_timeout;
 use crate::peers::peer_rounds::remote_timeout;
+use crate::state::state_snapshot::StateQuery;
 use crate::state::state_source::SourceRequests;
 use crate::state::state_source::address_key;
 
@@ -227,6 +228,12 @@
         self.reader(now, &self.zone).is_some()
     }
 
+    /// Whether any live peer has published state that this host lacks.
+    pub fn has_newer_state(&self, now: Instant, held: &StateQuery) -> bool {
+        let mut live = self.live_peers(now);
+        live.any(|(_address, peer)| peer.is_ahead_of(held))
+    }
+
     /// Number of live peers.
     pub fn live_hosts(&self, now: Instant) -> usize {
         self.live_peers(now).count()
--- a/packet/tests/test_sound_upstreams.rs
+++ b/packet/tests/test_sound_upstreams.rs
@@ -7,6 +7,8 @@
 use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
 
 use crate::core_rig::*;
+use crate::test_peer_table::address;
+use crate::test_peer_table::heartbeat;
 
 /// How the registration of upstream 1 ends.
 #[derive(Clone, Copy, Debug)]
@@ -88,6 +90,50 @@
     }
 }
 
+#[test]
+fn test_flows_are_kept_while_a_peer_has_a_newer_state() {
+    // Guards against a host that follows a reader and resets flows whose route or upstream it has
+    // not received yet, because it has had a reader for long.
+    struct Case {
+        name: &'static str,
+        upstream: u8,
+        has_route: bool,
+        is_behind: bool,
+        expected: &'static str,
+    }
+    let case = |name, upstream, has_route, is_behind, expected| Case {
+        name,
+        upstream,
+        has_route,
+        is_behind,
+        expected,
+    };
+    let cases = [
+        case("unknown upstream", 9, true, true, "drop 208"),
+        case("unknown upstream, current", 9, true, false, "reset 208"),
+        case("unknown route", 1, false, true, "forward"),
+        case("unknown route, current", 1, false, false, "reset 200"),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1]);
+        let through = rig.revision + u64::from(case.is_behind);
+        for _beat in 0..18 {
+            let mut heartbeat = heartbeat(ZONE, through);
+            heartbeat.reads = true;
+            let _replies = rig
+                .core
+                .handle_heartbeat(rig.now, address(2), heartbeat, false);
+            rig.advance_time(500);
+        }
+        let mut head = established_head(1, case.upstream, 0, 1, 100);
+        if !case.has_route {
+            head.service.set_port(1);
+        }
+        let actions = rig.packet(&head);
+        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn test_flows_of_a_busy_upstream_are_kept() {
     // Guards against a registered upstream that counts as dead because it gets no processor time
