packet: flows are reset only when registration and responses are both missing

What callers saw or would see: all flows of a registered upstream were reset after three retransmissions and 350 ms, though a busy machine answers later than that. Change: the flows of a silent upstream are reset once its registration has ended as well and attempts have stayed unanswered for 2 s, with the panic threshold that holds for ejections. While it is registered it is only ejected, as before. That two callers must have tried is no longer asked: the registration is the second witness.

--- a/packet/src/flows/flow_tracker.rs
+++ b/packet/src/flows/flow_tracker.rs
@@ -138,7 +138,7 @@
         for attempt in &half_open_flow.attempts {
             observations.tried.push(attempt.upstream);
             let (index, sent) = (attempt.upstream, attempt.sent);
-            if !in_grace && upstreams.attempt_failed(index, now, sent, key.caller) {
+            if !in_grace && upstreams.attempt_failed(index, now, sent) {
                 observations.ejected.push(attempt.upstream);
             }
         }
@@ -272,7 +272,7 @@
             self.costs.set_waiting(&costs_config, now, &key, true);
         }
         if let (Some(waited), false) = (observations.retransmitted_after, in_grace) {
-            observations.ejected = upstreams.attempt_failed(index, now, now - waited, key.caller);
+            observations.ejected = upstreams.attempt_failed(index, now, now - waited);
         }
         if head.last && record.activity != FlowActivity::Closing {
             let stats = stats.as_deref();
@@ -387,14 +387,14 @@
     ) -> Vec<UpstreamIndex> {
         let mut ejected = Vec::new();
         let in_grace = self.in_stall_grace(now);
-        self.table.half_open.retain(|key, half_open_flow| {
+        self.table.half_open.retain(|_key, half_open_flow| {
             let last = half_open_flow.attempts.last().map(|attempt| attempt.sent);
             let keep =
                 last.is_some_and(|sent| now.saturating_duration_since(sent) < HALF_OPEN_TIMEOUT);
             if !keep {
                 for attempt in &half_open_flow.attempts {
                     let (index, sent) = (attempt.upstream, attempt.sent);
-                    if !in_grace && upstreams.attempt_failed(index, now, sent, key.caller) {
+                    if !in_grace && upstreams.attempt_failed(index, now, sent) {
                         ejected.push(attempt.upstream);
                     }
                 }
--- a/packet/src/health/failure_detector.rs
+++ b/packet/src/health/failure_detector.rs
@@ -8,8 +8,6 @@
 //! upstream since the packet was first sent, is an unanswered attempt.
 //! [`crate::selection::upstream_selection`] bounds how many upstreams are ejected.
 
-use std::net::SocketAddrV4;
-use std::time::Duration;
 use std::time::Instant;
 
 use lagoonproxy::outlier_record::OutlierRecord;
@@ -28,10 +26,6 @@
     unanswered_since: Option<Instant>,
     /// Number of unanswered attempts.
     attempts: u32,
-    /// Caller of the first unanswered attempt.
-    first_caller: Option<SocketAddrV4>,
-    /// Whether the unanswered attempts belong to more than one caller.
-    several_callers: bool,
     /// When the latest unanswered attempt was detected.
     last_failed: Option<Instant>,
     /// Ejection after consecutive unanswered attempts.
@@ -67,34 +61,20 @@
         self.last_response.is_none() || self.attempts > 0
     }
 
-    /// Whether the upstream is dead, so that its flows are to be reset.
-    pub fn is_dead(&self, config: &DetectorConfig, now: Instant) -> bool {
-        let enough_attempts = self.attempts >= config.dead_attempts && self.several_callers;
-        self.is_ejected()
-            && enough_attempts
+    /// Whether the upstream has left so many attempts unanswered for so long that it is dead if its
+    /// registration has ended too. An upstream that is registered may only be busy.
+    pub fn is_unresponsive(&self, config: &DetectorConfig, now: Instant) -> bool {
+        let long_silence = self
+            .unanswered_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= config.min_silence);
+        self.attempts >= config.reset_attempts
+            && long_silence
             && self.has_recent_attempt(config, now)
-            && self.is_silent_for(config.min_dead_silence, now)
-    }
-
-    /// Whether an upstream whose registration has ended is dead. The end of a registration is no
-    /// evidence by itself, since it expires when the upstream writes too late.
-    pub fn is_dead_unregistered(&self, config: &DetectorConfig, now: Instant) -> bool {
-        self.attempts >= config.unregistered_attempts
-            && self.has_recent_attempt(config, now)
-            && self.is_silent_for(config.min_unregistered_silence, now)
-    }
-
-    /// Whether the earliest unanswered attempt was sent at least this long ago.
-    fn is_silent_for(&self, silence: Duration, now: Instant) -> bool {
-        self.unanswered_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= silence)
     }
 
     fn clear_attempts(&mut self) {
         self.attempts = 0;
         self.unanswered_since = None;
-        self.first_caller = None;
-        self.several_callers = false;
     }
 
     /// Whether the latest unanswered attempt still counts.
@@ -142,13 +122,7 @@
 
     /// Records an unanswered attempt of a caller's flow, sent at `sent`; true if it ejects the
     /// upstream.
-    pub fn attempt_failed(
-        &mut self,
-        config: &DetectorConfig,
-        now: Instant,
-        sent: Instant,
-        caller: SocketAddrV4,
-    ) -> bool {
+    pub fn attempt_failed(&mut self, config: &DetectorConfig, now: Instant, sent: Instant) -> bool {
         let too_soon = now.saturating_duration_since(sent) < config.min_retransmission_age;
         if too_soon || self.last_response.is_some_and(|response| response >= sent) {
             return false;
@@ -156,8 +130,6 @@
         if !self.has_recent_attempt(config, now) {
             self.clear_attempts();
         }
-        let first = *self.first_caller.get_or_insert(caller);
-        self.several_callers |= first != caller;
         self.attempts += 1;
         self.last_failed = Some(now);
         self.unanswered_since = Some(self.unanswered_since.map_or(sent, |since| since.min(sent)));
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -526,18 +526,20 @@
         });
     }
 
-    /// Whether an upstream is so unlikely to respond that its flows are reset. The callers then
-    /// open new flows at once instead of waiting for their deadlines.
+    /// Whether the flows of an upstream are reset, so that their callers open new ones at once
+    /// instead of waiting for their deadlines.
+    ///
+    /// Needs two independent signs. A registration ends late or by itself if its upstream writes
+    /// late, and a busy upstream responds late; an upstream that nobody asks is silent anyway.
     fn is_lost(&self, now: Instant, index: UpstreamIndex) -> bool {
         let record = self.upstreams.get(index);
-        let is_deregistered = matches!(record.registration, RegistrationState::Deregistered { .. });
-        let config = &self.upstreams.config().detector;
-        if is_deregistered {
-            let is_dead = record.failure_detector.is_dead_unregistered(config, now);
-            return is_dead && self.synced_since.is_some();
+        if !matches!(record.registration, RegistrationState::Deregistered { .. }) {
+            return false;
         }
         let is_silent = |record: &UpstreamRecord| record.failure_detector.is_ejected();
-        record.failure_detector.is_dead(config, now)
+        let config = &self.upstreams.config().detector;
+        self.synced_since.is_some()
+            && record.failure_detector.is_unresponsive(config, now)
             && !is_panic(&self.upstreams, record.service, is_silent)
     }
 
--- a/packet/src/policy_config.rs
+++ b/packet/src/policy_config.rs
@@ -72,17 +72,11 @@
 pub struct DetectorConfig {
     /// Consecutive unanswered attempts after which an upstream is ejected.
     pub ejection_attempts: u32,
-    /// Consecutive unanswered attempts of at least two callers after which an upstream is dead and
-    /// its flows are reset. Larger than `ejection_attempts`, since a reset is irreversible.
-    pub dead_attempts: u32,
-    /// Shortest time without a response after which an upstream is dead.
-    pub min_dead_silence: Duration,
-    /// Unanswered attempts after which an upstream whose registration has ended is dead. A single
-    /// one may be a lost packet.
-    pub unregistered_attempts: u32,
-    /// Shortest time without a response after which an upstream whose registration has ended is
-    /// dead.
-    pub min_unregistered_silence: Duration,
+    /// Consecutive unanswered attempts after which the flows of an upstream whose registration has
+    /// ended are reset. A single one may be a lost packet.
+    pub reset_attempts: u32,
+    /// Shortest time without a response after which these flows are reset.
+    pub min_silence: Duration,
     /// Shortest time between a packet and its retransmission that counts as an unanswered attempt.
     /// Shorter times indicate reordering or duplication.
     pub min_retransmission_age: Duration,
@@ -168,10 +162,8 @@
     fn default() -> Self {
         Self {
             ejection_attempts: 2,
-            dead_attempts: 3,
-            min_dead_silence: Duration::from_millis(350),
-            unregistered_attempts: 2,
-            min_unregistered_silence: Duration::from_millis(350),
+            reset_attempts: 2,
+            min_silence: Duration::from_secs(2),
             min_retransmission_age: Duration::from_millis(150),
             attempt_lifetime: Duration::from_secs(2),
             ejection: Duration::from_millis(1000),
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -4,7 +4,6 @@
 //! packets of open flows are still forwarded.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -549,15 +548,9 @@
 
     /// Records an unanswered attempt of a caller's flow, sent at `sent`; true if it ejects the
     /// upstream.
-    pub fn attempt_failed(
-        &mut self,
-        index: UpstreamIndex,
-        now: Instant,
-        sent: Instant,
-        caller: SocketAddrV4,
-    ) -> bool {
+    pub fn attempt_failed(&mut self, index: UpstreamIndex, now: Instant, sent: Instant) -> bool {
         let failure_detector = &mut self.records[index as usize].failure_detector;
-        failure_detector.attempt_failed(&self.config.detector, now, sent, caller)
+        failure_detector.attempt_failed(&self.config.detector, now, sent)
     }
 
     /// Records a probe of an ejected upstream.
