packet: a handshake that goes on through another host is no unanswered SYN

What callers saw: when the fabric's rotation changes between a caller's SYN and its next packet, the rest of the handshake goes through another host. The first host drops the half-open flow after 1.6 s and counted its SYN as an attempt that the upstream left unanswered. Three such flows of two callers made a sound upstream dead there at once (the silence of 350 ms has long passed by then): every flow of it that this host tracks was reset with 216, idle ones included, and new flows avoided it for a second. Reports of the zone's hosts hide it only for upstreams of the same zone, and only where one of them reports a later response.

Cause: the absence of a packet at this host was taken for the absence of a response. A caller without a response sends its SYN again after 200 and 600 ms, and these retransmissions count on their own.

Fix: an expired half-open flow counts only if its caller has retransmitted through this host.

Evidence: the new test failed before ("three flows in this zone: flows of a sound upstream were reset") and passes now.

test_restored_zone_warms_up_again opened 40 flows and never completed a handshake, so that it passed only because the upstream of the other zone was taken for dead: it now completes each handshake, with the same counts asserted. In that form it passes before and after the fix.

--- a/packet/src/flows/flow_table.rs
+++ b/packet/src/flows/flow_table.rs
@@ -56,6 +56,8 @@
 pub struct HalfOpenFlow {
     /// Upstreams that SYNs were sent to, oldest first. Each counts the flow.
     pub attempts: ArrayVec<SynAttempt, MAX_TRIED_UPSTREAMS>,
+    /// Whether its caller has retransmitted the SYN through this host.
+    pub is_retransmitted: bool,
 }
 
 /// Whether an established flow counts as load at its upstream.
--- a/packet/src/flows/flow_tracker.rs
+++ b/packet/src/flows/flow_tracker.rs
@@ -131,10 +131,11 @@
         upstreams: &mut UpstreamTable,
     ) -> SynObservations {
         let mut observations = SynObservations::default();
-        let Some(half_open_flow) = self.table.half_open.get(key) else {
+        let in_grace = self.in_stall_grace(now);
+        let Some(half_open_flow) = self.table.half_open.get_mut(key) else {
             return observations;
         };
-        let in_grace = self.in_stall_grace(now);
+        half_open_flow.is_retransmitted = true;
         for attempt in &half_open_flow.attempts {
             observations.tried.push(attempt.upstream);
             let (index, sent) = (attempt.upstream, attempt.sent);
@@ -380,6 +381,11 @@
         });
     }
 
+    /// Expires half-open flows. Returns the upstreams that this ejects.
+    ///
+    /// A flow without a retransmission leaves no unanswered attempt: a caller without a response
+    /// sends its SYN again, so that the handshake went on through another host or the caller has
+    /// gone.
     fn sweep_half_open(
         &mut self,
         now: Instant,
@@ -392,9 +398,10 @@
             let keep =
                 last.is_some_and(|sent| now.saturating_duration_since(sent) < HALF_OPEN_TIMEOUT);
             if !keep {
+                let counts = half_open_flow.is_retransmitted && !in_grace;
                 for attempt in &half_open_flow.attempts {
                     let (index, sent) = (attempt.upstream, attempt.sent);
-                    if !in_grace && upstreams.attempt_failed(index, now, sent, key.caller) {
+                    if counts && upstreams.attempt_failed(index, now, sent, key.caller) {
                         ejected.push(attempt.upstream);
                     }
                 }
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -7,6 +7,7 @@
 mod fleet_store;
 mod load_rig;
 mod queue_rig;
+mod test_absent_evidence;
 mod test_admission_loop;
 mod test_admission_state;
 mod test_allocations;
--- a/packet/tests/test_warmup_admission.rs
+++ b/packet/tests/test_warmup_admission.rs
@@ -150,13 +150,13 @@
     rig.advance_time(5000);
     rig.publish(|revision| restored_item(revision, ZONE));
     rig.advance_time(100);
-    let local = (0..40).filter(|flow| rig.open(*flow, 0)[0] != 3).count();
+    let local = (0..40).filter(|flow| rig.establish(*flow) != 3).count();
     assert!(
         (1..=2).contains(&local),
         "{local} of 40 flows went to the cold zone"
     );
     rig.advance_time(2000);
-    let local = (50..90).filter(|flow| rig.open(*flow, 0)[0] != 3).count();
+    let local = (50..90).filter(|flow| rig.establish(*flow) != 3).count();
     assert_eq!(local, 40, "after the warm-up");
 }
 
