packet: an upstream's index is free only when no closing flow refers to it

What callers would see: a SYN to one service that reaches an upstream of another. A flow that its caller has closed is tracked for 3 s, so that its last packets are not taken for a new flow, and a SYN of it in that time is forwarded to the upstream at the flow's index. If the record of that upstream was removed meanwhile and another upstream took its index, the SYN goes there: a late copy, or a new flow from the same port.

Cause: the record of a deregistered upstream was removed once it had no active and no idle flows. That no flow is counted was taken for no flow referring to it; closing flows refer to the index and are not counted.

Fix: closing flows are counted apart, and an index is used again only when no tracked flow refers to it. `has_flows` is unchanged: closing flows are not load and are not reset.

Evidence: the new test failed before ("a SYN to ledger reached [3]", an upstream of certs) and passes now; so does test_counts_return_to_zero_after_any_packets.

--- a/packet/src/flows/flow_load.rs
+++ b/packet/src/flows/flow_load.rs
@@ -53,6 +53,7 @@
 pub fn mark_closing(record: &mut FlowRecord, upstreams: &mut UpstreamTable) {
     stop_counting(record, upstreams);
     record.activity = FlowActivity::Closing;
+    upstreams.get_mut(record.upstream).closing += 1;
 }
 
 /// Stops counting a flow that is closing or removed.
@@ -62,7 +63,7 @@
     match record.activity {
         FlowActivity::Active => upstream.flows -= 1,
         FlowActivity::Idle => upstream.idle -= 1,
-        FlowActivity::Closing => {}
+        FlowActivity::Closing => upstream.closing -= 1,
     }
 }
 
--- a/packet/src/upstreams/upstream_record.rs
+++ b/packet/src/upstreams/upstream_record.rs
@@ -100,6 +100,8 @@
     pub flows: u32,
     /// Number of its idle flows through this host; not included in `flows`.
     pub idle: u32,
+    /// Number of its closing flows that this host still tracks; not included in `flows`.
+    pub closing: u32,
     /// Number of the flows in `flows` that wait for a response.
     pub waiting: u32,
     /// Number of the flows in `flows` that are being opened.
@@ -157,6 +159,11 @@
         self.flows + self.idle
     }
 
+    /// Whether this host tracks any flow of it, closing ones included.
+    pub fn is_referenced(&self) -> bool {
+        self.has_flows() || self.closing > 0
+    }
+
     /// Whether it has any flow through this host, active or idle.
     pub fn has_flows(&self) -> bool {
         self.open_flows() > 0
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -418,7 +418,7 @@
                     expired.deregistered.push((index, record.registration));
                 }
                 RegistrationState::Deregistered { remove_at }
-                    if remove_at <= now && !record.has_flows() && record.held.is_none() =>
+                    if remove_at <= now && !record.is_referenced() && record.held.is_none() =>
                 {
                     unused.push(index);
                 }
@@ -597,6 +597,7 @@
             born: entry.born,
             flows: 0,
             idle: 0,
+            closing: 0,
             waiting: 0,
             opening: 0,
             peer_flows: 0,
--- a/packet/tests/test_absent_evidence.rs
+++ b/packet/tests/test_absent_evidence.rs
@@ -1,6 +1,10 @@
 //! Tests of decisions that act on the absence of something that may only be late, or may have gone
 //! through another host.
 
+use std::time::Duration;
+
+use lagoonproxy_packet::packet_head::PacketHead;
+
 use crate::core_rig::*;
 
 #[test]
@@ -59,6 +63,43 @@
     }
 }
 
+#[test]
+fn test_late_syn_of_a_closed_flow_reaches_no_other_upstream() {
+    // Guards against a SYN that arrives after its flow was closed and is forwarded to the upstream
+    // that has taken the place of the flow's upstream in this host's table.
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    let flow = (0..10)
+        .find(|flow| rig.establish(*flow) == 1)
+        .expect("a flow at 1");
+    rig.advance_time(2000);
+    rig.publish(|revision| removed_item(revision, 1));
+    let closing_at = settings().max_flow_age - Duration::from_millis(500);
+    keep_responding(&mut rig, flow, 1, closing_at);
+    rig.packet(&PacketHead {
+        last: true,
+        ..established_head(flow, 1, 1_000_000, 1_000_000, 0)
+    });
+    rig.advance_time(800);
+    rig.publish(|revision| upstream_item(revision, entry(3, "certs")));
+    let reached = rig.open(flow, 1);
+    assert!(
+        reached.iter().all(|number| [1, 2].contains(number)),
+        "a SYN to ledger reached {reached:?}"
+    );
+}
+
+/// Sends requests of a flow for some time, each of which gets its response.
+fn keep_responding(rig: &mut CoreRig, flow: u16, upstream: u8, time: Duration) {
+    let end = rig.now + time;
+    let mut turn = 0;
+    while rig.now < end {
+        rig.request(flow, upstream, turn);
+        rig.advance_time(100);
+        rig.acknowledge(flow, upstream, turn);
+        turn += 1;
+    }
+}
+
 fn upstream_is_ejected(rig: &CoreRig, number: u8) -> bool {
     let upstreams = rig.core.upstreams();
     let index = upstreams.by_tag(tag(number)).expect("a known upstream");
