control: a listed key without its value is listed again, not taken for deleted

What operators would see: a host that starts, or lists again, while a replica of the platform lags puts a part of the host list in force as the whole one. In the test, a host delivers the list [4] instead of [1, 2, 3, 4]. A group that counts majorities over such a part grants leases on its own, so that a request which must not run twice could be accepted by two hosts. Upstreams of such a key are missing until the key changes again or a repair with a peer finds it.

Cause: a value call that found no value, or an older one than was listed, removed the key from the missing ones, and the state counted as complete through the list's revision. A comment expected the next watch to tell that the key was deleted; a watch starts at that revision and says nothing of a key that is merely late.

The next list tells a deleted key from a late one.

--- a/lib/src/platform_feed.rs
+++ b/lib/src/platform_feed.rs
@@ -292,6 +292,12 @@
             self.fail(now, ResultCode::PlatformStale, actions);
             return;
         }
+        if self.feeds[index].lacks_listed_value(&open.request, &response) {
+            // The key was deleted after it was listed, or a replica lags. The next list tells.
+            self.feeds[index].stage = FeedStage::Unlisted;
+            self.fail(now, ResultCode::PlatformStale, actions);
+            return;
+        }
         self.failures = 0;
         self.has_responded = true;
         self.stale = false;
@@ -353,6 +359,20 @@
         }
     }
 
+    /// Whether the response to a value call has no value of the listed version or a newer one.
+    fn lacks_listed_value(&self, request: &PlatformRequest, response: &PlatformResponse) -> bool {
+        let (PlatformRequest::Value { key }, PlatformResponse::Value(published)) =
+            (request, response)
+        else {
+            return false;
+        };
+        let FeedStage::Fetching { missing, .. } = &self.stage else {
+            return false;
+        };
+        let version = published.as_ref().map_or(0, |published| published.version);
+        missing.get(key).is_some_and(|listed| version < *listed)
+    }
+
     fn next_request(
         &mut self,
         now: Instant,
@@ -446,8 +466,7 @@
         self.remove_received(store);
     }
 
-    /// Removes a fetched key from the missing ones. If it was deleted after it was listed, the next
-    /// list or watch gives the revision of the deletion.
+    /// Removes a fetched key from the missing ones.
     fn mark_fetched(&mut self, request: &PlatformRequest) {
         let PlatformRequest::Value { key } = request else {
             return;
--- a/lib/tests/test_control_core.rs
+++ b/lib/tests/test_control_core.rs
@@ -248,6 +248,87 @@
     assert_eq!(host.versions, [10]);
 }
 
+/// A replica of the platform that lags has no value of a listed key yet, or an older one. A host
+/// that took the key for deleted would count its state as whole, and hosts that count majorities
+/// over different parts of the host list could each accept the same request.
+#[test]
+fn test_listed_key_that_a_replica_lacks_is_read_again() {
+    struct Case {
+        name: &'static str,
+        first_value: Option<PublishedKey>,
+        is_deleted: bool,
+        host_list: (Version, Vec<HostId>),
+    }
+    let older = PublishedKey {
+        version: 5,
+        value: Some(json!(host_view(&[1]).published)),
+        ..published(1).remove(0)
+    };
+    let rest = PublishedKey {
+        key: "hosts/zig-b".into(),
+        version: 7,
+        value: Some(json!(host_view(&[4]).published)),
+    };
+    let cases = [
+        Case {
+            name: "no value yet",
+            first_value: None,
+            is_deleted: false,
+            host_list: (8, vec![1, 2, 3, 4]),
+        },
+        Case {
+            name: "an older value",
+            first_value: Some(older),
+            is_deleted: false,
+            host_list: (8, vec![1, 2, 3, 4]),
+        },
+        Case {
+            name: "deleted after it was listed",
+            first_value: None,
+            is_deleted: true,
+            host_list: (7, vec![4]),
+        },
+    ];
+    for case in cases {
+        let mut host = TestHost::new(1);
+        let mut keys = published(1);
+        keys.push(rest.clone());
+        let late = keys[0].key.clone();
+        let mut first_value = Some(case.first_value);
+        let mut revision = 10;
+        for _call in 0..400 {
+            host.run_for(CONTROL_TICK);
+            match host.calls.last().cloned() {
+                Some((_call, PlatformRequest::List { .. })) => {
+                    host.answer(PlatformResponse::Keys {
+                        revision,
+                        keys: keys.iter().map(|k| (k.key.clone(), k.version)).collect(),
+                    });
+                }
+                Some((_call, PlatformRequest::Value { key })) => {
+                    let current = keys.iter().find(|published| published.key == key);
+                    let value = match first_value.take_if(|_value| key == late) {
+                        Some(first_value) => {
+                            if case.is_deleted {
+                                revision = 11;
+                            }
+                            first_value
+                        }
+                        None => current.cloned(),
+                    };
+                    host.answer(PlatformResponse::Value(value));
+                    if case.is_deleted && revision == 11 {
+                        keys.retain(|published| published.key != late);
+                    }
+                }
+                _ => {}
+            }
+        }
+        assert_eq!(host.host_lists, [case.host_list], "{}", case.name);
+        assert!(host.core.status().ready, "{}", case.name);
+    }
+}
+
 /// An operator publishes a value that cannot be parsed. Hosts that skipped only that value would
 /// serve without its upstreams.
 #[test]
