packet: counts of a removed upstream are not those of the next one at its index

What callers would see: while a service is contended, a new upstream gets no new flows for a second, and the zone's load looks far larger than it is. In the test a new upstream of two slots is reported with 337 to 379 requests in progress for 1 s.

Cause: an index of the upstream table is used again, and what other tables count by index was not cleared. Requests of a deregistered upstream are never reported, so that its window collects them for as long as its flows live; the next upstream at that index reports them all. The dispatcher's ledger counts requests by the same index for up to 2 s.

Fix: the tick returns the indices that it frees, and the load tracker and the ledger discard what they hold for them.

Evidence: test_new_upstream_has_no_load_of_a_removed_one failed before ([0, 0, 0, 336666, ..., 378750, 0]) and passes now; the ledger's part is tested on the ledger alone, a wrong count of it was not reproduced through a core. Tests of load, dispatch, lost upstreams, restores and the core: 119 passed.

--- a/packet/src/dispatch/request_ledger.rs
+++ b/packet/src/dispatch/request_ledger.rs
@@ -65,6 +65,15 @@
         }
     }
 
+    /// Removes the requests of a removed upstream, whose index another one may get.
+    pub fn remove_upstream(&mut self, upstream: UpstreamIndex) {
+        if let Some(count) = self.counts.get_mut(upstream as usize) {
+            *count = 0;
+            self.entries
+                .retain(|_flow, entry| entry.upstream != upstream);
+        }
+    }
+
     /// Removes placed flows whose first request was not reported in time.
     pub fn expire_placements(&mut self, now: Instant) {
         while let Some((expires_at, flow)) = self.placements.front().copied()
--- a/packet/src/load/load_tracker.rs
+++ b/packet/src/load/load_tracker.rs
@@ -380,6 +380,13 @@
         }
     }
 
+    /// Discards the counts of a removed upstream, whose index another one may get.
+    pub fn remove_upstream(&mut self, index: UpstreamIndex) {
+        if let Some(window) = self.windows.get_mut(index as usize) {
+            *window = RequestWindow::default();
+        }
+    }
+
     /// Updates the load of upstreams and decides which services are contended. Callers invoke it
     /// several times per second.
     pub fn tick(
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -207,6 +207,10 @@
         self.detect_stall(now);
         self.upstreams.merge_reports(self.peers.local_reports(now));
         let expired = self.upstreams.tick(now);
+        for index in expired.removed {
+            self.load.remove_upstream(index);
+            self.dispatch.ledger.remove_upstream(index);
+        }
         for (index, before) in expired.deregistered {
             self.record_registration(now, index, before, UpstreamChange::Gone, output);
         }
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -87,13 +87,16 @@
     pub(crate) evacuated: EvacuatedZones,
 }
 
-/// Upstreams whose grace time has ended, as returned by [`UpstreamTable::tick`].
+/// Upstreams whose grace time has ended or whose record was removed, as returned by
+/// [`UpstreamTable::tick`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExpiredUpstreams {
     /// Upstreams whose lapsed registration has expired, with its state before.
     pub deregistered: Vec<(UpstreamIndex, RegistrationState)>,
     /// Upstreams whose held registration has been applied.
     pub registered: Vec<UpstreamIndex>,
+    /// Indices of records that have been removed, and that other upstreams may get.
+    pub removed: Vec<UpstreamIndex>,
 }
 
 /// Returns the tag of an upstream's flows. It depends on the name alone, so that all hosts compute
@@ -407,7 +410,6 @@
     /// upstreams that can have no open flow; returns the upstreams whose grace time has ended.
     pub fn tick(&mut self, now: Instant) -> ExpiredUpstreams {
         let mut expired = ExpiredUpstreams::default();
-        let mut unused = Vec::new();
         let mut due = Vec::new();
         for index in self.by_name.values().copied() {
             let record = &mut self.records[index as usize];
@@ -420,7 +422,7 @@
                 RegistrationState::Deregistered { remove_at }
                     if remove_at <= now && !record.is_referenced() && record.held.is_none() =>
                 {
-                    unused.push(index);
+                    expired.removed.push(index);
                 }
                 _ => {}
             }
@@ -428,8 +430,8 @@
         for (index, _before) in &expired.deregistered {
             self.mark_deregistered(now, *index);
         }
-        for index in unused {
-            self.remove_record(index);
+        for index in &expired.removed {
+            self.remove_record(*index);
         }
         for held in due {
             expired.registered.push(self.register(now, &held.entry));
--- a/packet/tests/test_absent_evidence.rs
+++ b/packet/tests/test_absent_evidence.rs
@@ -2,12 +2,18 @@
 //! through another host.
 
 use std::time::Duration;
+use std::time::Instant;
 
+use lagoonproxy_packet::dispatch::request_ledger::RequestLedger;
 use lagoonproxy_packet::packet_head::PacketHead;
 use lagoonproxy_packet::packet_head::PacketKind;
 use lagoonproxy_packet::policy_config::LapseConfig;
 
 use crate::core_rig::*;
+use crate::load_rig::*;
+
+/// Interval at which load reports are sent and delivered.
+const REPORT_STEP_MS: u64 = 3 * 2 * HALF_CYCLE_MS;
 
 #[test]
 fn test_handshakes_that_end_at_another_host_reset_no_flow() {
@@ -113,6 +119,65 @@
     }
 }
 
+#[test]
+fn test_new_upstream_has_no_load_of_a_removed_one() {
+    // Guards against an upstream that gets no new flows because the requests of a removed one, at
+    // the same place of this host's table, are reported as its own.
+    let mut rig = CoreRig::with_ledger(&[1, 2]);
+    rig.advance_time(3000);
+    let mut flows = flows_to(&[12, 12]);
+    run_reported(&mut rig, &mut flows, 4000);
+    assert!(is_contended(&rig));
+    let place = rig.core.upstreams().by_tag(tag(1));
+    rig.publish(|revision| removed_item(revision, 1));
+    let LapseConfig { restored_grace, .. } = LapseConfig::default();
+    let kept = settings().max_flow_age + restored_grace;
+    run_reported(&mut rig, &mut flows, kept.as_millis() as u64 - 2000);
+    for flow in flows.iter_mut().filter(|flow| flow.upstream == 1) {
+        let head = flow.response(0);
+        rig.packet(&PacketHead { last: true, ..head });
+    }
+    flows.retain(|flow| flow.upstream == 2);
+    run_reported(&mut rig, &mut flows, 6000);
+    assert!(is_contended(&rig));
+    assert!(rig.core.upstreams().by_tag(tag(1)).is_none());
+    rig.publish(|revision| upstream_item(revision, entry(3, "ledger")));
+    let index = rig.core.upstreams().by_tag(tag(3));
+    assert_eq!(index, place, "the place is used again");
+    let mut loads = Vec::new();
+    for _step in 0..15 {
+        run_reported(&mut rig, &mut flows, REPORT_STEP_MS);
+        let upstreams = rig.core.upstreams();
+        let record = upstreams.get(index.expect("a known upstream"));
+        loads.push(record.load.in_progress);
+    }
+    assert!(loads.iter().all(|load| *load == 0), "{loads:?}");
+}
+
+#[test]
+fn test_ledger_forgets_the_requests_of_a_removed_upstream() {
+    // Guards against requests of a removed upstream that count for the next one at its index.
+    let mut ledger = RequestLedger::default();
+    let now = Instant::now();
+    ledger.record_request(now, 1, 7);
+    ledger.record_placement(now, 2, 7);
+    ledger.record_request(now, 3, 8);
+    ledger.remove_upstream(7);
+    assert_eq!((ledger.in_progress(7), ledger.in_progress(8)), (0, 1));
+    ledger.record_end(1);
+    ledger.expire_requests(now + Duration::from_secs(3));
+    assert_eq!((ledger.in_progress(7), ledger.in_progress(8)), (0, 0));
+    assert!(ledger.is_empty());
+}
+
+/// Runs flows and delivers the load reports of this host, which aggregates for its zone.
+fn run_reported(rig: &mut CoreRig, flows: &mut [LoadFlow], millis: u64) {
+    for _step in 0..millis / REPORT_STEP_MS {
+        run_flows(rig, flows, REPORT_STEP_MS);
+        rig.core.due_load_datagrams(rig.now);
+    }
+}
+
 /// Sends requests of a flow for some time, each of which gets its response.
 fn keep_responding(rig: &mut CoreRig, flow: u16, upstream: u8, time: Duration) {
     let end = rig.now + time;
