packet tests: a host's own stall counts as silence of upstreams (known red)

What callers would see: after a host had no processor time for half a second, or was frozen, its first tick resets flows in use (216) whose upstream still answers but whose registration has ended, such as a draining upstream that left the store before it exits.

Cause: is_lost compares the age of the last response with 500 ms, and the time of the host's own stall is part of that age; handle_stall resets attempts and keeps the times of responses. unregister compares it with 1 s in the same way, so that no grace time begins when the removal is read after a stall.

The test fails at its first case.

--- a/packet/tests/test_absent_evidence.rs
+++ b/packet/tests/test_absent_evidence.rs
@@ -8,6 +8,7 @@
 use lagoonproxy_packet::packet_head::PacketHead;
 use lagoonproxy_packet::packet_head::PacketKind;
 use lagoonproxy_packet::policy_config::LapseConfig;
+use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
 
 use crate::core_rig::*;
 use crate::load_rig::*;
@@ -119,6 +120,53 @@
     }
 }
 
+#[test]
+fn test_own_stall_is_no_silence_of_an_upstream() {
+    // Guards against flows in use that are reset because this host itself was frozen, or without
+    // processor time, and has therefore seen no response of an upstream whose registration ended.
+    struct Case {
+        name: &'static str,
+        ends_in_stall: bool,
+        stall: Duration,
+    }
+    let case = |name, ends_in_stall, millis| Case {
+        name,
+        ends_in_stall,
+        stall: Duration::from_millis(millis),
+    };
+    let cases = [
+        case("half a second, ended before", false, 450),
+        case("three seconds, ended before", false, 3000),
+        case("ten seconds, ended before", false, 10_000),
+        case("half a second, ends meanwhile", true, 450),
+        case("three seconds, ends meanwhile", true, 3000),
+        case("ten seconds, ends meanwhile", true, 10_000),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1, 2]);
+        rig.advance_time(6000);
+        let flow = (0..10)
+            .find(|flow| rig.establish(*flow) == 1)
+            .expect("a flow at 1");
+        rig.publish(|revision| {
+            let mut entry = entry(1, "ledger");
+            entry.state = EntryState::Draining;
+            upstream_item(revision, entry)
+        });
+        if !case.ends_in_stall {
+            rig.publish(|revision| removed_item(revision, 1));
+        }
+        keep_responding(&mut rig, flow, 1, Duration::from_millis(500));
+        rig.now += case.stall;
+        if case.ends_in_stall {
+            rig.publish(|revision| removed_item(revision, 1));
+        }
+        rig.advance_time(100);
+        assert!(rig.resets.is_empty(), "{}", case.name);
+        assert_eq!(forwarded(&rig.request(flow, 1, 5)), [1], "{}", case.name);
+    }
+}
+
 #[test]
 fn test_new_upstream_has_no_load_of_a_removed_one() {
     // Guards against an upstream that gets no new flows because the requests of a removed one, at
