packet tests: flows that go on through another host are reset (known red)

The fabric moves flows whenever a host joins or leaves its rotation, nearly all of them with the hash `mod`. The host that carried them before tracks them until their idle time, hears nothing of their upstream any more, and resets them when the registration ends. A host that is being stopped does so too: it ticks until it exits, and its flows have just moved.

Cause: reset_lost_flows takes a flow's record for a flow that goes through this host. Reports of peers hide it for upstreams of the same zone where one of them has seen a response.

Evidence: the test fails at its first case; each case is an upstream that answers elsewhere, in this zone and in another, with a flow that was idle or waited for a response when it moved. It goes beyond test_idle_flows_survive_the_end_of_a_registration: a flow that waits here is no evidence either.

--- a/packet/tests/test_absent_evidence.rs
+++ b/packet/tests/test_absent_evidence.rs
@@ -167,6 +167,44 @@
     }
 }
 
+#[test]
+fn test_flows_that_moved_to_another_host_are_kept() {
+    // Guards against flows that go on through another host, and that a host which sees nothing of
+    // them any more resets when the registration of their upstream ends.
+    struct Case {
+        name: &'static str,
+        zone: &'static str,
+        waits: bool,
+    }
+    let case = |name, zone, waits| Case { name, zone, waits };
+    let cases = [
+        case("idle", ZONE, false),
+        case("waits for a response", ZONE, true),
+        case("idle, other zone", "b", false),
+        case("waits for a response, other zone", "b", true),
+    ];
+    for case in cases {
+        let entries = [1, 2].map(|number| {
+            let mut entry = entry(number, "ledger");
+            entry.zone = case.zone.into();
+            entry
+        });
+        let mut rig = CoreRig::with_entries(entries.to_vec());
+        rig.advance_time(6000);
+        let flow = (0..10)
+            .find(|flow| rig.establish(*flow) == 1)
+            .expect("a flow at 1");
+        keep_responding(&mut rig, flow, 1, Duration::from_secs(1));
+        if case.waits {
+            rig.request(flow, 1, 10);
+        }
+        rig.advance_time(2000);
+        rig.publish(|revision| removed_item(revision, 1));
+        rig.advance_time(8000);
+        assert!(rig.resets.is_empty(), "{}", case.name);
+    }
+}
+
 #[test]
 fn test_new_upstream_has_no_load_of_a_removed_one() {
     // Guards against an upstream that gets no new flows because the requests of a removed one, at
