--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -86,13 +86,16 @@
     pub(crate) evacuated: EvacuatedZones,
 }
 
-/// Upstreams whose grace time has ended, as returned by [`UpstreamTable::tick`].
+/// Upstreams whose grace time has ended or whose record was removed, as returned by
+/// [`UpstreamTable::tick`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ExpiredUpstreams {
     /// Upstreams whose lapsed registration has expired, with its state before.
     pub deregistered: Vec<(UpstreamIndex, RegistrationState)>,
     /// Upstreams whose held registration has been applied.
     pub registered: Vec<UpstreamIndex>,
+    /// Indices of records that have been removed, and that other upstreams may get.
+    pub removed: Vec<UpstreamIndex>,
 }
 
 /// Returns the tag of an upstream's flows. It depends on the name alone, so that all hosts compute
@@ -104,8 +107,8 @@
 }
 
 impl UpstreamTable {
-    /// Returns the empty table of a host in `zone`. Records of deregistered upstreams are kept for
-    /// `max_flow_age`.
+    /// Returns the empty table of a host in `zone`. Records of deregistered upstreams are kept until
+    /// flows of theirs through any host are older than `max_flow_age`.
     pub fn new(zone: ZoneName, max_flow_age: Duration, config: PolicyConfig) -> Self {
         Self {
             zone,
@@ -411,7 +414,6 @@
     /// upstreams that can have no open flow; returns the upstreams whose grace time has ended.
     pub fn tick(&mut self, now: Instant) -> ExpiredUpstreams {
         let mut expired = ExpiredUpstreams::default();
-        let mut unused = Vec::new();
         let mut due = Vec::new();
         for index in self.by_name.values().copied() {
             let record = &mut self.records[index as usize];
@@ -422,9 +424,9 @@
                     expired.deregistered.push((index, record.registration));
                 }
                 RegistrationState::Deregistered { remove_at }
-                    if remove_at <= now && !record.has_flows() && record.held.is_none() =>
+                    if remove_at <= now && !record.is_referenced() && record.held.is_none() =>
                 {
-                    unused.push(index);
+                    expired.removed.push(index);
                 }
                 _ => {}
             }
@@ -432,8 +434,8 @@
         for (index, _before) in &expired.deregistered {
             self.mark_deregistered(now, *index);
         }
-        for index in unused {
-            self.remove_record(index);
+        for index in &expired.removed {
+            self.remove_record(*index);
         }
         for held in due {
             expired.registered.push(self.register(now, &held.entry));
@@ -595,6 +597,7 @@
             born: entry.born,
             flows: 0,
             idle: 0,
+            closing: 0,
             waiting: 0,
             opening: 0,
             peer_flows: 0,
@@ -622,9 +625,17 @@
     }
 
     /// Marks an upstream as deregistered and removes it from its pool.
+    ///
+    /// Another host may still open flows there until its own grace time has ended, so that the
+    /// record is kept for the longest grace time and the age of such a flow.
     fn mark_deregistered(&mut self, now: Instant, index: UpstreamIndex) {
         self.remove_from_pool(index);
-        let remove_at = now + self.max_flow_age;
+        let LapseConfig {
+            grace,
+            restored_grace,
+            ..
+        } = self.config.lapse;
+        let remove_at = now + grace.max(restored_grace) + self.max_flow_age;
         self.get_mut(index).registration = RegistrationState::Deregistered { remove_at };
     }
 
