soak: the program's parts in modules of their own

Change: callers, faults, checks and the shared state are modules of their own. Nothing else changes.

--- /dev/null
+++ b/standin/src/soak_check.rs
@@ -0,0 +1,98 @@
+//! The checks of a soak run after its faults.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::packet_cluster::PacketCluster;
+use crate::packet_cluster::REQUEST_TIMEOUT;
+use crate::packet_cluster::certs;
+use crate::packet_cluster::ledger;
+use crate::packet_cluster::registration_key;
+use crate::packet_soak::HOSTS;
+use crate::packet_soak::LEDGER_UPSTREAMS;
+use crate::packet_soak::REMOTE_UPSTREAMS;
+use crate::packet_upstream::PacketUpstream;
+use crate::soak_state::SoakState;
+
+/// Time within which a drain or an evacuation reaches all hosts while there are no faults.
+const PROPAGATION_TIME: Duration = Duration::from_secs(3);
+
+/// Checks that no upstream received a modified packet, or one for another upstream or service.
+pub(crate) fn check_upstreams(cluster: &PacketCluster, state: &SoakState) {
+    for upstream in &cluster.upstreams {
+        let tally = upstream.tally();
+        let own_service = if upstream.number <= u64::from(LEDGER_UPSTREAMS) {
+            ledger()
+        } else {
+            certs()
+        };
+        let foreign = tally
+            .syns_by_service
+            .keys()
+            .any(|address| *address != own_service);
+        if foreign || tally.forged > 0 || tally.misdelivered > 0 {
+            state.record_violation(&format!("upstream {}: {tally:?}", upstream.number));
+        }
+    }
+}
+
+/// Checks after the faults that all requests are served, and that neither a draining upstream nor
+/// an evacuated zone gets new flows.
+pub(crate) async fn check_recovery(cluster: &mut PacketCluster, state: &SoakState) {
+    cluster.wait_for_rotation(usize::from(HOSTS)).await;
+    cluster.register(&cluster.upstreams[0], "ledger", "draining");
+    cluster.evacuate_local_zone();
+    sleep(PROPAGATION_TIME).await;
+    let syns_before = local_syns(cluster);
+    let mut caller = cluster.caller().await;
+    for number in 0..20_u32 {
+        let data = number.to_string();
+        let response = match caller.open(ledger()).await {
+            Ok(mut flow) => {
+                caller
+                    .request(&mut flow, data.as_bytes(), REQUEST_TIMEOUT)
+                    .await
+            }
+            Err(fault) => Err(fault),
+        };
+        if let Err(fault) = response {
+            state.record_violation(&format!("request failed after the faults: {fault:?}"));
+        }
+    }
+    if local_syns(cluster) > syns_before {
+        state.record_violation("an evacuated zone got new flows");
+    }
+    cluster.restore_local_zone();
+    sleep(PROPAGATION_TIME).await;
+    let drained_syns = cluster.upstreams[0].tally().syns;
+    for _flow in 0..20 {
+        if let Err(fault) = caller.open(ledger()).await {
+            state.record_violation(&format!("SYN failed after the evacuation: {fault:?}"));
+        }
+    }
+    if cluster.upstreams[0].tally().syns > drained_syns {
+        state.record_violation("a drained upstream got new flows");
+    }
+    if local_syns(cluster) == syns_before {
+        state.record_violation("a restored zone got no new flows");
+    }
+    deregister_all(cluster);
+}
+
+/// Returns the number of SYNs that upstreams of the local zone received.
+fn local_syns(cluster: &PacketCluster) -> u64 {
+    let upstreams = cluster.upstreams.iter().enumerate();
+    let local = upstreams.filter(|(index, _upstream)| !REMOTE_UPSTREAMS.contains(index));
+    local.map(|(_index, upstream)| upstream.tally().syns).sum()
+}
+
+fn deregister_all(cluster: &PacketCluster) {
+    let keys = cluster
+        .upstreams
+        .iter()
+        .map(|upstream: &PacketUpstream| registration_key(upstream));
+    for key in keys {
+        cluster.store.remove(&key);
+    }
+}
