stand-ins: late and renewed upstreams, held flows, remote hosts, logs of hosts

Change: an upstream can read no packets for a time, stop, and start as a new process with another start time; a caller holds a flow and notices its reset; hosts can be in the remote zone; each host's log goes to a file that is removed with the cluster unless it is kept.

--- a/standin/src/packet_caller.rs
+++ b/standin/src/packet_caller.rs
@@ -190,6 +190,16 @@
         Err(CallError::Timeout)
     }
 
+    /// Holds a flow idle for this time. Fails as soon as the flow is reset.
+    pub async fn hold(&self, flow: &CallerFlow, time: Duration) -> Result<(), CallError> {
+        let is_reset = |packet: &WirePacket| packet.flags & RST != 0;
+        let deadline = Instant::now() + time;
+        match self.receive(flow.source, deadline, is_reset).await {
+            Some(_reset) => Err(CallError::Reset),
+            None => Ok(()),
+        }
+    }
+
     /// Closes a flow by a FIN, without waiting for a response.
     pub async fn close(&mut self, flow: &CallerFlow) {
         self.send(&flow.packet(ACK | FIN, &[])).await;
@@ -222,6 +232,11 @@
 }
 
 impl CallerFlow {
+    /// Returns the caller's address of this flow.
+    pub fn source(&self) -> SocketAddrV4 {
+        self.source
+    }
+
     /// Returns the address of the service.
     pub fn service(&self) -> SocketAddrV4 {
         self.service
--- a/standin/src/packet_cluster.rs
+++ b/standin/src/packet_cluster.rs
@@ -4,13 +4,13 @@
 //! Used by tests and the soak. Panics if the setup fails.
 
 use std::collections::BTreeSet;
+use std::fs::File;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitStatus;
-use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -61,6 +61,10 @@
     pub store: StorePort,
     program: PathBuf,
     settings: PathBuf,
+    /// File to which its processes append their log.
+    log: PathBuf,
+    /// Whether the log file is kept when the cluster ends.
+    keeps_log: bool,
     child: Child,
     started: Instant,
 }
@@ -73,18 +77,18 @@
     pub store: PacketStore,
     /// The fabric through which callers send packets.
     pub fabric: PacketFabric,
-    /// The hosts, all in one zone.
+    /// The hosts, all in one zone unless a test adds others.
     pub hosts: Vec<ClusterHost>,
     /// The upstreams, of the ledger unless a test adds others.
     pub upstreams: Vec<PacketUpstream>,
-    /// Numbers of the upstreams in the remote zone, which has no hosts.
+    /// Numbers of the upstreams in the remote zone.
     remote_upstreams: BTreeSet<u64>,
     next_caller: u8,
     /// Sequence number of the next registration.
     next_sequence: AtomicU64,
 }
 
-/// The zone of all hosts, and a zone without hosts.
+/// The zone of all hosts unless a test adds others, and the other zone.
 const LOCAL_ZONE: &str = "a";
 const REMOTE_ZONE: &str = "b";
 
@@ -141,29 +145,50 @@
             .unwrap()
     }
 
-    /// Registers an upstream of the ledger in the remote zone, which has no hosts.
+    /// Starts an upstream again at an index: a new process with this number, in the same zone. The
+    /// process before it must have been stopped.
+    pub async fn start_incarnation(&mut self, index: usize, number: u8) {
+        let before = &self.upstreams[index];
+        let (born_ms, is_remote) = (before.born_ms + 1_000, self.is_remote(before));
+        let mut upstream = self.start_upstream(number, number).await;
+        upstream.born_ms = born_ms;
+        if is_remote {
+            self.remote_upstreams.insert(upstream.number);
+        }
+        self.upstreams[index] = upstream;
+    }
+
+    /// Whether an upstream is in the remote zone.
+    pub fn is_remote(&self, upstream: &PacketUpstream) -> bool {
+        self.remote_upstreams.contains(&upstream.number)
+    }
+
+    /// Registers an upstream of the ledger in the remote zone.
     pub fn move_to_remote_zone(&mut self, index: usize) {
         self.remote_upstreams.insert(self.upstreams[index].number);
         self.register(&self.upstreams[index], "ledger", "ready");
     }
 
-    /// Starts the evacuation of the zone of all hosts.
+    /// Starts the evacuation of the local zone.
     pub fn evacuate_local_zone(&self) {
         self.store.put(&evacuation_key(LOCAL_ZONE), &json!({}));
     }
 
-    /// Ends the evacuation of the zone of all hosts.
+    /// Ends the evacuation of the local zone.
     pub fn restore_local_zone(&self) {
         self.store.remove(&evacuation_key(LOCAL_ZONE));
     }
 
     /// Writes the registration of an upstream to the store.
     pub fn register(&self, upstream: &PacketUpstream, service: &str, state: &str) {
-        let is_remote = self.remote_upstreams.contains(&upstream.number);
-        let zone = if is_remote { REMOTE_ZONE } else { LOCAL_ZONE };
+        let zone = if self.is_remote(upstream) {
+            REMOTE_ZONE
+        } else {
+            LOCAL_ZONE
+        };
         let entry = json!({
             "Service": service, "Address": upstream.address.to_string(), "Zone": zone, "Version": "v1",
-            "Slots": 2, "State": state, "WarmupLeftMs": 0, "Sequence": self.next_sequence.fetch_add(1, Ordering::Relaxed), "born": 1_772_323_200_000_u64,
+            "Slots": 2, "State": state, "WarmupLeftMs": 0, "Sequence": self.next_sequence.fetch_add(1, Ordering::Relaxed), "born": upstream.born_ms,
         });
         self.store.put(&registration_key(upstream), &entry);
     }
@@ -187,16 +212,28 @@
 
     /// Starts a host whose only seed is the first host. The store treats it as `behaviour` says.
     pub async fn start_host(&mut self, behaviour: StoreBehaviour) {
+        self.start_host_in(LOCAL_ZONE, behaviour).await;
+    }
+
+    /// Starts a host in the remote zone.
+    pub async fn start_remote_host(&mut self) {
+        self.start_host_in(REMOTE_ZONE, StoreBehaviour::Serve).await;
+    }
+
+    async fn start_host_in(&mut self, zone: &str, behaviour: StoreBehaviour) {
         let address_index = self.hosts.len() as u8 + 1;
         let store = self.store.open_port(behaviour).await.unwrap();
-        let settings = self.write_settings(address_index, &store);
+        let settings = self.write_zone_settings(address_index, zone, &store);
+        let log = settings.with_extension("log");
         let host = ClusterHost {
             packets: SocketAddrV4::new(self.ip(address_index), PACKET_PORT),
             ready: SocketAddrV4::new(self.ip(address_index), READY_PORT),
             store,
-            child: spawn(&self.program, &settings),
+            child: spawn(&self.program, &settings, &log),
             program: self.program.clone(),
             settings,
+            log,
+            keeps_log: false,
             started: Instant::now(),
         };
         self.fabric.watch_readiness(host.packets, host.ready);
@@ -238,11 +275,15 @@
         );
     }
 
-    /// Writes the settings file of the host with this address index, and returns its path.
+    /// Writes the settings file of a local host with this address index, and returns its path.
     pub fn write_settings(&self, address_index: u8, store: &StorePort) -> PathBuf {
+        self.write_zone_settings(address_index, LOCAL_ZONE, store)
+    }
+
+    fn write_zone_settings(&self, address_index: u8, zone: &str, store: &StorePort) -> PathBuf {
         let ip = self.ip(address_index);
         let settings = json!({
-            "NodeName": format!("host-{}-{address_index}", self.number), "Ip": ip.to_string(), "Zone": LOCAL_ZONE,
+            "NodeName": format!("host-{}-{address_index}", self.number), "Ip": ip.to_string(), "Zone": zone,
             "Listen": {
                 "DatagramAddr": format!("{ip}:{PACKET_PORT}"), "Ready": format!("{ip}:{READY_PORT}"),
                 "Control": format!("{ip}:28166"),
@@ -281,6 +322,12 @@
         &self.settings
     }
 
+    /// Keeps the log file when the cluster ends, and returns its path.
+    pub fn keep_log(&mut self) -> &Path {
+        self.keeps_log = true;
+        &self.log
+    }
+
     /// Sends a signal, such as `TERM`, to the process.
     pub async fn signal(&self, name: &str) {
         let id = self.child.id().expect("the process runs");
@@ -329,7 +376,7 @@
 
     /// Starts a new process with the same settings.
     pub fn restart_process(&mut self) {
-        self.child = spawn(&self.program, &self.settings);
+        self.child = spawn(&self.program, &self.settings, &self.log);
         self.started = Instant::now();
     }
 
@@ -361,6 +408,9 @@
 impl Drop for ClusterHost {
     fn drop(&mut self) {
         let _removed = std::fs::remove_file(&self.settings);
+        if !self.keeps_log {
+            let _removed = std::fs::remove_file(&self.log);
+        }
     }
 }
 
@@ -384,11 +434,13 @@
     tokio::time::timeout(HANG_TIMEOUT, wait).await.is_ok()
 }
 
-fn spawn(program: &Path, settings: &Path) -> Child {
+/// Starts a process that appends its log to a file.
+fn spawn(program: &Path, settings: &Path, log: &Path) -> Child {
+    let log = File::options().create(true).append(true).open(log).unwrap();
     Command::new(program)
         .arg("--settings")
         .arg(settings)
-        .stdout(Stdio::null())
+        .stdout(log)
         .kill_on_drop(true)
         .spawn()
         .unwrap()
--- a/standin/src/packet_store.rs
+++ b/standin/src/packet_store.rs
@@ -230,6 +230,11 @@
         }
     }
 
+    /// Returns the revision of the last write.
+    pub fn revision(&self) -> u64 {
+        self.shared.content().revision
+    }
+
     /// Returns the number of requests of all hosts, failed ones included.
     pub fn calls(&self) -> u64 {
         self.shared.content().calls
--- a/standin/src/packet_upstream.rs
+++ b/standin/src/packet_upstream.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 use crate::packet_wire::ACK;
 use crate::packet_wire::FIN;
@@ -18,6 +20,9 @@
 use crate::packet_wire::UPSTREAM_NUMBER_BYTES;
 use crate::packet_wire::WirePacket;
 
+/// Start time that an upstream publishes unless a test sets another one.
+const FIRST_BORN_MS: u64 = 1_772_323_200_000;
+
 /// Sequence number of the first byte that an upstream sends on a flow.
 const INITIAL_SEQ: u32 = 1_000;
 
@@ -53,6 +58,8 @@
     flows: HashMap<SocketAddrV4, FlowState>,
     tally: UpstreamTally,
     unreachable: bool,
+    /// Until when it reads no packets.
+    busy_until: Option<Instant>,
     /// Delay from a request to its response.
     response_delay: Duration,
 }
@@ -64,6 +71,8 @@
     pub number: u64,
     /// Address at which it receives packets.
     pub address: SocketAddrV4,
+    /// Start time of its process as it publishes it, in milliseconds since 1970.
+    pub born_ms: u64,
     state: Arc<Mutex<UpstreamState>>,
     task: tokio::task::JoinHandle<()>,
 }
@@ -81,6 +90,7 @@
         Ok(Self {
             number,
             address,
+            born_ms: FIRST_BORN_MS,
             state,
             task,
         })
@@ -96,15 +106,26 @@
         lock(&self.state).unreachable = unreachable;
     }
 
+    /// Makes the upstream read no packets for this time, as on a machine without processor time. It
+    /// then handles the packets that its socket has queued, in their order.
+    pub fn set_busy(&self, duration: Duration) {
+        lock(&self.state).busy_until = Some(Instant::now() + duration);
+    }
+
     /// Sets the delay of all later responses. It does not apply to SYNs and acknowledgements.
     pub fn set_response_delay(&self, delay: Duration) {
         lock(&self.state).response_delay = delay;
     }
 
     /// Stops the upstream and frees its address for another one.
-    pub async fn end(self) {
+    pub async fn end(mut self) {
+        self.stop().await;
+    }
+
+    /// Stops the upstream, keeps its counters and frees its address.
+    pub async fn stop(&mut self) {
         self.task.abort();
-        let _cancelled = self.task.await;
+        let _cancelled = (&mut self.task).await;
     }
 }
 
@@ -116,6 +137,10 @@
     let socket = Arc::new(socket);
     let mut buffer = [0; 2048];
     while let Ok((length, _source)) = socket.recv_from(&mut buffer).await {
+        let busy_until = lock(&state).busy_until;
+        if let Some(time) = busy_until {
+            sleep_until(time).await;
+        }
         let Some((prefix, body)) = buffer[..length].split_first_chunk::<UPSTREAM_NUMBER_BYTES>()
         else {
             continue;
