soak: late heartbeats, busy upstreams, planned removals, added routes, idle flows

No registration ended while its upstream lived, nothing was late, no route was added that some hosts did not have yet, callers seldom held idle flows, and a violation left no log. Change: four disruptions that are no faults of the upstream, each from random numbers of its own; 16 callers that hold flows; two hosts in a second zone; a stopping host no longer holds up the other faults.

--- a/packetd/tests/runner.rs
+++ b/packetd/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_policy_file;
 mod test_restored_store;
 mod test_service_metrics;
+mod test_sound_upstreams;
 mod test_state_faults;
 
 use std::path::Path;
--- a/packetd/tests/test_packet_soak.rs
+++ b/packetd/tests/test_packet_soak.rs
@@ -17,8 +17,9 @@
         let report = run_soak(program(), settings).await;
         assert!(
             report.broken.is_empty(),
-            "seed {seed}: {:#?}",
-            report.broken
+            "seed {seed}: {:#?} {:#?}",
+            report.broken,
+            report.evidence
         );
         assert!(
             report.answered > 100,
--- a/standin/src/bin/lagoon-packet-soak.rs
+++ b/standin/src/bin/lagoon-packet-soak.rs
@@ -45,7 +45,12 @@
         println!("seed {seed}: {result}, {answered} answered, {lost} failed");
         if !report.broken.is_empty() {
             failed += 1;
-            for line in report.faults.iter().chain(&report.broken) {
+            for line in report
+                .faults
+                .iter()
+                .chain(&report.broken)
+                .chain(&report.evidence)
+            {
                 println!("  {line}");
             }
         }
--- a/standin/src/soak_check.rs
+++ b/standin/src/soak_check.rs
@@ -6,41 +6,37 @@
 
 use crate::packet_cluster::PacketCluster;
 use crate::packet_cluster::REQUEST_TIMEOUT;
-use crate::packet_cluster::certs;
 use crate::packet_cluster::ledger;
 use crate::packet_cluster::registration_key;
-use crate::packet_soak::HOSTS;
-use crate::packet_soak::LEDGER_UPSTREAMS;
-use crate::packet_soak::REMOTE_UPSTREAMS;
+use crate::packet_soak::LOCAL_HOSTS;
+use crate::packet_soak::REMOTE_HOSTS;
 use crate::packet_upstream::PacketUpstream;
 use crate::soak_state::SoakState;
+use crate::soak_upstream::main_address;
+use crate::soak_upstream::service_of;
 
 /// Time within which a drain or an evacuation reaches all hosts while there are no faults.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
 
-/// Checks that no upstream received a modified packet, or one for another upstream or service.
-pub(crate) fn check_upstreams(cluster: &PacketCluster, state: &SoakState) {
-    for upstream in &cluster.upstreams {
-        let tally = upstream.tally();
-        let own_service = if upstream.number <= u64::from(LEDGER_UPSTREAMS) {
-            ledger()
-        } else {
-            certs()
-        };
-        let foreign = tally
-            .syns_by_service
-            .keys()
-            .any(|address| *address != own_service);
-        if foreign || tally.forged > 0 || tally.misdelivered > 0 {
-            state.record_violation(&format!("upstream {}: {tally:?}", upstream.number));
-        }
+/// Checks that an upstream received no modified packet, and none for another upstream or service.
+pub(crate) fn check_upstream(upstream: &PacketUpstream, state: &SoakState) {
+    let tally = upstream.tally();
+    let own_service = service_of(upstream.number);
+    let foreign = tally
+        .syns_by_service
+        .keys()
+        .any(|address| main_address(*address) != own_service);
+    if foreign || tally.forged > 0 || tally.misdelivered > 0 {
+        state.record_violation(&format!("upstream {}: {tally:?}", upstream.number));
     }
 }
 
 /// Checks after the faults that all requests are served, and that neither a draining upstream nor
 /// an evacuated zone gets new flows.
 pub(crate) async fn check_recovery(cluster: &mut PacketCluster, state: &SoakState) {
-    cluster.wait_for_rotation(usize::from(HOSTS)).await;
+    cluster
+        .wait_for_rotation(usize::from(LOCAL_HOSTS + REMOTE_HOSTS))
+        .await;
     cluster.register(&cluster.upstreams[0], "ledger", "draining");
     cluster.evacuate_local_zone();
     sleep(PROPAGATION_TIME).await;
@@ -82,9 +78,9 @@
 
 /// Returns the number of SYNs that upstreams of the local zone received.
 fn local_syns(cluster: &PacketCluster) -> u64 {
-    let upstreams = cluster.upstreams.iter().enumerate();
-    let local = upstreams.filter(|(index, _upstream)| !REMOTE_UPSTREAMS.contains(index));
-    local.map(|(_index, upstream)| upstream.tally().syns).sum()
+    let upstreams = cluster.upstreams.iter();
+    let local = upstreams.filter(|upstream| !cluster.is_remote(upstream));
+    local.map(|upstream| upstream.tally().syns).sum()
 }
 
 fn deregister_all(cluster: &PacketCluster) {
--- a/standin/src/soak_fault.rs
+++ b/standin/src/soak_fault.rs
@@ -1,94 +1,26 @@
-//! The faults of a soak run.
+//! The faults of a soak run: what each does, and how it ends.
 
 use std::time::Duration;
 use std::time::Instant;
 
 use rand::RngExt;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::time::sleep;
 
 use crate::packet_cluster::PacketCluster;
-use crate::packet_cluster::certs;
-use crate::packet_cluster::ledger;
-use crate::packet_soak::HOSTS;
-use crate::packet_soak::LEDGER_UPSTREAMS;
-use crate::packet_soak::SoakSettings;
-use crate::packet_store::StoreBackup;
+use crate::packet_cluster::registration_key;
+use crate::packet_soak::LOCAL_HOSTS;
 use crate::packet_store::StoreBehaviour;
+use crate::soak_check::check_upstream;
 use crate::soak_state::SoakState;
+use crate::soak_upstream::LEDGER_UPSTREAMS;
+use crate::soak_upstream::added_address;
+use crate::soak_upstream::next_number;
+use crate::soak_upstream::service_name;
 
-/// XORed with the seed to separate the random numbers of evacuations and of restores from those of
-/// other faults.
-const EVACUATION_STREAM: u64 = 0x6576_6163;
-const RESTORE_STREAM: u64 = 0x7265_7374;
-
-/// Delay from a restore of the store until its clients repeat the lost writes.
-const REWRITE_DELAY: Duration = Duration::from_millis(300);
-
-/// Injects faults at random times and reverts each after its duration.
-pub(crate) async fn inject_faults(
-    cluster: &mut PacketCluster,
-    state: &SoakState,
-    settings: SoakSettings,
-) {
-    let mut rng = StdRng::seed_from_u64(settings.seed);
-    // Separate generators, so that evacuations and restores do not change a seed's other faults.
-    let mut evacuation_rng = StdRng::seed_from_u64(settings.seed ^ EVACUATION_STREAM);
-    let mut restore_rng = StdRng::seed_from_u64(settings.seed ^ RESTORE_STREAM);
-    let mut backup: Option<(Instant, StoreBackup)> = None;
-    let end = Instant::now() + settings.faults;
-    let mut active: Vec<(Instant, SoakFault)> = Vec::new();
-    while Instant::now() < end || !active.is_empty() {
-        let now = Instant::now();
-        let expired: Vec<SoakFault> = active
-            .extract_if(.., |(time, _fault)| *time <= now)
-            .map(|(_time, fault)| fault)
-            .collect();
-        for fault in expired {
-            fault.revert(cluster, state).await;
-        }
-        check_hosts(cluster, state, &active);
-        let is_evacuated = active
-            .iter()
-            .any(|(_time, fault)| *fault == SoakFault::Evacuate);
-        if now < end && !is_evacuated && evacuation_rng.random_bool(0.15) {
-            let duration = Duration::from_millis(evacuation_rng.random_range(500..3500));
-            SoakFault::Evacuate.inject(cluster, state).await;
-            state.record_fault(SoakFault::Evacuate, duration);
-            active.push((now + duration, SoakFault::Evacuate));
-        }
-        if let Some((_time, backup)) = backup.take_if(|(time, _backup)| *time <= now) {
-            restore_store(cluster, state, &backup).await;
-        }
-        if now < end && backup.is_none() && restore_rng.random_bool(0.2) {
-            let age = Duration::from_millis(restore_rng.random_range(200..4000));
-            backup = Some((now + age, cluster.store.copy()));
-        }
-        if now < end {
-            let fault = SoakFault::draw(&mut rng);
-            let duration = Duration::from_millis(rng.random_range(500..3500));
-            let conflicts = active.iter().any(|(_time, other)| other.same_target(fault));
-            if !conflicts && fault.inject(cluster, state).await {
-                state.record_fault(fault, duration);
-                active.push((now + duration, fault));
-            }
-        }
-        sleep(Duration::from_millis(rng.random_range(100..700))).await;
-    }
-}
-
-/// Restores the store from a backup, then repeats the lost writes as its clients do.
-async fn restore_store(cluster: &PacketCluster, state: &SoakState, backup: &StoreBackup) {
-    let lost = cluster.store.restore(backup);
-    state.record_restore(lost.len());
-    sleep(REWRITE_DELAY).await;
-    cluster.store.rewrite_lost(lost);
-}
-
-/// A fault and the index of the host or upstream that it affects.
+/// A fault, or a disruption that is no fault of the upstream, and the index of the host or upstream
+/// that it affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SoakFault {
+pub(crate) enum SoakFault {
     /// A host's process is killed and restarted.
     Kill(usize),
     /// A host gets SIGTERM, and is restarted once it has exited.
@@ -111,12 +43,25 @@
     Routes,
     /// The local zone, which has the hosts and most upstreams, is evacuated.
     Evacuate,
+    /// The registration of an upstream expires, since its heartbeat is late, and is written again.
+    LateHeartbeat(usize),
+    /// An upstream reads no packets for a time, then handles all that have queued up.
+    Busy(usize, Duration),
+    /// First part of a planned removal: an upstream registers as draining.
+    Leaving(usize),
+    /// Second part: its registration is removed, and it still serves its flows.
+    Deregistered(usize),
+    /// Third part: its process ends, and a new one registers. The new one has a new number if the
+    /// flag is set.
+    Ended(usize, bool),
+    /// A newer configuration has another route to the ledger, which a later one removes.
+    AddedRoute(u8),
 }
 
 impl SoakFault {
-    fn draw(rng: &mut StdRng) -> Self {
-        let host = rng.random_range(0..usize::from(HOSTS));
-        let upstream = rng.random_range(0..usize::from(LEDGER_UPSTREAMS));
+    pub(crate) fn draw(rng: &mut StdRng) -> Self {
+        let host = rng.random_range(0..usize::from(LOCAL_HOSTS));
+        let upstream = rng.random_range(LEDGER_UPSTREAMS);
         match rng.random_range(0..12) {
             0 => Self::Kill(host),
             1 => Self::Stop(host),
@@ -133,8 +78,26 @@
         }
     }
 
+    /// Returns the next part of a planned removal and its duration, or `None` if there is none.
+    pub(crate) fn next_part(self, rng: &mut StdRng) -> Option<(Self, Duration)> {
+        let (part, millis) = match self {
+            Self::Leaving(index) => (Self::Deregistered(index), 100..3000),
+            Self::Deregistered(index) => (Self::Ended(index, rng.random_bool(0.5)), 200..2000),
+            _ => return None,
+        };
+        Some((part, Duration::from_millis(rng.random_range(millis))))
+    }
+
+    /// Whether the fault cannot be reverted yet: the host has been asked to stop and still runs.
+    pub(crate) fn is_stopping(self, cluster: &mut PacketCluster) -> bool {
+        let Self::Stop(host) = self else {
+            return false;
+        };
+        cluster.hosts[host].exit_status().is_none()
+    }
+
     /// Whether both faults affect the same host, the same upstream or the store.
-    fn same_target(self, other: Self) -> bool {
+    pub(crate) fn same_target(self, other: Self) -> bool {
         let host = |fault| match fault {
             Self::Kill(host) | Self::Stop(host) | Self::Freeze(host) | Self::Hangup(host) => {
                 Some(host)
@@ -145,15 +108,35 @@
             Self::UpstreamUnreachable(upstream) | Self::Drain(upstream) => Some(upstream),
             _ => None,
         };
+        let registration = |fault| match fault {
+            Self::LateHeartbeat(upstream)
+            | Self::Leaving(upstream)
+            | Self::Deregistered(upstream)
+            | Self::Ended(upstream, _) => Some(upstream),
+            _ => None,
+        };
+        let busy = |fault| match fault {
+            Self::Busy(upstream, _) => Some(upstream),
+            _ => None,
+        };
+        let route = |fault| matches!(fault, Self::AddedRoute(_));
         let store = |fault| matches!(fault, Self::Store(..) | Self::StoreUnreachable);
         let same_host = host(self).is_some() && host(self) == host(other);
         let same_upstream = upstream(self).is_some() && upstream(self) == upstream(other);
-        same_host || same_upstream || (store(self) && store(other))
+        let same_registration =
+            registration(self).is_some() && registration(self) == registration(other);
+        let same_busy = busy(self).is_some() && busy(self) == busy(other);
+        same_host
+            || same_upstream
+            || same_registration
+            || same_busy
+            || (route(self) && route(other))
+            || (store(self) && store(other))
     }
 
     /// Starts the fault. Returns false without an effect if it would send a signal to a host that
     /// is still starting.
-    async fn inject(self, cluster: &mut PacketCluster, state: &SoakState) -> bool {
+    pub(crate) async fn inject(self, cluster: &mut PacketCluster, state: &SoakState) -> bool {
         let host = match self {
             Self::Stop(host) | Self::Hangup(host) => Some(host),
             _ => None,
@@ -173,17 +156,30 @@
                 state.record_upstream_fault(cluster.upstreams[upstream].number);
                 cluster.upstreams[upstream].set_unreachable(true);
             }
-            Self::Drain(index) => cluster.register(&cluster.upstreams[index], "ledger", "draining"),
+            Self::Drain(index) | Self::Leaving(index) => register(cluster, index, "draining"),
+            Self::LateHeartbeat(index) | Self::Deregistered(index) => {
+                let key = registration_key(&cluster.upstreams[index]);
+                cluster.store.remove(&key);
+            }
+            Self::Busy(index, duration) => cluster.upstreams[index].set_busy(duration),
+            Self::Ended(index, _) => end_upstream(cluster, state, index).await,
             Self::Evacuate => cluster.evacuate_local_zone(),
-            Self::Routes => {
-                let version = 2 + state.started.elapsed().as_millis() as u64;
-                cluster.publish_routes(version, &[(ledger(), "ledger"), (certs(), "certs")]);
+            Self::Routes => publish_routes(cluster, state),
+            Self::AddedRoute(number) => {
+                state.set_added_route(Some(added_address(number)));
+                publish_routes(cluster, state);
             }
         }
         true
     }
 
-    async fn revert(self, cluster: &mut PacketCluster, state: &SoakState) {
+    /// Ends the fault. `active` are the other faults.
+    pub(crate) async fn revert(
+        self,
+        cluster: &mut PacketCluster,
+        state: &SoakState,
+        active: &[(Instant, Self)],
+    ) {
         match self {
             Self::Kill(host) => cluster.hosts[host].restart_process(),
             Self::Stop(host) => {
@@ -201,9 +197,38 @@
                 state.record_upstream_fault(cluster.upstreams[upstream].number);
                 cluster.upstreams[upstream].set_unreachable(false);
             }
-            Self::Drain(index) => cluster.register(&cluster.upstreams[index], "ledger", "ready"),
+            Self::Drain(index) => register(cluster, index, "ready"),
+            Self::LateHeartbeat(index) => {
+                let is_drained = active
+                    .iter()
+                    .any(|(_time, fault)| *fault == Self::Drain(index));
+                register(
+                    cluster,
+                    index,
+                    if is_drained { "draining" } else { "ready" },
+                );
+            }
+            Self::Ended(index, is_renumbered) => {
+                let number = cluster.upstreams[index].number;
+                let number = if is_renumbered {
+                    next_number(number)
+                } else {
+                    number as u8
+                };
+                cluster.start_incarnation(index, number).await;
+                register(cluster, index, "ready");
+            }
+            Self::AddedRoute(_) => {
+                state.set_added_route(None);
+                publish_routes(cluster, state);
+            }
             Self::Evacuate => cluster.restore_local_zone(),
-            Self::Hangup(_) | Self::DropHistory | Self::Routes => {}
+            Self::Hangup(_)
+            | Self::DropHistory
+            | Self::Routes
+            | Self::Busy(..)
+            | Self::Leaving(_)
+            | Self::Deregistered(_) => {}
         }
     }
 }
@@ -214,15 +239,24 @@
     }
 }
 
-/// Checks that every host not stopped by a fault is still running.
-fn check_hosts(cluster: &mut PacketCluster, state: &SoakState, active: &[(Instant, SoakFault)]) {
-    for (index, host) in cluster.hosts.iter_mut().enumerate() {
-        let stopped_by_fault = active.iter().any(|(_time, fault)| {
-            matches!(fault, SoakFault::Kill(host) | SoakFault::Stop(host) if *host == index)
-        });
-        if !stopped_by_fault && let Some(status) = host.exit_status() {
-            state.record_violation(&format!("host {index} exited by itself: {status}"));
-            host.restart_process();
-        }
-    }
+/// Writes the registration of an upstream with this state.
+fn register(cluster: &PacketCluster, index: usize, registered_state: &str) {
+    let upstream = &cluster.upstreams[index];
+    cluster.register(upstream, service_name(upstream.number), registered_state);
+}
+
+/// Publishes the routes of the services and the added one, if there is one.
+fn publish_routes(cluster: &PacketCluster, state: &SoakState) {
+    let (version, routes) = state.next_routes();
+    cluster.publish_routes(version, &routes);
+}
+
+/// Ends the process of an upstream.
+async fn end_upstream(cluster: &mut PacketCluster, state: &SoakState, index: usize) {
+    let upstream = &mut cluster.upstreams[index];
+    check_upstream(upstream, state);
+    // Once before, since callers may see the end at once, and once when no response can follow.
+    state.record_upstream_end(upstream.number);
+    upstream.stop().await;
+    state.record_upstream_end(upstream.number);
 }
--- a/standin/src/soak_state.rs
+++ b/standin/src/soak_state.rs
@@ -2,14 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Debug;
+use std::net::SocketAddrV4;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::packet_caller::CallerFlow;
+use crate::packet_cluster::certs;
+use crate::packet_cluster::ledger;
+use crate::soak_upstream::index_of;
+
 /// Time after a fault of an upstream within which its flows may be reset.
 const RESET_WINDOW: Duration = Duration::from_secs(4);
 
@@ -24,14 +31,32 @@
     pub faults: Vec<String>,
     /// Violated invariants; empty if the run passed.
     pub broken: Vec<String>,
+    /// Log lines of the hosts about the resets among the violations, and the paths of their logs.
+    pub evidence: Vec<String>,
+    /// The resets among the violations.
+    pub(crate) resets: Vec<WrongReset>,
+}
+
+/// A reset that violates an invariant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct WrongReset {
+    /// The caller's address of the flow.
+    pub(crate) caller: SocketAddrV4,
+    /// Number of the flow's upstream.
+    pub(crate) upstream: u64,
 }
 
 /// State shared by the callers and the fault injection.
 pub(crate) struct SoakState {
-    pub(crate) started: Instant,
+    started: Instant,
     report: Mutex<SoakReport>,
     /// Time of the last fault of each upstream, by its number.
     last_upstream_fault: Mutex<BTreeMap<u64, Instant>>,
+    /// Time of the last end of the process of each upstream, by its number.
+    last_upstream_end: Mutex<BTreeMap<u64, Instant>>,
+    /// Address of the ledger that a newer configuration has added; `None` if there is none now.
+    added_route: Mutex<Option<SocketAddrV4>>,
+    next_version: AtomicU64,
     finished: AtomicBool,
 }
 
@@ -41,6 +66,9 @@
             started: Instant::now(),
             report: Mutex::default(),
             last_upstream_fault: Mutex::default(),
+            last_upstream_end: Mutex::default(),
+            added_route: Mutex::default(),
+            next_version: AtomicU64::new(2),
             finished: AtomicBool::new(false),
         }
     }
@@ -55,7 +83,7 @@
     }
 
     pub(crate) fn report(&self) -> MutexGuard<'_, SoakReport> {
-        self.report.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.report)
     }
 
     pub(crate) fn record_violation(&self, description: &str) {
@@ -78,20 +106,54 @@
     }
 
     pub(crate) fn record_upstream_fault(&self, upstream: u64) {
-        let mut last_upstream_fault = self
-            .last_upstream_fault
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        last_upstream_fault.insert(upstream, Instant::now());
+        lock(&self.last_upstream_fault).insert(upstream, Instant::now());
+    }
+
+    /// Records that the process of an upstream has ended.
+    pub(crate) fn record_upstream_end(&self, upstream: u64) {
+        lock(&self.last_upstream_end).insert(upstream, Instant::now());
+    }
+
+    /// Sets the address that a newer configuration adds.
+    pub(crate) fn set_added_route(&self, address: Option<SocketAddrV4>) {
+        *lock(&self.added_route) = address;
     }
 
-    pub(crate) fn is_stable(&self, upstream: u64) -> bool {
-        let last_upstream_fault = self
-            .last_upstream_fault
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        last_upstream_fault
+    pub(crate) fn added_route(&self) -> Option<SocketAddrV4> {
+        *lock(&self.added_route)
+    }
+
+    /// Returns the version and the routes of the next configuration.
+    pub(crate) fn next_routes(&self) -> (u64, Vec<(SocketAddrV4, &'static str)>) {
+        let version = self.next_version.fetch_add(1, Ordering::Relaxed);
+        let main = [(ledger(), "ledger"), (certs(), "certs")];
+        let added = self.added_route().map(|address| (address, "ledger"));
+        (version, main.into_iter().chain(added).collect())
+    }
+
+    /// Checks the reset of a flow whose upstream ran a request that was sent at `last_request`.
+    pub(crate) fn check_reset(&self, flow: &CallerFlow, upstream: u64, last_request: Instant) {
+        let service = flow.service();
+        let is_routed =
+            [ledger(), certs()].contains(&service) || self.added_route() == Some(service);
+        let has_ended = lock(&self.last_upstream_end)
+            .get(&upstream)
+            .is_some_and(|end| *end >= last_request);
+        let is_stable = lock(&self.last_upstream_fault)
             .get(&upstream)
-            .is_none_or(|time| time.elapsed() > RESET_WINDOW)
+            .is_none_or(|time| time.elapsed() > RESET_WINDOW);
+        if !is_routed || has_ended || !is_stable {
+            return;
+        }
+        let caller = flow.source();
+        let index = index_of(upstream);
+        self.record_violation(&format!(
+            "flow {caller} to {service} was reset while its upstream {index} (i-{upstream:x}) was stable"
+        ));
+        self.report().resets.push(WrongReset { caller, upstream });
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
