packet store stand-in: a restore repeats writes whose history was dropped

Cause: the stand-in found the writes that a restore loses in its history, which a dropped history cleared. Change: dropping the history no longer clears it; watches still cannot resume before it.

--- a/standin/src/packet_store.rs
+++ b/standin/src/packet_store.rs
@@ -51,7 +51,8 @@
     items: BTreeMap<String, (String, u64)>,
     /// Every write: key, value in base64 (`None` if the key was removed), revision.
     history: Vec<(String, Option<String>, u64)>,
-    /// Writes up to this revision are no longer in the history.
+    /// Watches do not get writes up to this revision. They stay in `history`, since a restore needs
+    /// them to tell which writes are lost.
     compacted: u64,
     calls: u64,
 }
@@ -193,7 +194,6 @@
     pub fn drop_history(&self) {
         let mut content = self.shared.content();
         content.compacted = content.revision;
-        content.history.clear();
     }
 
     /// Returns a backup of the present content.
--- a/standin/src/soak_log.rs
+++ b/standin/src/soak_log.rs
@@ -8,8 +8,8 @@
 use crate::soak_state::WrongReset;
 
 /// Bounds of the lines that are shown: resets, and the last lines about the upstream before one.
-const MAX_RESETS: usize = 10;
-const MAX_UPSTREAM_LINES: usize = 12;
+const MAX_RESETS: usize = 20;
+const MAX_UPSTREAM_LINES: usize = 6;
 
 /// A log line of a host.
 struct LogLine {
