--- a/packet/tests/test_flow_load.rs
+++ b/packet/tests/test_flow_load.rs
@@ -128,7 +128,7 @@
 
 #[test]
 fn test_idle_flows_of_a_dead_upstream_are_ended() {
-    // Guards against idle flows of a dead upstream that are not reset.
+    // Guards against idle flows of a dead upstream that are not reset with its registration's end.
     let mut rig = CoreRig::with_ledger(&[1, 2, 3, 4]);
     learn_usual_pause(&mut rig, 2);
     let flows: Vec<(u16, u8)> = (0..16).map(|flow| (flow, rig.establish(flow))).collect();
@@ -138,12 +138,15 @@
         .map(|(flow, _at)| *flow)
         .collect();
     rig.advance_time(1500);
-    for _copy in 0..3 {
+    for pause in [200, 400, 800, 700] {
         for flow in &at_first[..2] {
             rig.request(*flow, 1, 0);
         }
-        rig.advance_time(200);
+        rig.advance_time(pause);
     }
+    assert!(rig.resets.is_empty(), "it is registered");
+    rig.publish(|revision| removed_item(revision, 1));
+    rig.advance_time(100);
     let ended: Vec<u16> = rig
         .resets
         .iter()
