packet: requests of an earlier process do not count against the next one

What callers would see: an upstream that starts again under its name gets no new flows for 6.4 s, since the zone's hosts hold it for failing (`Failing`), and the others carry its load.

Cause: registering another `born` or address resets outlier detection, but requests that were waiting for the earlier process reach their failure timeout (450 ms) afterwards and count for the name. Their missing responses were taken for the new process's.

Fix: the detector knows since when the process is known, and leaves out requests that were sent before.

Evidence: the new test failed before in "sent to the earlier process" and passes now, with two cases in which the upstream has to be ejected still.

--- a/packet/src/health/outlier_detector.rs
+++ b/packet/src/health/outlier_detector.rs
@@ -33,6 +33,9 @@
 /// Recent request outcomes of one upstream, and whether it is ejected for them.
 #[derive(Clone, Debug, Default)]
 pub struct OutlierDetector {
+    /// Since when the upstream's process is known. Requests that were sent before belong to an
+    /// earlier process under the same name. `None` for the first one.
+    process_since: Option<Instant>,
     /// Counts of the current window.
     current: OutcomeCounts,
     /// Counts of the previous window.
@@ -72,6 +75,14 @@
 }
 
 impl OutlierDetector {
+    /// Returns the detector of an upstream whose process is known since `now`, in place of another.
+    pub fn of_new_process(now: Instant) -> Self {
+        Self {
+            process_since: Some(now),
+            ..Self::default()
+        }
+    }
+
     /// Whether the upstream is ejected because it fails requests.
     pub fn is_failing(&self) -> bool {
         self.ejected_until.is_some()
@@ -95,6 +106,9 @@
     /// If nothing has been served since `sent`, requests served earlier no longer count. Otherwise
     /// the earlier load of an upstream that has stopped responding would hide its failures.
     pub fn record_timeout(&mut self, now: Instant, sent: Instant) {
+        if self.process_since.is_some_and(|since| sent < since) {
+            return;
+        }
         self.rotate_windows(now);
         if self.last_served.is_none_or(|served| served <= sent) {
             self.current.served = 0;
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -15,6 +15,7 @@
 use crate::admission::warmup_admission::WarmupAdmission;
 use crate::admission::warmup_admission::WarmupLimit;
 use crate::flows::flow_cost::FlowCosts;
+use crate::health::outlier_detector::OutlierDetector;
 use crate::ids::FlowTag;
 use crate::ids::Revision;
 use crate::ids::ServiceIndex;
@@ -206,7 +207,7 @@
         let restarted = record.born != entry.born || record.address != entry.address;
         if restarted {
             record.failure_detector.reset();
-            record.outlier_detector = Default::default();
+            record.outlier_detector = OutlierDetector::of_new_process(now);
         }
         record.number = entry.number;
         record.address = entry.address;
--- a/packet/tests/test_absent_evidence.rs
+++ b/packet/tests/test_absent_evidence.rs
@@ -205,6 +205,57 @@
     }
 }
 
+#[test]
+fn test_requests_of_an_earlier_process_do_not_count_for_the_next() {
+    // Guards against an upstream that has started again under its name and gets no new flows
+    // because its earlier process left requests without a response.
+    struct Case {
+        name: &'static str,
+        born: u64,
+        sent_after: bool,
+        ejected: bool,
+    }
+    let case = |name, born, sent_after, ejected| Case {
+        name,
+        born,
+        sent_after,
+        ejected,
+    };
+    let cases = [
+        case("sent to the earlier process", 2, false, false),
+        case("sent to the new process", 2, true, true),
+        case("the same process", 1, false, true),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1, 2, 3, 4]);
+        let flows: Vec<u16> = (0..40).filter(|flow| rig.establish(*flow) == 1).collect();
+        assert!(flows.len() >= 3, "{}", case.name);
+        rig.advance_time(1000);
+        let send = |rig: &mut CoreRig| {
+            for flow in &flows {
+                rig.request(*flow, 1, 0);
+            }
+            rig.advance_time(100);
+        };
+        if !case.sent_after {
+            send(&mut rig);
+        }
+        rig.publish(|revision| {
+            let mut entry = entry(1, "ledger");
+            entry.born = Some(case.born);
+            upstream_item(revision, entry)
+        });
+        if case.sent_after {
+            send(&mut rig);
+        }
+        rig.advance_time(1000);
+        let upstreams = rig.core.upstreams();
+        let index = upstreams.by_tag(tag(1)).expect("a known upstream");
+        let is_failing = upstreams.get(index).outlier_detector.is_failing();
+        assert_eq!(is_failing, case.ejected, "{}", case.name);
+    }
+}
+
 #[test]
 fn test_new_upstream_has_no_load_of_a_removed_one() {
     // Guards against an upstream that gets no new flows because the requests of a removed one, at
