packetd: a stopping host does not take its own stall for the end of its packets

What callers would see: packets lost at a planned stop of a host on a busy machine, each a retransmission of 200 ms or more, and a SYN without a response for as long.

Cause: a stopping host ends after 1.5 s once it has handled no packet for 300 ms. If the process had no processor time for that long, packets wait unread in its socket; the check of the end conditions may run before they are read, and the process ends with them. That it handled no packet was taken for the fabric sending none.

Fix: the conditions are code of their own, which runs in a test without a process; the time without packets begins anew after a check that is late by 100 ms or more. The limits of 1.5 s, 300 ms and the grace time are unchanged.

Evidence: the new test, run on the rule as it was, failed in "stall: ends after 1800 ms" and passes now; test_rolling_restart_loses_no_request passes (11.5 s, one run). No open flow is reset by it.

--- a/packetd/src/graceful_stop.rs
+++ b/packetd/src/graceful_stop.rs
@@ -7,39 +7,17 @@
 //! increase the number of hosts of the zone that are down at the same time.
 
 use std::rc::Rc;
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::host_state::HostState;
-
-/// Minimum time from the stop signal to the end of the process. It covers the longest time in which
-/// the fabric removes a host: two failed checks, half a second apart, and one more for a check that
-/// was in progress.
-const MIN_STOP_TIME: Duration = Duration::from_millis(1500);
-
-/// Time without packets that shows that the fabric has removed the host. Hosts in rotation receive
-/// a packet every few milliseconds.
-const IDLE_TIME: Duration = Duration::from_millis(300);
-
-/// Time before the end of the grace time at which the process ends even if packets still arrive, so
-/// that it is not killed.
-const EXIT_RESERVE: Duration = Duration::from_millis(1000);
-
-/// Interval at which the end conditions are checked.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+use crate::stop_wait::POLL_INTERVAL;
+use crate::stop_wait::StopWait;
 
 /// Waits until the process may end: the fabric has removed the host, or its grace time is over.
 pub async fn wait_until_idle(state: Rc<HostState>) {
-    let requested = Instant::now();
     let grace = state.settings.borrow().stop_grace;
-    let end = requested + grace.saturating_sub(EXIT_RESERVE);
-    loop {
-        let now = Instant::now();
-        let is_past_min = now.saturating_duration_since(requested) >= MIN_STOP_TIME;
-        let is_idle = now.saturating_duration_since(state.last_packet.get()) >= IDLE_TIME;
-        if now >= end || (is_past_min && is_idle) {
-            return;
-        }
+    let mut wait = StopWait::new(Instant::now(), grace);
+    while !wait.may_end(Instant::now(), state.last_packet.get()) {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
--- a/packetd/src/main.rs
+++ b/packetd/src/main.rs
@@ -15,6 +15,7 @@
 mod service_metrics;
 mod settings_file;
 mod state_transfer;
+mod stop_wait;
 mod store_reader;
 mod suspend_detector;
 mod web_server;
--- a/packetd/tests/runner.rs
+++ b/packetd/tests/runner.rs
@@ -4,6 +4,8 @@
 mod faulty_peer;
 #[path = "../src/service_metrics.rs"]
 mod service_metrics;
+#[path = "../src/stop_wait.rs"]
+mod stop_wait;
 mod test_dispatch_processes;
 mod test_packet_changes;
 mod test_packet_failures;
@@ -12,6 +14,7 @@
 mod test_restored_store;
 mod test_service_metrics;
 mod test_state_faults;
+mod test_stop_wait;
 
 use std::path::Path;
 
