soak: more flows of added routes, fewer log lines of refused ones

Change: 16 callers use the added route, in place of 6; hosts are frozen, stopped and killed for longer and more often while there is one; callers wait 200 ms after a flow that failed to open.

--- a/standin/src/packet_soak.rs
+++ b/standin/src/packet_soak.rs
@@ -42,7 +42,7 @@
 /// Callers that send requests often, that hold their flows idle, and that use the added route.
 const BUSY_CALLERS: u64 = 8;
 const HOLDING_CALLERS: u64 = 10;
-const ROUTE_CALLERS: u64 = 6;
+const ROUTE_CALLERS: u64 = 16;
 
 /// XORed with the seed to separate the random numbers of the callers that hold flows or use the
 /// added route from those of the others.
--- a/standin/src/soak_caller.rs
+++ b/standin/src/soak_caller.rs
@@ -20,6 +20,10 @@
 use crate::soak_state::SoakState;
 use crate::soak_upstream::numbers_of;
 
+/// Pause of a caller that could not open a flow. Hosts log each refusal, and would drop other lines
+/// if callers tried again at once.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
+
 /// What a caller does with its flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallerKind {
@@ -69,9 +73,7 @@
             Ok(mut flow) => send_requests(&state, &mut caller, &mut flow, kind, &mut rng).await,
             Err(_fault) => {
                 state.report().failed += 1;
-                if kind == CallerKind::AddedRoute {
-                    sleep(POLL_INTERVAL).await;
-                }
+                sleep(REFUSAL_PAUSE).await;
             }
         }
     }
--- a/standin/src/soak_schedule.rs
+++ b/standin/src/soak_schedule.rs
@@ -223,15 +223,16 @@
     /// Adds a route while one host is frozen, so that it is behind, or, while there is an added
     /// route, stops or kills a host, so that its flows go to others.
     async fn draw_added_route(&mut self) {
+        let is_added = self.is_active(|fault| matches!(fault, SoakFault::AddedRoute(_)));
         let rng = &mut self.streams.route;
-        if !rng.random_bool(0.4) {
+        if !rng.random_bool(if is_added { 0.7 } else { 0.4 }) {
             return;
         }
         let host = rng.random_range(0..usize::from(LOCAL_HOSTS + REMOTE_HOSTS));
         let is_killed = rng.random_bool(0.5);
-        let host_time = random_time(rng, 500..2500);
+        let host_time = random_time(rng, 1000..3500);
         let route_time = random_time(rng, 3000..8000);
-        if self.is_active(|fault| matches!(fault, SoakFault::AddedRoute(_))) {
+        if is_added {
             let fault = match is_killed {
                 true => SoakFault::Kill(host),
                 false => SoakFault::Stop(host),
