packet: a state from before a stall is not current

What callers would see: a host that was frozen resets flows (200, 208) whose route or upstream was added meanwhile, when it reads their packets before the new state. Cause: the time for which the state had been in sync included the stall. Change: a stall ends it; it begins anew with the next response of the store or a tick with a reader of the zone. Evidence: test_host_that_was_stalled_keeps_flows_that_it_does_not_know failed before (reset 208).

--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -188,8 +188,9 @@
     }
 
     /// Resets the state that depends on observations without gaps, after a stall of this process.
-    /// No upstream's silence during the stall counts.
+    /// No upstream's silence during the stall counts, and the published state may have changed.
     pub fn handle_stall(&mut self, now: Instant) {
+        self.synced_since = None;
         self.upstreams.reset_detectors();
         self.load.reset();
         self.dispatch = DispatchState::default();
--- a/packet/tests/test_sound_upstreams.rs
+++ b/packet/tests/test_sound_upstreams.rs
@@ -1,6 +1,8 @@
 //! Tests of flows whose upstream is sound while the evidence of it is late: its registration, its
 //! responses, or this host's state.
 
+use std::time::Duration;
+
 use lagoonproxy_packet::packet_action::PacketAction;
 use lagoonproxy_packet::state::state_snapshot::ItemContent;
 use lagoonproxy_packet::state::state_snapshot::PublishedItem;
@@ -134,6 +136,43 @@
     }
 }
 
+#[test]
+fn test_host_that_was_stalled_keeps_flows_that_it_does_not_know() {
+    // Guards against a host that was in sync before a stall and resets flows whose route or
+    // upstream was added meanwhile.
+    struct Case {
+        name: &'static str,
+        upstream: u8,
+        has_route: bool,
+        expected: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "unknown upstream",
+            upstream: 9,
+            has_route: true,
+            expected: "drop 208",
+        },
+        Case {
+            name: "unknown route",
+            upstream: 1,
+            has_route: false,
+            expected: "forward",
+        },
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1]);
+        rig.advance_time(9000);
+        rig.now += Duration::from_secs(3);
+        let mut head = established_head(1, case.upstream, 0, 1, 100);
+        if !case.has_route {
+            head.service.set_port(1);
+        }
+        let actions = rig.packet(&head);
+        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn test_flows_of_a_busy_upstream_are_kept() {
     // Guards against a registered upstream that counts as dead because it gets no processor time
