packet: a refused SYN resets no flow that may be open

What callers saw in the soak: an open flow was reset with 200 by a host that had been frozen. It read an old SYN from its socket after the fabric had moved the flow, whose retransmission had opened it through another host; it did not know the route yet. Cause: a SYN was taken for a flow that is not open. Refusals by class already asked whether this host had deferred every earlier SYN (`is_unopened`); those for a missing route or upstream did not. Change: such a SYN is dropped, not refused, unless its flow is known to be unopened or its route to be gone. First SYNs are refused at once as before, except for 1.6 s after a stall. Evidence: test_no_refused_syn_resets_a_flow_that_may_be_open failed before. test_packet_kinds sent its SYN as a second transmission; it now sends a first one.

--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -294,7 +294,8 @@
         }
         let flow_hash = flow_hash(&key);
         let Some(service) = self.routes.service(head.service, flow_hash) else {
-            self.refuse(now, head, None, ResultCode::ServiceUnknown, output);
+            let may_reset = self.is_route_gone(now, head.service);
+            self.refuse_syn(now, head, ResultCode::ServiceUnknown, may_reset, output);
             return;
         };
         let observations = match self.dispatch.is_resumed {
@@ -320,7 +321,7 @@
         };
         let Some(mut selection) = select_upstream(&self.upstreams, query) else {
             let code = self.no_upstream_code(now, service);
-            self.refuse(now, head, None, code, output);
+            self.refuse_syn(now, head, code, false, output);
             return;
         };
         let mut syn = SelectedSyn {
@@ -558,6 +559,24 @@
         });
     }
 
+    /// Refuses a SYN, or drops it if its flow may have been opened through another host and
+    /// `may_reset` is false.
+    fn refuse_syn(
+        &self,
+        now: Instant,
+        head: &PacketHead,
+        code: ResultCode,
+        may_reset: bool,
+        output: &mut PacketOutput,
+    ) {
+        let key = FlowKey::of(head);
+        if may_reset || self.admission.is_unopened(now, &key, head.ack) {
+            self.refuse(now, head, None, code, output);
+        } else {
+            output.actions.push(PacketAction::Drop { code });
+        }
+    }
+
     fn refuse(
         &self,
         now: Instant,
--- a/packet/tests/test_packet_core.rs
+++ b/packet/tests/test_packet_core.rs
@@ -104,7 +104,10 @@
         if case.in_sync {
             rig.advance_time(9000);
         }
-        let mut head = established_head(1, 1, 0, 1, 10);
+        let mut head = match case.kind {
+            PacketKind::Open => open_head(1, 0),
+            _ => established_head(1, 1, 0, 1, 10),
+        };
         head.kind = case.kind;
         if !case.known_route {
             head.service.set_port(1);
--- a/packet/tests/test_sound_upstreams.rs
+++ b/packet/tests/test_sound_upstreams.rs
@@ -136,6 +136,61 @@
     }
 }
 
+#[test]
+fn test_no_refused_syn_resets_a_flow_that_may_be_open() {
+    // Guards against a host that reads an old SYN after a stall, or gets a retransmission, and
+    // refuses it though another host has opened the flow.
+    struct Case {
+        name: &'static str,
+        stall_ms: u64,
+        wait_ms: u64,
+        transmission: u32,
+        has_route: bool,
+        expected: &'static str,
+    }
+    let case = |name, stall_ms, wait_ms, transmission, has_route, expected| Case {
+        name,
+        stall_ms,
+        wait_ms,
+        transmission,
+        has_route,
+        expected,
+    };
+    let cases = [
+        case("first SYN", 0, 0, 0, false, "reset 200"),
+        case("first SYN after a stall", 3000, 0, 0, false, "drop 200"),
+        case("well after a stall", 3000, 2000, 0, false, "reset 200"),
+        case("retransmission", 0, 9000, 1, false, "reset 200"),
+        case(
+            "retransmission after a stall",
+            3000,
+            0,
+            1,
+            false,
+            "drop 200",
+        ),
+        case("no upstream", 0, 0, 0, true, "reset 201"),
+        case("no upstream, after a stall", 3000, 0, 0, true, "drop 201"),
+        case("no upstream, retransmission", 0, 9000, 1, true, "drop 201"),
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[1]);
+        rig.advance_time(9000);
+        rig.publish(|revision| removed_item(revision, 1));
+        rig.advance_time(3000 + case.wait_ms);
+        if case.stall_ms > 0 {
+            rig.now += Duration::from_millis(case.stall_ms);
+            rig.advance_time(case.wait_ms);
+        }
+        let mut head = open_head(1, case.transmission);
+        if !case.has_route {
+            head.service.set_port(1);
+        }
+        let actions = rig.packet(&head);
+        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn test_host_that_was_stalled_keeps_flows_that_it_does_not_know() {
     // Guards against a host that was in sync before a stall and resets flows whose route or
