packet tests: flows of sound upstreams that are reset on other evidence (known red)

Five tests in virtual time that fail on: what is counted against an upstream comes from other flows (unanswered SYNs, a handshake that goes on through another host, one slow response), the panic threshold does not hold once all registrations have ended, and a removed route or an ended registration ends flows although a peer has a newer state.

test_one_slow_response_resets_no_other_flow contradicts the assertion on the idle flow in test_flow_of_a_deregistered_upstream; the lead decides which of the two holds.

--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -22,6 +22,7 @@
 mod test_flow_cost;
 mod test_flow_load;
 mod test_flow_tracker;
+mod test_late_evidence;
 mod test_load_exchange;
 mod test_load_failures;
 mod test_load_reports;
