packet: only unanswered requests of several callers end an upstream's flows

Found in review. Cause: every attempt counted alike. A full upstream answers no SYN and serves its open flows; a single caller's request may only be slow. Change: requests on open flows are counted apart (`UnansweredRequests`); resets need three retransmissions of two callers again, over 2 s. Ejections count all attempts, as before.

--- a/packet/src/flows/flow_tracker.rs
+++ b/packet/src/flows/flow_tracker.rs
@@ -273,7 +273,7 @@
             self.costs.set_waiting(&costs_config, now, &key, true);
         }
         if let (Some(waited), false) = (observations.retransmitted_after, in_grace) {
-            observations.ejected = upstreams.attempt_failed(index, now, now - waited);
+            observations.ejected = upstreams.request_failed(index, now, now - waited, key.caller);
         }
         if head.last && record.activity != FlowActivity::Closing {
             let stats = stats.as_deref();
--- a/packet/src/health/failure_detector.rs
+++ b/packet/src/health/failure_detector.rs
@@ -8,12 +8,29 @@
 //! upstream since the packet was first sent, is an unanswered attempt.
 //! [`crate::selection::upstream_selection`] bounds how many upstreams are ejected.
 
+use std::net::SocketAddrV4;
 use std::time::Instant;
 
 use lagoonproxy::outlier_record::OutlierRecord;
 
 use crate::policy_config::DetectorConfig;
 
+/// Requests on open flows that were retransmitted without a response of their upstream. Unlike
+/// SYNs, which a full upstream does not answer, they show whether it serves its flows.
+#[derive(Clone, Copy, Debug, Default)]
+struct UnansweredRequests {
+    /// Number of retransmissions.
+    attempts: u32,
+    /// When the earliest of the requests was sent; `None` without attempts.
+    since: Option<Instant>,
+    /// Caller of the first attempt.
+    first_caller: Option<SocketAddrV4>,
+    /// Whether the attempts belong to more than one caller.
+    several_callers: bool,
+    /// When the latest attempt was detected.
+    last_failed: Option<Instant>,
+}
+
 /// The responses and unanswered attempts of one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct FailureDetector {
@@ -28,6 +45,8 @@
     attempts: u32,
     /// When the latest unanswered attempt was detected.
     last_failed: Option<Instant>,
+    /// The requests on open flows among the unanswered attempts.
+    requests: UnansweredRequests,
     /// Ejection after consecutive unanswered attempts.
     outlier: OutlierRecord,
     /// Earliest time of the next probe while the upstream is ejected; `None` if there was none.
@@ -61,26 +80,24 @@
         self.last_response.is_none() || self.attempts > 0
     }
 
-    /// Whether the upstream has left so many attempts unanswered for so long that it is dead if its
-    /// registration has ended too. An upstream that is registered may only be busy.
+    /// Whether the upstream has left requests of several callers unanswered for so long that it is
+    /// dead if its registration has ended too. An upstream that is registered may only be busy, and
+    /// a single caller's request may only be slow.
     pub fn is_unresponsive(&self, config: &DetectorConfig, now: Instant) -> bool {
-        let long_silence = self
-            .unanswered_since
+        let requests = &self.requests;
+        let long_silence = requests
+            .since
             .is_some_and(|since| now.saturating_duration_since(since) >= config.min_silence);
-        self.attempts >= config.reset_attempts
+        requests.attempts >= config.reset_attempts
+            && requests.several_callers
             && long_silence
-            && self.has_recent_attempt(config, now)
+            && is_recent(requests.last_failed, config, now)
     }
 
     fn clear_attempts(&mut self) {
         self.attempts = 0;
         self.unanswered_since = None;
-    }
-
-    /// Whether the latest unanswered attempt still counts.
-    fn has_recent_attempt(&self, config: &DetectorConfig, now: Instant) -> bool {
-        self.last_failed
-            .is_some_and(|failed| now.saturating_duration_since(failed) <= config.attempt_lifetime)
+        self.requests = UnansweredRequests::default();
     }
 
     /// Whether an ejected upstream is due for a probe.
@@ -120,14 +137,28 @@
         }
     }
 
-    /// Records an unanswered attempt of a caller's flow, sent at `sent`; true if it ejects the
+    /// Records an unanswered request on an open flow, sent at `sent`; true if it ejects the
     /// upstream.
+    pub fn request_failed(
+        &mut self,
+        config: &DetectorConfig,
+        now: Instant,
+        sent: Instant,
+        caller: SocketAddrV4,
+    ) -> bool {
+        let ejects = self.attempt_failed(config, now, sent);
+        if self.is_unanswered(config, now, sent) {
+            self.requests.add(config, now, sent, caller);
+        }
+        ejects
+    }
+
+    /// Records an unanswered attempt, sent at `sent`; true if it ejects the upstream.
     pub fn attempt_failed(&mut self, config: &DetectorConfig, now: Instant, sent: Instant) -> bool {
-        let too_soon = now.saturating_duration_since(sent) < config.min_retransmission_age;
-        if too_soon || self.last_response.is_some_and(|response| response >= sent) {
+        if !self.is_unanswered(config, now, sent) {
             return false;
         }
-        if !self.has_recent_attempt(config, now) {
+        if !is_recent(self.last_failed, config, now) {
             self.clear_attempts();
         }
         self.attempts += 1;
@@ -140,6 +171,12 @@
         false
     }
 
+    /// Whether the retransmission of a packet that was sent at `sent` is an unanswered attempt.
+    fn is_unanswered(&self, config: &DetectorConfig, now: Instant, sent: Instant) -> bool {
+        let too_soon = now.saturating_duration_since(sent) < config.min_retransmission_age;
+        !too_soon && self.last_response.is_none_or(|response| response < sent)
+    }
+
     /// Resets the detector after a stall of this host or a restart of the upstream. The times of
     /// the last responses are kept.
     pub fn reset(&mut self) {
@@ -155,3 +192,23 @@
         self.outlier.tick(now);
     }
 }
+
+impl UnansweredRequests {
+    /// Adds the retransmission of a request that was sent at `sent`.
+    fn add(&mut self, config: &DetectorConfig, now: Instant, sent: Instant, caller: SocketAddrV4) {
+        if !is_recent(self.last_failed, config, now) {
+            *self = Self::default();
+        }
+        let first = *self.first_caller.get_or_insert(caller);
+        self.several_callers |= first != caller;
+        self.attempts += 1;
+        self.since = Some(self.since.map_or(sent, |since| since.min(sent)));
+        self.last_failed = Some(now);
+    }
+}
+
+/// Whether an attempt that was detected at `last_failed` still counts.
+fn is_recent(last_failed: Option<Instant>, config: &DetectorConfig, now: Instant) -> bool {
+    last_failed
+        .is_some_and(|failed| now.saturating_duration_since(failed) <= config.attempt_lifetime)
+}
--- a/packet/src/policy_config.rs
+++ b/packet/src/policy_config.rs
@@ -72,8 +72,9 @@
 pub struct DetectorConfig {
     /// Consecutive unanswered attempts after which an upstream is ejected.
     pub ejection_attempts: u32,
-    /// Consecutive unanswered attempts after which the flows of an upstream whose registration has
-    /// ended are reset. A single one may be a lost packet.
+    /// Retransmissions of unanswered requests of at least two callers after which the flows of an
+    /// upstream whose registration has ended are reset. Larger than `ejection_attempts`, since a
+    /// reset is irreversible.
     pub reset_attempts: u32,
     /// Shortest time without a response after which these flows are reset.
     pub min_silence: Duration,
@@ -162,7 +163,7 @@
     fn default() -> Self {
         Self {
             ejection_attempts: 2,
-            reset_attempts: 2,
+            reset_attempts: 3,
             min_silence: Duration::from_secs(2),
             min_retransmission_age: Duration::from_millis(150),
             attempt_lifetime: Duration::from_secs(2),
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -4,6 +4,7 @@
 //! packets of open flows are still forwarded.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -549,8 +550,20 @@
         reports.take(MAX_FAILURE_REPORTS).collect()
     }
 
-    /// Records an unanswered attempt of a caller's flow, sent at `sent`; true if it ejects the
+    /// Records an unanswered request on an open flow, sent at `sent`; true if it ejects the
     /// upstream.
+    pub fn request_failed(
+        &mut self,
+        index: UpstreamIndex,
+        now: Instant,
+        sent: Instant,
+        caller: SocketAddrV4,
+    ) -> bool {
+        let failure_detector = &mut self.records[index as usize].failure_detector;
+        failure_detector.request_failed(&self.config.detector, now, sent, caller)
+    }
+
+    /// Records an unanswered SYN, sent at `sent`; true if it ejects the upstream.
     pub fn attempt_failed(&mut self, index: UpstreamIndex, now: Instant, sent: Instant) -> bool {
         let failure_detector = &mut self.records[index as usize].failure_detector;
         failure_detector.attempt_failed(&self.config.detector, now, sent)
