packet: the panic threshold counts upstreams whose registration has ended

What callers would see: when the registrations of all upstreams of a service end and this host's own path is cut, all its open flows are reset (216). Cause: the threshold counted only upstreams that take new flows; without any, the absence of all of them looked like the death of each. Change: for resets, upstreams that have flows here count too (`is_own_path_suspect`).

--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -39,7 +39,6 @@
 use crate::routes::route_table::RouteTable;
 use crate::selection::upstream_selection::FlowSelection;
 use crate::selection::upstream_selection::SelectionQuery;
-use crate::selection::upstream_selection::is_panic;
 use crate::selection::upstream_selection::select_upstream;
 use crate::selection::zone_spill::ZoneSpill;
 use crate::state::read_role::ReadRole;
@@ -542,11 +541,26 @@
         if !matches!(record.registration, RegistrationState::Deregistered { .. }) {
             return false;
         }
-        let is_silent = |record: &UpstreamRecord| record.failure_detector.is_ejected();
         let config = &self.upstreams.config().detector;
-        self.synced_since.is_some()
-            && record.failure_detector.is_unresponsive(config, now)
-            && !is_panic(&self.upstreams, record.service, is_silent)
+        record.failure_detector.is_unresponsive(config, now)
+            && !self.is_own_path_suspect(record.service)
+            && self.synced_since.is_some()
+    }
+
+    /// Whether more upstreams of a service than the panic threshold are silent, so that the fault is
+    /// likely on this host's own path. Unlike [`is_panic`], counts upstreams whose registration has
+    /// ended as long as they have flows.
+    fn is_own_path_suspect(&self, service: ServiceIndex) -> bool {
+        let records = self.upstreams.records();
+        let members = records.filter(|record| {
+            record.service == service && (record.takes_flows() || record.has_flows())
+        });
+        let (mut all, mut silent) = (0, 0);
+        for record in members {
+            all += 1;
+            silent += usize::from(record.failure_detector.is_ejected());
+        }
+        silent * self.upstreams.config().selection.panic_divisor > all
     }
 
     fn forward(&self, head: &PacketHead, index: UpstreamIndex, output: &mut PacketOutput) {
