packet: no reset while a peer has a newer state

What callers would see: a host resets a flow (200) whose route was removed and added again meanwhile, or flows (216) of an upstream whose registration it has not received again, though a peer has announced a newer state; also right after a stall. Found in review. Cause: a removed route and an ended registration were taken as final by a host that was behind. Change: every reset asks `is_in_sync`: in sync with the store, and no live peer ahead. One case of test_flow_of_a_route_that_this_host_does_not_know_yet removes its route 3 s after the start now, when the host has found its source of state; right after the start it keeps the flow.

--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -501,11 +501,20 @@
         self.forward(head, index, output);
     }
 
-    /// Whether the route of an open flow no longer exists. A configuration that lacks it may also
-    /// be older than the one under which the flow was opened.
+    /// Whether an address no longer has a route. A configuration that lacks it may also be older
+    /// than the one under which a flow was opened.
     fn is_route_gone(&self, now: Instant, address: SocketAddrV4) -> bool {
-        !self.routes.contains(address)
-            && (self.routes.is_removed(address) || self.is_state_current(now))
+        if self.routes.contains(address) {
+            return false;
+        }
+        let is_removed = self.routes.is_removed(address) && self.is_in_sync(now);
+        is_removed || self.is_state_current(now)
+    }
+
+    /// Whether the published state is in sync with the store, as far as this host knows.
+    fn is_in_sync(&self, now: Instant) -> bool {
+        let held = self.snapshot.query();
+        self.synced_since.is_some() && !self.peers.has_newer_state(now, &held)
     }
 
     /// Whether what is missing from the published state does not exist. A state that was in sync
@@ -515,7 +524,7 @@
         let is_synced = self
             .synced_since
             .is_some_and(|since| now.saturating_duration_since(since) >= MIN_SYNCED_TIME);
-        is_synced && !self.peers.has_newer_state(now, &self.snapshot.query())
+        is_synced && self.is_in_sync(now)
     }
 
     /// Handles a packet whose tag belongs to no known upstream. The upstream may have deregistered
@@ -544,7 +553,7 @@
         let config = &self.upstreams.config().detector;
         record.failure_detector.is_unresponsive(config, now)
             && !self.is_own_path_suspect(record.service)
-            && self.synced_since.is_some()
+            && self.is_in_sync(now)
     }
 
     /// Whether more upstreams of a service than the panic threshold are silent, so that the fault is
--- a/packet/tests/test_sound_upstreams.rs
+++ b/packet/tests/test_sound_upstreams.rs
@@ -294,6 +294,7 @@
         rig.revision = 10;
         rig.merge(&whole(10, items));
         if case.was_known {
+            rig.advance_time(3000);
             rig.publish(|revision| routes_item(revision, routes(2, &[(certs(), "certs")])));
         }
         rig.advance_time(case.wait_ms);
