--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -543,8 +543,8 @@
     /// Whether the flows of an upstream are reset, so that their callers open new ones at once
     /// instead of waiting for their deadlines.
     ///
-    /// Needs two independent signs. A registration ends late or by itself if its upstream writes
-    /// late, and a busy upstream responds late; an upstream that nobody asks is silent anyway.
+    /// Needs two signs. A registration also ends if its upstream writes late, and a busy upstream
+    /// responds late; one that nobody asks is silent anyway.
     fn is_lost(&self, now: Instant, index: UpstreamIndex) -> bool {
         let record = self.upstreams.get(index);
         if !matches!(record.registration, RegistrationState::Deregistered { .. }) {
@@ -557,8 +557,8 @@
     }
 
     /// Whether more upstreams of a service than the panic threshold are silent, so that the fault is
-    /// likely on this host's own path. Unlike [`is_panic`], counts upstreams whose registration has
-    /// ended as long as they have flows.
+    /// likely on this host's own path. Unlike for ejections, upstreams whose registration has ended
+    /// count as long as they have flows.
     fn is_own_path_suspect(&self, service: ServiceIndex) -> bool {
         let records = self.upstreams.records();
         let members = records.filter(|record| {
--- a/packet/src/routes/route_table.rs
+++ b/packet/src/routes/route_table.rs
@@ -115,7 +115,8 @@
         self.routes.contains_key(&address)
     }
 
-    /// Whether the route of this address was removed while flows of it could be open.
+    /// Whether a configuration has removed the route of this address, so that flows of it may still
+    /// be open.
     pub fn is_removed(&self, address: SocketAddrV4) -> bool {
         self.removed.contains_key(&address)
     }
