packet: one panic threshold, one question of sync, one kind of attempts

Result: clippy and the tests of detection, lost and sound upstreams, routes, selection and allocations pass.

--- a/lib/src/platform_feed.rs
+++ b/lib/src/platform_feed.rs
@@ -293,7 +293,7 @@
             return;
         }
         if self.feeds[index].lacks_listed_value(&open.request, &response) {
-            // The key was deleted after it was listed, or a replica lags. The next list tells.
+            // The key was deleted after it was listed, or a replica lags; the next list shows which.
             self.feeds[index].stage = FeedStage::Unlisted;
             self.fail(now, ResultCode::PlatformStale, actions);
             return;
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -258,10 +258,7 @@
                 }
             }
             StateChange::Removed(name) => {
-                let known = self.upstreams.by_name(name);
-                let before = known.map(|index| self.upstreams.get(index).registration);
-                let index = self.upstreams.unregister(now, name);
-                if let Some((index, before)) = index.zip(before) {
+                if let Some((index, before)) = self.upstreams.unregister(now, name) {
                     let registration = self.upstreams.get(index).registration;
                     let change = match registration {
                         RegistrationState::Lapsed { .. } => UpstreamChange::Missing,
--- a/packet/src/health/failure_detector.rs
+++ b/packet/src/health/failure_detector.rs
@@ -15,20 +15,26 @@
 
 use crate::policy_config::DetectorConfig;
 
+/// Consecutive attempts without a response.
+#[derive(Clone, Copy, Debug, Default)]
+struct UnansweredAttempts {
+    /// Number of attempts.
+    count: u32,
+    /// When the earliest of them was sent; `None` without attempts.
+    since: Option<Instant>,
+    /// When the latest of them was detected.
+    last_failed: Option<Instant>,
+}
+
 /// Requests on open flows that were retransmitted without a response of their upstream. Unlike
 /// SYNs, which a full upstream does not answer, they show whether it serves its flows.
 #[derive(Clone, Copy, Debug, Default)]
 struct UnansweredRequests {
-    /// Number of retransmissions.
-    attempts: u32,
-    /// When the earliest of the requests was sent; `None` without attempts.
-    since: Option<Instant>,
+    attempts: UnansweredAttempts,
     /// Caller of the first attempt.
     first_caller: Option<SocketAddrV4>,
     /// Whether the attempts belong to more than one caller.
     several_callers: bool,
-    /// When the latest attempt was detected.
-    last_failed: Option<Instant>,
 }
 
 /// The responses and unanswered attempts of one upstream.
@@ -38,14 +44,9 @@
     last_response: Option<Instant>,
     /// Last response seen by this host.
     own_response: Option<Instant>,
-    /// When the earliest of the unanswered attempts was sent; later than `last_response`. `None`
-    /// without attempts.
-    unanswered_since: Option<Instant>,
-    /// Number of unanswered attempts.
-    attempts: u32,
-    /// When the latest unanswered attempt was detected.
-    last_failed: Option<Instant>,
-    /// The requests on open flows among the unanswered attempts.
+    /// The unanswered attempts; sent later than `last_response`.
+    attempts: UnansweredAttempts,
+    /// The requests on open flows among them.
     requests: UnansweredRequests,
     /// Ejection after consecutive unanswered attempts.
     outlier: OutlierRecord,
@@ -66,7 +67,7 @@
 
     /// Returns the number of unanswered attempts since the last response.
     pub fn attempts(&self) -> u32 {
-        self.attempts
+        self.attempts.count
     }
 
     /// Whether the upstream is ejected: new flows avoid it until it responds to a probe.
@@ -77,26 +78,25 @@
     /// Whether the upstream is suspected of failure: it has not responded yet, or has left an
     /// attempt unanswered.
     pub fn is_suspected(&self) -> bool {
-        self.last_response.is_none() || self.attempts > 0
+        self.last_response.is_none() || self.attempts.count > 0
     }
 
     /// Whether the upstream has left requests of several callers unanswered for so long that it is
     /// dead if its registration has ended too. An upstream that is registered may only be busy, and
     /// a single caller's request may only be slow.
     pub fn is_unresponsive(&self, config: &DetectorConfig, now: Instant) -> bool {
-        let requests = &self.requests;
-        let long_silence = requests
+        let attempts = &self.requests.attempts;
+        let long_silence = attempts
             .since
             .is_some_and(|since| now.saturating_duration_since(since) >= config.min_silence);
-        requests.attempts >= config.reset_attempts
-            && requests.several_callers
+        attempts.count >= config.reset_attempts
+            && self.requests.several_callers
             && long_silence
-            && is_recent(requests.last_failed, config, now)
+            && attempts.is_recent(config, now)
     }
 
     fn clear_attempts(&mut self) {
-        self.attempts = 0;
-        self.unanswered_since = None;
+        self.attempts = UnansweredAttempts::default();
         self.requests = UnansweredRequests::default();
     }
 
@@ -115,7 +115,7 @@
         let was_ejected = self.is_ejected();
         self.own_response = Some(now);
         self.last_response = Some(now);
-        if self.attempts > 0 || was_ejected {
+        if self.attempts.count > 0 || was_ejected {
             self.clear_attempts();
             self.outlier.answered();
             self.next_probe = None;
@@ -130,7 +130,7 @@
             return;
         }
         self.last_response = Some(at);
-        if self.unanswered_since.is_some_and(|since| since <= at) {
+        if self.attempts.since.is_some_and(|since| since <= at) {
             self.clear_attempts();
             self.outlier.answered();
             self.next_probe = None;
@@ -158,12 +158,10 @@
         if !self.is_unanswered(config, now, sent) {
             return false;
         }
-        if !is_recent(self.last_failed, config, now) {
+        if !self.attempts.is_recent(config, now) {
             self.clear_attempts();
         }
-        self.attempts += 1;
-        self.last_failed = Some(now);
-        self.unanswered_since = Some(self.unanswered_since.map_or(sent, |since| since.min(sent)));
+        self.attempts.add(now, sent);
         if !self.is_ejected() && self.outlier.lost(config.ejection_attempts) {
             self.outlier.eject(now, config.ejection);
             return true;
@@ -193,22 +191,29 @@
     }
 }
 
+impl UnansweredAttempts {
+    /// Adds an attempt that was sent at `sent`.
+    fn add(&mut self, now: Instant, sent: Instant) {
+        self.count += 1;
+        self.since = Some(self.since.map_or(sent, |since| since.min(sent)));
+        self.last_failed = Some(now);
+    }
+
+    /// Whether the latest attempt still counts.
+    fn is_recent(&self, config: &DetectorConfig, now: Instant) -> bool {
+        self.last_failed
+            .is_some_and(|failed| now.saturating_duration_since(failed) <= config.attempt_lifetime)
+    }
+}
+
 impl UnansweredRequests {
     /// Adds the retransmission of a request that was sent at `sent`.
     fn add(&mut self, config: &DetectorConfig, now: Instant, sent: Instant, caller: SocketAddrV4) {
-        if !is_recent(self.last_failed, config, now) {
+        if !self.attempts.is_recent(config, now) {
             *self = Self::default();
         }
         let first = *self.first_caller.get_or_insert(caller);
         self.several_callers |= first != caller;
-        self.attempts += 1;
-        self.since = Some(self.since.map_or(sent, |since| since.min(sent)));
-        self.last_failed = Some(now);
+        self.attempts.add(now, sent);
     }
 }
-
-/// Whether an attempt that was detected at `last_failed` still counts.
-fn is_recent(last_failed: Option<Instant>, config: &DetectorConfig, now: Instant) -> bool {
-    last_failed
-        .is_some_and(|failed| now.saturating_duration_since(failed) <= config.attempt_lifetime)
-}
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -63,7 +63,7 @@
 /// What a flow was refused or reset for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RefusalTrigger {
-    /// A SYN: the flow was not open.
+    /// A SYN of a flow that is not known to be open.
     Syn,
     /// A packet of an established flow with this tag.
     Packet(FlowTag),
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -39,6 +39,7 @@
 use crate::routes::route_table::RouteTable;
 use crate::selection::upstream_selection::FlowSelection;
 use crate::selection::upstream_selection::SelectionQuery;
+use crate::selection::upstream_selection::exceeds_panic_threshold;
 use crate::selection::upstream_selection::select_upstream;
 use crate::selection::zone_spill::ZoneSpill;
 use crate::state::read_role::ReadRole;
@@ -49,9 +50,9 @@
 use crate::upstreams::upstream_record::UpstreamRecord;
 use crate::upstreams::upstream_table::UpstreamTable;
 
-/// How long the published state must have been in sync with the store before a flow with an
-/// unknown tag or route is reset. Registrations that lapsed during an outage of the store are back within
-/// two seconds, and a host that reads late needs as long again.
+/// How long the published state must have been in sync with the store before what is missing from
+/// it does not exist. Registrations that lapsed during an outage of the store are back within two
+/// seconds, and a host that reads late needs as long again.
 const MIN_SYNCED_TIME: Duration = Duration::from_secs(5);
 
 /// Time without a tick or a packet from which the process counts as stalled. Pauses of a host that
@@ -507,31 +508,27 @@
         if self.routes.contains(address) {
             return false;
         }
-        let is_removed = self.routes.is_removed(address) && self.is_in_sync(now);
-        is_removed || self.is_state_current(now)
-    }
-
-    /// Whether the published state is in sync with the store, as far as this host knows.
-    fn is_in_sync(&self, now: Instant) -> bool {
-        let held = self.snapshot.query();
-        self.synced_since.is_some() && !self.peers.has_newer_state(now, &held)
+        let min_time = match self.routes.is_removed(address) {
+            true => Duration::ZERO,
+            false => MIN_SYNCED_TIME,
+        };
+        self.is_in_sync(now, min_time)
     }
 
-    /// Whether what is missing from the published state does not exist. A state that was in sync
-    /// for a short time only, or that a peer is ahead of, may be older than what other hosts have
-    /// acted on.
-    fn is_state_current(&self, now: Instant) -> bool {
+    /// Whether the published state has been in sync with the store for at least `min_time`. A state
+    /// that a peer is ahead of is older than what other hosts may have acted on.
+    fn is_in_sync(&self, now: Instant, min_time: Duration) -> bool {
         let is_synced = self
             .synced_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= MIN_SYNCED_TIME);
-        is_synced && self.is_in_sync(now)
+            .is_some_and(|since| now.saturating_duration_since(since) >= min_time);
+        is_synced && !self.peers.has_newer_state(now, &self.snapshot.query())
     }
 
     /// Handles a packet whose tag belongs to no known upstream. The upstream may have deregistered
     /// before this host started, or this host may not know it yet. The flow is therefore reset only
-    /// if the state is current.
+    /// once the state has been in sync for [`MIN_SYNCED_TIME`].
     fn handle_unknown_tag(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
-        if self.is_state_current(now) && head.kind == PacketKind::Established {
+        if head.kind == PacketKind::Established && self.is_in_sync(now, MIN_SYNCED_TIME) {
             self.refuse(now, head, None, ResultCode::FlowUnknown, output);
             return;
         }
@@ -553,7 +550,7 @@
         let config = &self.upstreams.config().detector;
         record.failure_detector.is_unresponsive(config, now)
             && !self.is_own_path_suspect(record.service)
-            && self.is_in_sync(now)
+            && self.is_in_sync(now, Duration::ZERO)
     }
 
     /// Whether more upstreams of a service than the panic threshold are silent, so that the fault is
@@ -564,12 +561,8 @@
         let members = records.filter(|record| {
             record.service == service && (record.takes_flows() || record.has_flows())
         });
-        let (mut all, mut silent) = (0, 0);
-        for record in members {
-            all += 1;
-            silent += usize::from(record.failure_detector.is_ejected());
-        }
-        silent * self.upstreams.config().selection.panic_divisor > all
+        let is_silent = |record: &UpstreamRecord| record.failure_detector.is_ejected();
+        exceeds_panic_threshold(&self.upstreams, members, is_silent)
     }
 
     fn forward(&self, head: &PacketHead, index: UpstreamIndex, output: &mut PacketOutput) {
--- a/packet/src/selection/upstream_selection.rs
+++ b/packet/src/selection/upstream_selection.rs
@@ -210,8 +210,17 @@
 ) -> bool {
     let records = members.map(|index| table.get(index));
     let usable = records.filter(|record| record.takes_flows());
+    exceeds_panic_threshold(table, usable, is_unhealthy)
+}
+
+/// Returns whether more of these upstreams than the panic threshold are unhealthy.
+pub fn exceeds_panic_threshold<'a>(
+    table: &UpstreamTable,
+    records: impl Iterator<Item = &'a UpstreamRecord>,
+    is_unhealthy: impl Fn(&UpstreamRecord) -> bool,
+) -> bool {
     let (mut all, mut unhealthy) = (0, 0);
-    for record in usable {
+    for record in records {
         all += 1;
         unhealthy += usize::from(is_unhealthy(record));
     }
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -382,12 +382,17 @@
         }
     }
 
-    /// Removes a registration; returns the upstream, or `None` if the name is not known.
+    /// Removes a registration; returns the upstream and the state of its registration before, or
+    /// `None` if the name is not known.
     ///
     /// The registration of a ready upstream that has responded recently lapses first. Registrations
     /// expire while the store is down, and all upstreams would otherwise be out of use when it
     /// returns.
-    pub fn unregister(&mut self, now: Instant, name: &UpstreamName) -> Option<UpstreamIndex> {
+    pub fn unregister(
+        &mut self,
+        now: Instant,
+        name: &UpstreamName,
+    ) -> Option<(UpstreamIndex, RegistrationState)> {
         let index = self.by_name(name)?;
         let LapseConfig {
             grace,
@@ -396,11 +401,12 @@
         } = self.config.lapse;
         let record = self.get_mut(index);
         record.held = None;
+        let before = record.registration;
         let has_responded = record
             .failure_detector
             .last_response()
             .is_some_and(|response| now.saturating_duration_since(response) < max_response_age);
-        if record.registration == RegistrationState::Ready && has_responded {
+        if before == RegistrationState::Ready && has_responded {
             let until = now + grace;
             record.registration = RegistrationState::Lapsed {
                 until,
@@ -409,7 +415,7 @@
         } else {
             self.mark_deregistered(now, index);
         }
-        Some(index)
+        Some((index, before))
     }
 
     /// Expires lapsed registrations, applies held ones and removes the records of deregistered
--- a/standin/src/packet_store.rs
+++ b/standin/src/packet_store.rs
@@ -51,8 +51,8 @@
     items: BTreeMap<String, (String, u64)>,
     /// Every write: key, value in base64 (`None` if the key was removed), revision.
     history: Vec<(String, Option<String>, u64)>,
-    /// Watches do not get writes up to this revision. They stay in `history`, since a restore needs
-    /// them to tell which writes are lost.
+    /// Watches do not get writes up to this revision. They stay in `history`, from which a
+    /// restore determines the lost writes.
     compacted: u64,
     calls: u64,
 }
