--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -247,7 +247,15 @@
 impl CoreRig {
     /// Creates a core that has read the default routes and these upstreams of `ledger`.
     pub fn with_ledger(upstreams: &[u8]) -> Self {
-        let entries = upstreams.iter().map(|number| entry(*number, "ledger"));
+        Self::with_ledger_in(ZONE, upstreams)
+    }
+
+    /// Creates a core that has read the default routes and these upstreams of `ledger` in a zone.
+    pub fn with_ledger_in(zone: &str, upstreams: &[u8]) -> Self {
+        let entries = upstreams.iter().map(|number| UpstreamEntry {
+            zone: zone.into(),
+            ..entry(*number, "ledger")
+        });
         Self::with_entries(entries.collect())
     }
 
--- a/packet/tests/test_absent_evidence.rs
+++ b/packet/tests/test_absent_evidence.rs
@@ -36,12 +36,7 @@
         case("more flows", ZONE, 6),
     ];
     for case in cases {
-        let entries = [1, 2, 3, 4].map(|number| {
-            let mut entry = entry(number, "ledger");
-            entry.zone = case.zone.into();
-            entry
-        });
-        let mut rig = CoreRig::with_entries(entries.to_vec());
+        let mut rig = CoreRig::with_ledger_in(case.zone, &[1, 2, 3, 4]);
         let idle = (0..20).filter(|flow| rig.establish(*flow) == 1).count();
         assert!(idle > 0, "{}", case.name);
         rig.advance_time(1000);
@@ -184,12 +179,7 @@
         case("waits for a response, other zone", "b", true),
     ];
     for case in cases {
-        let entries = [1, 2].map(|number| {
-            let mut entry = entry(number, "ledger");
-            entry.zone = case.zone.into();
-            entry
-        });
-        let mut rig = CoreRig::with_entries(entries.to_vec());
+        let mut rig = CoreRig::with_ledger_in(case.zone, &[1, 2]);
         rig.advance_time(6000);
         let flow = (0..10)
             .find(|flow| rig.establish(*flow) == 1)
--- a/packet/tests/test_late_evidence.rs
+++ b/packet/tests/test_late_evidence.rs
@@ -99,12 +99,7 @@
         case("a response after 2.5 s, other zone", "b", 2500),
     ];
     for case in cases {
-        let entries = [1, 2, 3].map(|number| {
-            let mut entry = entry(number, "ledger");
-            entry.zone = case.zone.into();
-            entry
-        });
-        let mut rig = CoreRig::with_entries(entries.to_vec());
+        let mut rig = CoreRig::with_ledger_in(case.zone, &[1, 2, 3]);
         let flows: Vec<u16> = (0..30).filter(|flow| rig.establish(*flow) == 1).collect();
         assert!(flows.len() >= 2, "{}", case.name);
         rig.advance_time(3000);
@@ -233,7 +228,7 @@
         let mut rig = CoreRig::with_ledger(&[1, 2, 3]);
         let flows: Vec<u16> = (0..30).filter(|flow| rig.establish(*flow) == 1).collect();
         rig.advance_time(6000);
-        for pause in [200, 400, 800] {
+        for pause in RETRANSMISSIONS {
             for flow in &flows {
                 rig.request(*flow, 1, 0);
             }
--- a/packet/tests/test_sound_upstreams.rs
+++ b/packet/tests/test_sound_upstreams.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lagoonproxy_packet::packet_action::PacketAction;
+use lagoonproxy_packet::packet_head::PacketHead;
 use lagoonproxy_packet::state::state_snapshot::ItemContent;
 use lagoonproxy_packet::state::state_snapshot::PublishedItem;
 use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
@@ -42,6 +43,15 @@
     }
 }
 
+/// Handles a packet, to an address without a route if `has_route` is false. Returns the action as
+/// text.
+fn handle_packet(rig: &mut CoreRig, mut head: PacketHead, has_route: bool) -> String {
+    if !has_route {
+        head.service.set_port(1);
+    }
+    describe(&rig.packet(&head)[0])
+}
+
 #[test]
 fn test_idle_flows_survive_the_end_of_a_registration() {
     // Guards against flows that are reset because the registration of their upstream has ended
@@ -61,12 +71,7 @@
     ];
     for case in cases {
         let name = format!("{:?} {:?} in zone {}", case.end, case.state, case.zone);
-        let entries = [1, 2, 3].map(|number| {
-            let mut entry = entry(number, "ledger");
-            entry.zone = case.zone.into();
-            entry
-        });
-        let mut rig = CoreRig::with_entries(entries.to_vec());
+        let mut rig = CoreRig::with_ledger_in(case.zone, &[1, 2, 3]);
         let flows: Vec<u16> = (0..30).filter(|flow| rig.establish(*flow) == 1).collect();
         assert!(!flows.is_empty(), "{name}");
         rig.publish(|revision| {
@@ -127,12 +132,9 @@
                 .handle_heartbeat(rig.now, address(2), heartbeat, false);
             rig.advance_time(500);
         }
-        let mut head = established_head(1, case.upstream, 0, 1, 100);
-        if !case.has_route {
-            head.service.set_port(1);
-        }
-        let actions = rig.packet(&head);
-        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+        let head = established_head(1, case.upstream, 0, 1, 100);
+        let action = handle_packet(&mut rig, head, case.has_route);
+        assert_eq!(action, case.expected, "{}", case.name);
     }
 }
 
@@ -182,12 +184,9 @@
             rig.now += Duration::from_millis(case.stall_ms);
             rig.advance_time(case.wait_ms);
         }
-        let mut head = open_head(1, case.transmission);
-        if !case.has_route {
-            head.service.set_port(1);
-        }
-        let actions = rig.packet(&head);
-        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+        let head = open_head(1, case.transmission);
+        let action = handle_packet(&mut rig, head, case.has_route);
+        assert_eq!(action, case.expected, "{}", case.name);
     }
 }
 
@@ -219,12 +218,9 @@
         let mut rig = CoreRig::with_ledger(&[1]);
         rig.advance_time(9000);
         rig.now += Duration::from_secs(3);
-        let mut head = established_head(1, case.upstream, 0, 1, 100);
-        if !case.has_route {
-            head.service.set_port(1);
-        }
-        let actions = rig.packet(&head);
-        assert_eq!(describe(&actions[0]), case.expected, "{}", case.name);
+        let head = established_head(1, case.upstream, 0, 1, 100);
+        let action = handle_packet(&mut rig, head, case.has_route);
+        assert_eq!(action, case.expected, "{}", case.name);
     }
 }
 
