review: case 1, drains that pass by while the readers get no response

Seen: requests reach a draining upstream later than DrainMs, through hosts that the store answers, while it leaves the readers of all zones without a response. From packet/src/state/store_feed.rs (WATCH_WAIT, RESPONSE_TIMEOUT) and packet/src/core_peers.rs (reads).

--- /dev/null
+++ b/review/rig/src/cluster.rs
@@ -0,0 +1,264 @@
+//! A small deployment: entry hosts in three zones, upstreams, a store and one fabric per zone.
+
+use std::fmt::Display;
+use std::fs::File;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use lagoonproxy_standin::packet_caller::PacketCaller;
+use lagoonproxy_standin::packet_caller::PacketFabric;
+use lagoonproxy_standin::packet_store::PacketStore;
+use lagoonproxy_standin::packet_store::StoreBehaviour;
+use lagoonproxy_standin::packet_store::StorePort;
+use lagoonproxy_standin::packet_upstream::PacketUpstream;
+use serde_json::Value;
+use serde_json::json;
+use tokio::process::Child;
+use tokio::process::Command;
+
+/// The program of the deploy file, relative to the repository's root.
+const PROGRAM: &str = "target/host/lagoon-packet";
+
+const PACKET_PORT: u16 = 28_172;
+const READY_PORT: u16 = 28_167;
+const CONTROL_PORT: u16 = 28_166;
+const PEER_PORT: u16 = 28_720;
+
+/// How long the hosts may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+pub type CaseResult<T> = Result<T, Box<dyn std::error::Error>>;
+
+/// Writes what was sent, answered and run, with the time since the start.
+pub struct Record {
+    file: File,
+    started: Instant,
+}
+
+impl Record {
+    pub fn create(folder: &str) -> CaseResult<Self> {
+        let file = File::create(PathBuf::from(folder).join("record.txt"))?;
+        let started = Instant::now();
+        Ok(Self { file, started })
+    }
+
+    pub fn line(&mut self, text: impl Display) {
+        let seconds = self.started.elapsed().as_secs_f64();
+        let _written = writeln!(self.file, "{seconds:8.3} s  {text}");
+        println!("{seconds:8.3} s  {text}");
+    }
+}
+
+/// An entry host that runs as a process of its own.
+pub struct Host {
+    pub name: String,
+    pub zone: usize,
+    pub packets: SocketAddrV4,
+    pub ready: SocketAddrV4,
+    pub store: StorePort,
+    /// Killed when the host is dropped.
+    _child: Child,
+}
+
+/// The deployment. Its files lie in a temporary folder, which is removed at the end.
+pub struct Cluster {
+    pub store: PacketStore,
+    pub zones: Vec<&'static str>,
+    /// One fabric per zone.
+    pub fabrics: Vec<PacketFabric>,
+    pub hosts: Vec<Host>,
+    pub upstreams: Vec<PacketUpstream>,
+    folder: PathBuf,
+    next_caller: u8,
+    sequence: u64,
+}
+
+pub fn ledger() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+impl Cluster {
+    /// Starts the deployment, and waits until every host is in rotation.
+    pub async fn start(
+        zones: Vec<&'static str>,
+        hosts_per_zone: &[usize],
+        upstreams: usize,
+    ) -> CaseResult<Self> {
+        let name = format!("lagoonproxy-review-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder)?;
+        let mut cluster = Self {
+            store: PacketStore::default(),
+            fabrics: zones.iter().map(|_zone| PacketFabric::default()).collect(),
+            zones,
+            hosts: Vec::new(),
+            upstreams: Vec::new(),
+            folder,
+            next_caller: 0,
+            sequence: 0,
+        };
+        cluster.publish_routes(1);
+        for index in 0..upstreams {
+            let number = index as u64 + 1;
+            let address = SocketAddrV4::new(ip(100 + number as u8), 9_000);
+            let upstream = PacketUpstream::start(number, address, PACKET_PORT).await?;
+            cluster.upstreams.push(upstream);
+            cluster.register(index, "ready");
+        }
+        let mut firsts = Vec::new();
+        let mut members = Vec::new();
+        for (zone, count) in hosts_per_zone.iter().enumerate() {
+            firsts.push(members.len() as u8 + 1);
+            members.extend((0..*count).map(|_host| zone));
+        }
+        let seeds: Vec<String> = firsts
+            .iter()
+            .map(|first| format!("{}:{CONTROL_PORT}", ip(*first)))
+            .collect();
+        for (index, zone) in members.into_iter().enumerate() {
+            cluster.start_host(index as u8 + 1, zone, &seeds).await?;
+        }
+        let deadline = Instant::now() + READY_TIMEOUT;
+        let expected: Vec<usize> = hosts_per_zone.to_vec();
+        while cluster
+            .fabrics
+            .iter()
+            .map(PacketFabric::hosts)
+            .collect::<Vec<_>>()
+            != expected
+        {
+            if Instant::now() > deadline {
+                return Err("the hosts are not ready in time".into());
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(cluster)
+    }
+
+    async fn start_host(&mut self, number: u8, zone: usize, seeds: &[String]) -> CaseResult<()> {
+        let store = self.store.open_port(StoreBehaviour::Serve).await?;
+        let address = ip(number);
+        let name = format!("frontend-{}-{number}", self.zones[zone]);
+        let zones: serde_json::Map<String, Value> = self
+            .zones
+            .iter()
+            .map(|zone| ((*zone).to_owned(), json!("casamance")))
+            .collect();
+        let settings = json!({
+            "NodeName": name, "Role": "entry-host", "MachineClass": "frontend",
+            "Serves": ["frontend", "control"], "Ip": address.to_string(), "Zone": self.zones[zone],
+            "Region": "casamance", "Zones": zones,
+            "Listen": {
+                "DatagramAddr": format!("{address}:{PACKET_PORT}"),
+                "Ready": format!("{address}:{READY_PORT}"),
+                "Control": format!("{address}:{CONTROL_PORT}"),
+            },
+            "InternalPorts": [PEER_PORT, PEER_PORT + 15], "Seeds": seeds,
+            "Bootstrap": true, "FaultCounted": false,
+            "Limits": {"CpuShare": 0.25, "Cores": 1, "MemoryMb": 260, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
+            "DataDir": null, "Discovery": "platform", "Entry": "announcement", "HeartbeatMs": 770,
+            "Contracts": ["base", "drain", "config", "cost", "recover", "flows", "platform"],
+            "FaultTolerance": {"Machines": 2, "Zones": 1, "Regions": 0},
+            "Bounds": {
+                "SeedLagS": 3, "ReuseDelayS": 2, "StableWindowMs": 4000, "AckMs": 5000, "CatchUpS": 4,
+                "DrainMs": 3000, "GraceS": 6, "LossSlackMs": 200, "ConfigApplyMs": 3000,
+                "RollbackSlackMs": 250, "OuterMs": 12000, "RecoveryS": 12, "ReorderWindowMs": 2000,
+                "FlowTimeoutS": 60,
+            },
+            "FlowHash": "steady", "ForwardingMode": "echo",
+            "platform": {
+                "Address": store.address.to_string(), "ForwardingMode": "read", "WritesPerS": 400,
+                "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1_048_576, "MinTtlMs": 1000,
+            },
+        });
+        let path = self.folder.join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string())?;
+        let child = Command::new(PROGRAM)
+            .env("LAGOONPROXY_SETTINGS", &path)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()?;
+        let packets = SocketAddrV4::new(address, PACKET_PORT);
+        let ready = SocketAddrV4::new(address, READY_PORT);
+        self.fabrics[zone].watch_readiness(packets, ready);
+        self.hosts.push(Host {
+            name,
+            zone,
+            packets,
+            ready,
+            store,
+            _child: child,
+        });
+        Ok(())
+    }
+
+    /// The zone of an upstream: they alternate.
+    pub fn zone_of(&self, upstream: usize) -> usize {
+        upstream % self.zones.len()
+    }
+
+    /// Writes the registration of an upstream.
+    pub fn register(&mut self, index: usize, state: &str) {
+        self.sequence += 1;
+        let upstream = &self.upstreams[index];
+        let entry = json!({
+            "Service": "ledger", "Address": upstream.address.to_string(),
+            "Zone": self.zones[self.zone_of(index)], "Version": "v1", "Slots": 2, "State": state,
+            "WarmupLeftMs": 0, "Sequence": self.sequence, "born": upstream.born_ms,
+        });
+        self.store
+            .put(&format!("servers/i-{:x}", upstream.number), &entry);
+    }
+
+    /// Writes a configuration with one route.
+    pub fn publish_routes(&self, version: u64) {
+        let route = json!({
+            "Name": "r-ledger", "Hostname": ledger().ip().to_string(), "Prefix": format!("/{}/", ledger().port()),
+            "RouteType": "safe", "TimeoutMs": 2000, "TargetLatencyMs": 150, "Priority": 2,
+            "Service": "ledger", "Attempts": 2,
+        });
+        let service = json!({"Name": "ledger", "HealthPath": "/health", "MaxConnections": 2000, "Protocol": "h1", "Tls": false});
+        let limits = json!({"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000});
+        let config =
+            json!({"Version": version, "Routes": [route], "Services": [service], "Limits": limits});
+        self.store.put("op/config", &config);
+    }
+
+    /// Binds a caller of a zone, with an IP address of its own.
+    pub async fn caller(&mut self, zone: usize) -> CaseResult<PacketCaller> {
+        self.next_caller += 1;
+        let address = SocketAddrV4::new(ip(200 + self.next_caller), PACKET_PORT);
+        Ok(PacketCaller::bind(address, self.fabrics[zone].clone()).await?)
+    }
+
+    /// The hosts that read the store now, by their status page.
+    pub async fn readers(&self) -> CaseResult<Vec<usize>> {
+        let mut readers = Vec::new();
+        for (index, host) in self.hosts.iter().enumerate() {
+            let url = format!("http://{}/v1/status", host.ready);
+            let status: Value = reqwest::get(url).await?.json().await?;
+            if status["reads"] == json!(true) {
+                readers.push(index);
+            }
+        }
+        Ok(readers)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _removed = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A loopback address of this run. The process id is part of it, so that runs do not share any.
+fn ip(last: u8) -> Ipv4Addr {
+    let id = std::process::id();
+    Ipv4Addr::new(127, 2 + (id % 250) as u8, 1 + (id / 250 % 250) as u8, last)
+}
