--- a/review/rig/src/cluster.rs
+++ b/review/rig/src/cluster.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +23,8 @@
 use tokio::process::Child;
 use tokio::process::Command;
 
+use crate::store_proxy;
+
 /// The program of the deploy file, relative to the repository's root.
 const PROGRAM: &str = "target/host/lagoon-packet";
 
@@ -73,6 +77,9 @@
     pub fabrics: Vec<PacketFabric>,
     pub hosts: Vec<Host>,
     pub upstreams: Vec<PacketUpstream>,
+    /// Whether nothing passes between the store and any host.
+    pub silent: Arc<AtomicBool>,
+    seeds: Vec<String>,
     folder: PathBuf,
     next_caller: u8,
     sequence: u64,
@@ -98,6 +105,8 @@
             zones,
             hosts: Vec::new(),
             upstreams: Vec::new(),
+            silent: Arc::default(),
+            seeds: Vec::new(),
             folder,
             next_caller: 0,
             sequence: 0,
@@ -116,12 +125,12 @@
             firsts.push(members.len() as u8 + 1);
             members.extend((0..*count).map(|_host| zone));
         }
-        let seeds: Vec<String> = firsts
+        cluster.seeds = firsts
             .iter()
             .map(|first| format!("{}:{CONTROL_PORT}", ip(*first)))
             .collect();
-        for (index, zone) in members.into_iter().enumerate() {
-            cluster.start_host(index as u8 + 1, zone, &seeds).await?;
+        for zone in members {
+            cluster.start_host(zone).await?;
         }
         let deadline = Instant::now() + READY_TIMEOUT;
         let expected: Vec<usize> = hosts_per_zone.to_vec();
@@ -140,8 +149,11 @@
         Ok(cluster)
     }
 
-    async fn start_host(&mut self, number: u8, zone: usize, seeds: &[String]) -> CaseResult<()> {
+    /// Starts a host in a zone.
+    pub async fn start_host(&mut self, zone: usize) -> CaseResult<()> {
+        let number = self.hosts.len() as u8 + 1;
         let store = self.store.open_port(StoreBehaviour::Serve).await?;
+        let store_address = store_proxy::start(store.address, self.silent.clone()).await?;
         let address = ip(number);
         let name = format!("frontend-{}-{number}", self.zones[zone]);
         let zones: serde_json::Map<String, Value> = self
@@ -158,7 +170,7 @@
                 "Ready": format!("{address}:{READY_PORT}"),
                 "Control": format!("{address}:{CONTROL_PORT}"),
             },
-            "InternalPorts": [PEER_PORT, PEER_PORT + 15], "Seeds": seeds,
+            "InternalPorts": [PEER_PORT, PEER_PORT + 15], "Seeds": self.seeds,
             "Bootstrap": true, "FaultCounted": false,
             "Limits": {"CpuShare": 0.25, "Cores": 1, "MemoryMb": 260, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
             "DataDir": null, "Discovery": "platform", "Entry": "announcement", "HeartbeatMs": 770,
@@ -172,7 +184,7 @@
             },
             "FlowHash": "steady", "ForwardingMode": "echo",
             "platform": {
-                "Address": store.address.to_string(), "ForwardingMode": "read", "WritesPerS": 400,
+                "Address": store_address.to_string(), "ForwardingMode": "read", "WritesPerS": 400,
                 "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1_048_576, "MinTtlMs": 1000,
             },
         });
@@ -216,6 +228,12 @@
             .put(&format!("servers/i-{:x}", upstream.number), &entry);
     }
 
+    /// Removes the registration of an upstream, as the store does when it has expired.
+    pub fn expire(&self, index: usize) {
+        let number = self.upstreams[index].number;
+        self.store.remove(&format!("servers/i-{number:x}"));
+    }
+
     /// Writes a configuration with one route.
     pub fn publish_routes(&self, version: u64) {
         let route = json!({
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -4,7 +4,9 @@
 //! Usage: `lagoonproxy-review CASE FOLDER`, started in the repository's root.
 
 mod cluster;
+mod hosts_added;
 mod readers_unanswered;
+mod store_proxy;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -21,6 +23,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = async {
         match case.as_str() {
+            "hosts-added" => hosts_added::run(&folder, has_trouble).await,
             "readers-unanswered" => readers_unanswered::run(&folder, has_trouble).await,
             _ => Err(format!("no case {case}").into()),
         }
