--- a/review/rig/src/cluster.rs
+++ b/review/rig/src/cluster.rs
@@ -85,6 +85,11 @@
     sequence: u64,
 }
 
+/// The address of a route that the operator drops.
+pub fn dropped() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 11), 443)
+}
+
 pub fn ledger() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
 }
@@ -111,7 +116,7 @@
             next_caller: 0,
             sequence: 0,
         };
-        cluster.publish_routes(1);
+        cluster.publish_routes(1, false);
         for index in 0..upstreams {
             let number = index as u64 + 1;
             let address = SocketAddrV4::new(ip(100 + number as u8), 9_000);
@@ -234,17 +239,23 @@
         self.store.remove(&format!("servers/i-{number:x}"));
     }
 
-    /// Writes a configuration with one route.
-    pub fn publish_routes(&self, version: u64) {
-        let route = json!({
-            "Name": "r-ledger", "Hostname": ledger().ip().to_string(), "Prefix": format!("/{}/", ledger().port()),
-            "RouteType": "safe", "TimeoutMs": 2000, "TargetLatencyMs": 150, "Priority": 2,
-            "Service": "ledger", "Attempts": 2,
-        });
+    /// Writes a configuration with the route of the ledger, and with one that is dropped later.
+    pub fn publish_routes(&self, version: u64, has_dropped: bool) {
+        let route = |name: &str, address: SocketAddrV4| {
+            json!({
+                "Name": name, "Hostname": address.ip().to_string(), "Prefix": format!("/{}/", address.port()),
+                "RouteType": "safe", "TimeoutMs": 2000, "TargetLatencyMs": 150, "Priority": 2,
+                "Service": "ledger", "Attempts": 2,
+            })
+        };
+        let mut routes = vec![route("r-ledger", ledger())];
+        if has_dropped {
+            routes.push(route("r-dropped", dropped()));
+        }
         let service = json!({"Name": "ledger", "HealthPath": "/health", "MaxConnections": 2000, "Protocol": "h1", "Tls": false});
         let limits = json!({"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000});
         let config =
-            json!({"Version": version, "Routes": [route], "Services": [service], "Limits": limits});
+            json!({"Version": version, "Routes": routes, "Services": [service], "Limits": limits});
         self.store.put("op/config", &config);
     }
 
--- a/review/rig/src/hosts_added.rs
+++ b/review/rig/src/hosts_added.rs
@@ -52,7 +52,7 @@
         "{} flows are open, each has served a request",
         callers.len() * FLOWS_PER_CALLER
     ));
-    cluster.publish_routes(3);
+    cluster.publish_routes(3, false);
     record.line("the operator writes version 3, which changes no route");
     sleep(Duration::from_millis(500)).await;
 
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cluster;
 mod hosts_added;
+mod outage_in_rollout;
 mod readers_unanswered;
 mod store_proxy;
 
@@ -24,6 +25,7 @@
     let run = async {
         match case.as_str() {
             "hosts-added" => hosts_added::run(&folder, has_trouble).await,
+            "outage-in-rollout" => outage_in_rollout::run(&folder, has_trouble).await,
             "readers-unanswered" => readers_unanswered::run(&folder, has_trouble).await,
             _ => Err(format!("no case {case}").into()),
         }
--- a/review/rig/src/readers_unanswered.rs
+++ b/review/rig/src/readers_unanswered.rs
@@ -69,7 +69,7 @@
         }
     }
     tokio::time::sleep(CALM).await;
-    cluster.publish_routes(3);
+    cluster.publish_routes(3, false);
     record.line("the operator writes version 3, which changes no route");
     tokio::time::sleep(Duration::from_millis(700)).await;
 
