--- a/review/rig/src/cluster.rs
+++ b/review/rig/src/cluster.rs
@@ -1,8 +1,6 @@
 //! A small deployment: entry hosts in three zones, upstreams, a store and one fabric per zone.
 
 use std::fmt::Display;
-use std::fs::File;
-use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
@@ -38,22 +36,24 @@
 
 pub type CaseResult<T> = Result<T, Box<dyn std::error::Error>>;
 
-/// Writes what was sent, answered and run, with the time since the start.
+/// Writes what was sent, answered and run, with the time since the start, to the standard output;
+/// `run.sh` of the case directs it to record.txt.
 pub struct Record {
-    file: File,
     started: Instant,
 }
 
 impl Record {
-    pub fn create(folder: &str) -> CaseResult<Self> {
-        let file = File::create(PathBuf::from(folder).join("record.txt"))?;
+    pub fn new() -> Self {
         let started = Instant::now();
-        Ok(Self { file, started })
+        Self { started }
     }
 
-    pub fn line(&mut self, text: impl Display) {
-        let seconds = self.started.elapsed().as_secs_f64();
-        let _written = writeln!(self.file, "{seconds:8.3} s  {text}");
+    pub fn line(&self, text: impl Display) {
+        self.line_at(Instant::now(), text);
+    }
+
+    pub fn line_at(&self, time: Instant, text: impl Display) {
+        let seconds = time.saturating_duration_since(self.started).as_secs_f64();
         println!("{seconds:8.3} s  {text}");
     }
 }
@@ -61,7 +61,6 @@
 /// An entry host that runs as a process of its own.
 pub struct Host {
     pub name: String,
-    pub zone: usize,
     pub packets: SocketAddrV4,
     pub ready: SocketAddrV4,
     pub store: StorePort,
@@ -206,7 +205,7 @@
         self.fabrics[zone].watch_readiness(packets, ready);
         self.hosts.push(Host {
             name,
-            zone,
+
             packets,
             ready,
             store,
@@ -266,6 +265,13 @@
         Ok(PacketCaller::bind(address, self.fabrics[zone].clone()).await?)
     }
 
+    /// The name of the host at an address.
+    pub fn host_name(&self, address: Option<SocketAddrV4>) -> Option<&str> {
+        let mut hosts = self.hosts.iter();
+        let host = hosts.find(|host| Some(host.packets) == address)?;
+        Some(&host.name)
+    }
+
     /// The hosts that read the store now, by their status page.
     pub async fn readers(&self) -> CaseResult<Vec<usize>> {
         let mut readers = Vec::new();
--- a/review/rig/src/hosts_added.rs
+++ b/review/rig/src/hosts_added.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use lagoonproxy_standin::packet_caller::CallError;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::callers;
+use crate::callers::Outcome;
 use crate::cluster::CaseResult;
 use crate::cluster::Cluster;
 use crate::cluster::Record;
@@ -24,8 +25,8 @@
 const CALLERS_PER_ZONE: usize = 4;
 const FLOWS_PER_CALLER: usize = 10;
 
-pub async fn run(folder: &str, has_trouble: bool) -> CaseResult<bool> {
-    let mut record = Record::create(folder)?;
+pub async fn run(has_trouble: bool) -> CaseResult<bool> {
+    let record = Record::new();
     let mut cluster = Cluster::start(vec!["zig-a", "zig-b", "bign"], &[3, 3, 2], 6).await?;
     record.line("8 hosts in 3 zones are in rotation, 6 upstreams are registered");
     sleep(CALM).await;
@@ -35,17 +36,21 @@
             callers.push((zone, cluster.caller(zone).await?, Vec::new()));
         }
     }
-    for (_zone, caller, flows) in &mut callers {
+    let written_from = Instant::now();
+    let mut attempts = Vec::new();
+    for (zone, caller, flows) in &mut callers {
+        let fabric = cluster.fabrics[*zone].clone();
         for _flow in 0..FLOWS_PER_CALLER {
-            let mut flow = caller
-                .open(ledger())
-                .await
-                .map_err(|_| "a flow did not open")?;
-            let answer = caller
-                .request(&mut flow, b"one", Duration::from_secs(2))
-                .await;
-            let answer = answer.map_err(|_| "a first request was not served")?;
-            flows.push((flow, String::from_utf8_lossy(&answer).into_owned()));
+            let sent = Instant::now();
+            let flow = caller.open(ledger()).await;
+            let mut flow = flow.map_err(|_error| "a flow did not open")?;
+            let timeout = Duration::from_secs(2);
+            let attempt = callers::call(caller, &fabric, &mut flow, sent, timeout).await;
+            if !matches!(attempt.outcome, Outcome::Answered(_)) {
+                return Err("a first request was not served".into());
+            }
+            attempts.push(attempt);
+            flows.push(flow);
         }
     }
     record.line(format!(
@@ -90,53 +95,40 @@
     // The machines are in touch 4 s after the second outage.
     sleep_until((end + Duration::from_millis(5500)).into()).await;
     record.line("each caller sends a request on each of its open flows");
+    let asked = Instant::now();
     let mut tasks = Vec::new();
     for (zone, mut caller, flows) in callers {
         let fabric = cluster.fabrics[zone].clone();
         tasks.push(tokio::spawn(async move {
-            let mut results = Vec::new();
-            for (mut flow, first) in flows {
-                let host = fabric.select_host((flow.source(), flow.service()));
-                let result = caller
-                    .request(&mut flow, b"two", Duration::from_millis(500))
-                    .await;
-                results.push((flow.source(), first, host, result));
+            let mut attempts = Vec::new();
+            for mut flow in flows {
+                let (sent, timeout) = (Instant::now(), Duration::from_millis(500));
+                let attempt = callers::call(&mut caller, &fabric, &mut flow, sent, timeout).await;
+                attempts.push(attempt);
             }
-            results
+            attempts
         }));
     }
-    let (mut served, mut silent, mut reset) = (0, 0, 0);
     for task in tasks {
-        for (source, first, host, result) in task.await? {
-            match result {
-                Ok(_response) => served += 1,
-                Err(CallError::Timeout) => silent += 1,
-                Err(CallError::Reset) => {
-                    reset += 1;
-                    let host = cluster
-                        .hosts
-                        .iter()
-                        .position(|other| Some(other.packets) == host);
-                    let name = host
-                        .map(|index| cluster.hosts[index].name.as_str())
-                        .unwrap_or_default();
-                    let added = if host.is_some_and(|index| index >= 8) {
-                        "added"
-                    } else {
-                        "of before"
-                    };
-                    record.line(format!("the flow from {source}, opened at the upstream that answered \"{first}\", is reset by {name}, {added}"));
-                }
-            }
+        attempts.extend(task.await?);
+    }
+    callers::write_attempts(&record, &cluster, &attempts, written_from);
+    let (mut served, mut silent, mut reset) = (0, 0, 0);
+    for attempt in attempts.iter().filter(|attempt| attempt.sent >= asked) {
+        match attempt.outcome {
+            Outcome::Answered(_) => served += 1,
+            Outcome::NoAnswer => silent += 1,
+            Outcome::Reset => reset += 1,
         }
     }
-    let unknown: u64 = cluster
-        .upstreams
-        .iter()
-        .map(|upstream| upstream.tally().unknown)
-        .sum();
+    // An upstream resets a flow only upon a packet of a flow that it does not hold.
+    let upstreams = cluster.upstreams.iter();
+    let by_upstreams: u64 = upstreams.map(|upstream| upstream.tally().unknown).sum();
     record.line(format!(
-        "served: {served}, no answer: {silent}, reset: {reset}; resets by upstreams: {unknown}"
+        "open flows: served {served}, no answer {silent}, reset {reset}; resets by upstreams: {by_upstreams}"
     ));
-    Ok(reset == 0 || unknown > 0)
+    if by_upstreams > 0 {
+        return Err("an upstream reset a flow".into());
+    }
+    Ok(reset == 0)
 }
--- a/review/rig/src/outage_in_rollout.rs
+++ b/review/rig/src/outage_in_rollout.rs
@@ -1,8 +1,6 @@
 //! The store is down for a second while upstreams come and go. Just after that, the operator drops
 //! a route.
 
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +8,8 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::callers;
+use crate::callers::Outcome;
 use crate::cluster::CaseResult;
 use crate::cluster::Cluster;
 use crate::cluster::Record;
@@ -22,54 +22,18 @@
 const CALM: Duration = Duration::from_secs(10);
 const OUTAGE: Duration = Duration::from_millis(1000);
 
-/// A served request on the dropped route.
-struct Served {
-    /// When the caller sent the first SYN of its flow.
-    sent: Instant,
-    host: std::net::SocketAddrV4,
-    response: String,
-}
-
-pub async fn run(folder: &str, has_trouble: bool) -> CaseResult<bool> {
-    let mut record = Record::create(folder)?;
+pub async fn run(has_trouble: bool) -> CaseResult<bool> {
+    let record = Record::new();
     let mut cluster = Cluster::start(vec!["zig-a", "zig-b", "bign"], &[3, 3, 2], 7).await?;
     record.line("8 hosts in 3 zones are in rotation, 7 upstreams are registered");
     cluster.publish_routes(2, true);
     record.line(format!("version 2 adds a route for {}", dropped()));
-    let served = Arc::new(Mutex::new(Vec::new()));
-    for zone in 0..cluster.zones.len() {
-        for _caller in 0..3 {
-            let mut caller = cluster.caller(zone).await?;
-            let fabric = cluster.fabrics[zone].clone();
-            let served = served.clone();
-            tokio::spawn(async move {
-                loop {
-                    let sent = Instant::now();
-                    if let Ok(mut flow) = caller.open(dropped()).await {
-                        let host = fabric.select_host((flow.source(), flow.service()));
-                        let response = caller
-                            .request(&mut flow, b"one", Duration::from_secs(2))
-                            .await;
-                        caller.close(&flow).await;
-                        if let (Some(host), Ok(response)) = (host, response) {
-                            let response = String::from_utf8_lossy(&response).into_owned();
-                            let mut served = served.lock().unwrap();
-                            served.push(Served {
-                                sent,
-                                host,
-                                response,
-                            });
-                        }
-                    }
-                    sleep(Duration::from_millis(25)).await;
-                }
-            });
-        }
-    }
+    let attempts = callers::start(&mut cluster, dropped()).await?;
     sleep(CALM).await;
 
+    let written_from = Instant::now();
     cluster.register(6, "draining");
-    record.line("an upstream drains");
+    record.line("i-7 is draining");
     sleep(Duration::from_millis(200)).await;
     let ends = Instant::now() + OUTAGE;
     if has_trouble {
@@ -83,33 +47,21 @@
     cluster.publish_routes(3, false);
     let acked = Instant::now();
     record.line("version 3 drops the route: acknowledged by the store");
+    // The machines are in touch once the store has been undisturbed for the stable window.
     let bound = (acked + CONFIG_BOUND).max(ends + STABLE_WINDOW);
     sleep_until((acked + Duration::from_secs(8)).into()).await;
 
-    let served = served.lock().unwrap();
-    let late: Vec<_> = served
+    let attempts = std::mem::take(&mut *attempts.lock().unwrap());
+    callers::write_attempts(&record, &cluster, &attempts, written_from);
+    let late = attempts
         .iter()
-        .filter(|request| request.sent > bound)
-        .collect();
-    record.line(format!(
-        "requests served on the route: {}, of them sent after the acknowledgement: {}",
-        served.len(),
-        served.iter().filter(|request| request.sent > acked).count()
-    ));
-    for request in late.iter().take(20) {
-        let host = cluster
-            .hosts
-            .iter()
-            .find(|host| host.packets == request.host);
-        let name = host.map(|host| host.name.as_str()).unwrap_or_default();
-        let late_ms = (request.sent - acked).as_millis();
-        let response = &request.response;
-        record.line(format!("answered \"{response}\": a request whose first SYN was sent {late_ms} ms after the acknowledgement, through {name}"));
-    }
+        .filter(|attempt| matches!(attempt.outcome, Outcome::Answered(_)) && attempt.sent > bound);
+    let late: Vec<String> = late.map(|attempt| format!("{:x}", attempt.id)).collect();
     let bound_ms = (bound - acked).as_millis();
     record.line(format!(
-        "requests run that were sent later than {bound_ms} ms after the acknowledgement, with all machines in touch: {}",
-        late.len()
+        "requests run on the dropped route whose first SYN was sent later than {bound_ms} ms after the acknowledgement, with all machines in touch: {} ({})",
+        late.len(),
+        late.join(" ")
     ));
     Ok(late.is_empty())
 }
