packetd: log how long a lost store call took and how long the store was silent

Cause: the log could not tell a watch that is waited for to its end from a call that fails in time and is retried late. Change: `call_ms` and `silent_ms` on `store lost` and `store regained`, and the histogram lagoon_packet_store_response_gap_seconds.

--- a/packetd/src/host_metrics.rs
+++ b/packetd/src/host_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the packet path, in the text format of Prometheus.
 
 use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 use std::time::Instant;
 
 use lagoonproxy::result_code::ResultCode;
@@ -79,6 +80,8 @@
     open_flow_resets: Family<ResetLabels, Counter>,
     /// Calls to the store, by result code.
     store_calls: Family<ResultLabels, Counter>,
+    /// Time between two responses of the store to this host, in seconds.
+    store_response_gap_seconds: Histogram,
     routes_version: Gauge<u64, AtomicU64>,
     store_era: Gauge<u64, AtomicU64>,
     through: Gauge<u64, AtomicU64>,
@@ -112,6 +115,7 @@
             results: Family::default(),
             open_flow_resets: Family::default(),
             store_calls: Family::default(),
+            store_response_gap_seconds: Histogram::new(LATENCY_BUCKETS),
             routes_version: Gauge::default(),
             store_era: Gauge::default(),
             through: Gauge::default(),
@@ -224,6 +228,11 @@
             "From a request to its answer's first acknowledgement",
             self.answer_seconds.clone(),
         );
+        registry.register(
+            "store_response_gap_seconds",
+            "Between two answers of the store to this host",
+            self.store_response_gap_seconds.clone(),
+        );
     }
 
     /// Counts a packet that was not forwarded, or a fault of a peer, by its result code.
@@ -246,6 +255,11 @@
         self.store_calls.get_or_create(&result_labels(code)).inc();
     }
 
+    /// Records the time between two responses of the store to this host.
+    pub fn observe_response_gap(&self, gap: Duration) {
+        self.store_response_gap_seconds.observe(gap.as_secs_f64());
+    }
+
     /// Sets the gauges to the state of the core, and returns all metrics as text.
     pub fn text(&self, core: &PacketCore, now: Instant) -> String {
         let routes = core.snapshot().routes();
--- a/packetd/src/host_state.rs
+++ b/packetd/src/host_state.rs
@@ -30,6 +30,8 @@
     pub stopping: Cell<bool>,
     /// Whether the last call to the store failed.
     pub store_lost: Cell<bool>,
+    /// Time of the store's last response to this host; `None` before the first.
+    pub store_responded_at: Cell<Option<Instant>>,
     /// Whether a request for a peer's state is in progress.
     pub state_requested: Cell<bool>,
     /// Time of the last packet.
@@ -58,6 +60,7 @@
             settings: RefCell::new(Rc::new(settings)),
             stopping: Cell::new(false),
             store_lost: Cell::new(false),
+            store_responded_at: Cell::new(None),
             state_requested: Cell::new(false),
             last_packet: Cell::new(Instant::now()),
             became_ready: Notify::new(),
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -25,7 +25,8 @@
             address = configured;
             client = StoreClient::new(address);
         }
-        let step = state.core.borrow_mut().store_step(Instant::now());
+        let called_at = Instant::now();
+        let step = state.core.borrow_mut().store_step(called_at);
         match step {
             FeedStep::Wait { until } => tokio::time::sleep_until(until.into()).await,
             FeedStep::List {
@@ -41,7 +42,7 @@
                     let mut core = state.core.borrow_mut();
                     core.store_listed(Instant::now(), page)
                 });
-                apply_result(&state, update);
+                apply_result(&state, called_at, update);
             }
             FeedStep::Watch { after, wait } => {
                 let batch = client.watch(after.revision, wait, RESPONSE_TIMEOUT).await;
@@ -49,7 +50,7 @@
                     let mut core = state.core.borrow_mut();
                     core.store_changed(Instant::now(), batch).map(Some)
                 });
-                apply_result(&state, update);
+                apply_result(&state, called_at, update);
             }
         }
     }
@@ -57,14 +58,25 @@
 
 /// Applies the result of a call to the store. The update is `None` after a page that is not the
 /// last. Only the first of several failed calls in a row is logged.
-fn apply_result(state: &HostState, update: Result<Option<StateUpdate>, StoreFault>) {
+fn apply_result(
+    state: &HostState,
+    called_at: Instant,
+    update: Result<Option<StateUpdate>, StoreFault>,
+) {
+    let now = Instant::now();
     match update {
         Ok(update) => {
             state.metrics.count_store_call(ResultCode::Success);
+            let responded_at = state.store_responded_at.replace(Some(now));
+            let silent_time = responded_at.map(|at| now.duration_since(at));
+            if let Some(silent_time) = silent_time {
+                state.metrics.observe_response_gap(silent_time);
+            }
             if state.store_lost.take() {
                 let offered = update.as_ref().map(|update| update.through);
                 let offered = offered.map(|offered| offered.to_string());
-                log::info!(offered = offered.unwrap_or_default(); "store regained");
+                let silent_ms = silent_time.map(|time| time.as_millis() as u64);
+                log::info!(offered = offered.unwrap_or_default(), silent_ms; "store regained");
             }
             if let Some(update) = update {
                 state.merge_and_forward(update);
@@ -74,7 +86,10 @@
             let code = fault_code(&fault);
             state.metrics.count_store_call(code);
             if !state.store_lost.replace(true) {
-                log::warn!(code = code.number(); "store lost: {fault}");
+                let call_ms = now.duration_since(called_at).as_millis() as u64;
+                let responded_at = state.store_responded_at.get();
+                let silent_ms = responded_at.map(|at| now.duration_since(at).as_millis() as u64);
+                log::warn!(code = code.number(), call_ms, silent_ms; "store lost: {fault}");
             }
             let mut core = state.core.borrow_mut();
             core.store_failed(Instant::now(), &fault);
