packet: what is missing ends a flow only once the store has confirmed it

Cause: `synced_since` started with any merge and ran on by the clock while a heartbeat said `reads`, which a reader says until a call fails. Two outages in a row leave a reader without a response for 6.8 s, more than MIN_SYNCED_TIME (5 s): a state without registrations counted as in sync for 5 s though the store had confirmed it for no time at all. In the log of the case: code 208, synced_ms of 5,000 and more, silent_ms 6,801 at the zone's reader.

Change: `StateConfirmation` holds the span of send times of calls that the store has answered without interruption. Readers send it in heartbeats as ages; a follower takes it over if its state contains the reader's, and not for the time before its own first state, a stall or an era. A flow is ended for an absence only if the span is 5 s long and recent. `flow refused` logs the age of the last confirmation as `confirmed_ms`. The datagram format is 8.

Test: test_added_hosts_keep_flows_of_upstreams_that_register_again, before: 'short second outage: in step 43 at 3', FlowUnknown; now it passes. Two rigs now confirm what they read: a core that has read its state, and a peer that says that it reads.

--- a/packet/src/core_events.rs
+++ b/packet/src/core_events.rs
@@ -134,6 +134,7 @@
                 attempts: record.failure_detector.attempts(),
             }
         });
+        let span = self.confirmation.span();
         output.events.push(DecisionEvent::Refused {
             caller: key.caller,
             service: key.service,
@@ -142,7 +143,8 @@
             evidence,
             version: self.version,
             through: self.snapshot.through(),
-            synced_for: time_since(now, self.synced_since),
+            synced_for: span.map(|span| span.length()),
+            confirmed_ago: time_since(now, span.map(|span| span.confirmed_at)),
         });
     }
 
--- a/packet/src/core_peers.rs
+++ b/packet/src/core_peers.rs
@@ -88,9 +88,12 @@
         stopping: bool,
     ) -> PeerHeartbeat {
         let is_local = *zone == self.zone;
+        let reads = self.role.reads() && self.store_reachable && !stopping;
+        let span = self.confirmation.span().filter(|_span| reads && is_local);
         PeerHeartbeat {
             zone: self.zone.clone(),
-            reads: self.role.reads() && self.store_reachable && !stopping,
+            reads,
+            confirmation: span.map(|span| span.report(now)),
             capacity: self.capacity,
             ready: self.is_ready() && !stopping,
             seeks: self.snapshot.through().is_unread() || self.peers.lacks_local_peer(now),
--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -37,7 +37,7 @@
         if outcome.crosses_era {
             self.record_era_change(before, update.whole, output);
             self.upstreams.restart_grace_times(now);
-            self.synced_since = None;
+            self.confirmation.restart(now);
         }
         for change in &outcome.changes {
             if outcome.crosses_era {
@@ -48,6 +48,7 @@
         }
         if !had_state {
             self.state_since = Some(now);
+            self.confirmation.restart(now);
             let listed = outcome.changes.iter();
             let upstreams = listed.filter(|change| matches!(change, StateChange::Upstream(_)));
             output.events.push(DecisionEvent::FirstState {
@@ -56,9 +57,6 @@
             });
             self.peers.make_round_due();
         }
-        if self.synced_since.is_none() && self.snapshot.is_complete() {
-            self.synced_since = Some(now);
-        }
         self.snapshot.through() > before || !outcome.changes.is_empty()
     }
 
@@ -84,7 +82,11 @@
             return FeedStep::Wait { until };
         }
         self.feed.advance_to(self.snapshot.through());
-        self.feed.next_step(now)
+        let step = self.feed.next_step(now);
+        if matches!(step, FeedStep::Watch { .. }) {
+            self.store_called_at = Some(now);
+        }
+        step
     }
 
     /// Returns what to do at the store while this host holds no state.
@@ -132,17 +134,14 @@
         self.peers.reader(now, &self.zone)
     }
 
-    /// Accepts a page of the store's list. Returns the update once the list is complete.
+    /// Accepts a page of the store's list. Returns the update once the list is complete. Pages are
+    /// not a snapshot, so that the state is confirmed by the watch that follows.
     ///
     /// Fails if the page is of another era than the pages before it, or of an earlier state than
     /// the position from which the store refused a watch.
-    pub fn store_listed(
-        &mut self,
-        now: Instant,
-        page: ListPage,
-    ) -> Result<Option<StateUpdate>, StoreFault> {
+    pub fn store_listed(&mut self, page: ListPage) -> Result<Option<StateUpdate>, StoreFault> {
         let update = self.feed.accept_page(page)?;
-        self.store_responded(now);
+        self.store_reachable = true;
         Ok(update)
     }
 
@@ -155,13 +154,15 @@
         batch: WatchBatch,
     ) -> Result<StateUpdate, StoreFault> {
         let update = self.feed.accept_watch_batch(now, batch)?;
-        self.store_responded(now);
+        if let Some(called_at) = self.store_called_at {
+            self.store_confirmed(called_at);
+        }
         Ok(update)
     }
 
     /// Records that a call to the store failed.
     pub fn store_failed(&mut self, now: Instant, fault: &StoreFault) {
-        self.synced_since = None;
+        self.confirmation.interrupt();
         self.feed.call_failed(now, fault);
         if fault.needs_list() {
             return;
@@ -174,12 +175,10 @@
         }
     }
 
-    /// Records that the store responds.
-    pub fn store_responded(&mut self, now: Instant) {
+    /// Records that the store has responded to a watch that was sent at `called_at`.
+    pub fn store_confirmed(&mut self, called_at: Instant) {
         self.store_reachable = true;
-        if self.snapshot.is_complete() {
-            self.synced_since.get_or_insert(now);
-        }
+        self.confirmation.confirm(called_at);
     }
 
     /// Returns the peer to request a newer state from now, if any.
@@ -209,16 +208,16 @@
         }
     }
 
-    /// Updates since when the state of a host that is not the reader has been in sync: since the
-    /// zone has had a reader without interruption.
+    /// Takes over what the store has confirmed to the zone's reader, unless this host lacks changes
+    /// that the reader has.
     pub(crate) fn follow_reader(&mut self, now: Instant) {
-        if self.role.reads() || !self.snapshot.is_complete() {
+        if self.role.reads() {
             return;
         }
-        if self.peers.has_reader(now) {
-            self.synced_since.get_or_insert(now);
-        } else {
-            self.synced_since = None;
+        let held = self.snapshot.through();
+        let spans = self.peers.reader_confirmations(now, held);
+        for span in spans {
+            self.confirmation.follow(span);
         }
     }
 
--- a/packet/src/packet_action.rs
+++ b/packet/src/packet_action.rs
@@ -223,8 +223,11 @@
         version: Version,
         /// The store's position up to which this host knows every change.
         through: StorePosition,
-        /// How long the state has been in sync with the store; `None` if it is not.
+        /// For how long the store had confirmed the state without interruption; `None` if it had
+        /// not.
         synced_for: Option<Duration>,
+        /// Age of the last confirmation; `None` without one.
+        confirmed_ago: Option<Duration>,
     },
     /// A caller has received a response.
     Answered {
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -44,14 +44,15 @@
 use crate::selection::zone_spill::ZoneSpill;
 use crate::state::read_role::ReadRole;
 use crate::state::start_plan::StartPlan;
+use crate::state::state_confirmation::StateConfirmation;
 use crate::state::state_snapshot::StateSnapshot;
 use crate::state::store_feed::StoreFeed;
 use crate::upstreams::upstream_record::RegistrationState;
 use crate::upstreams::upstream_record::UpstreamRecord;
 use crate::upstreams::upstream_table::UpstreamTable;
 
-/// How long the published state must have been in sync with the store before what is missing from
-/// it does not exist. Registrations that lapsed during an outage of the store are back within two
+/// How long the store must have confirmed the published state before what is missing from it does
+/// not exist. Registrations that lapsed during an outage of the store are back within two
 /// seconds, and a host that reads late needs as long again.
 const MIN_SYNCED_TIME: Duration = Duration::from_secs(5);
 
@@ -91,9 +92,11 @@
     /// Whether the store responded to this host's last call; false before its first call as the
     /// reader of the zone.
     pub(crate) store_reachable: bool,
-    /// Since when the published state has been in sync with the store, read directly or through the
-    /// zone's reader; `None` if it is not.
-    pub(crate) synced_since: Option<Instant>,
+    /// When the last call to the store was sent; `None` before the first.
+    pub(crate) store_called_at: Option<Instant>,
+    /// The store's confirmations of the published state, received directly or through the zone's
+    /// reader.
+    pub(crate) confirmation: StateConfirmation,
     /// Version of the routes in force; 0 before the first.
     pub(crate) version: Version,
     /// When this host obtained its first state; `None` before.
@@ -130,7 +133,8 @@
             feed: StoreFeed::default(),
             start_plan: StartPlan::new(*settings.peer_address.ip()),
             store_reachable: false,
-            synced_since: None,
+            store_called_at: None,
+            confirmation: StateConfirmation::default(),
             version: 0,
             state_since: None,
             warmup_tolerance: settings.warmup_tolerance,
@@ -190,7 +194,7 @@
     /// Resets the state that depends on observations without gaps, after a stall of this process.
     /// No upstream's silence during the stall counts, and the published state may have changed.
     pub fn handle_stall(&mut self, now: Instant) {
-        self.synced_since = None;
+        self.confirmation.restart(now);
         self.upstreams.reset_detectors();
         self.load.reset();
         self.dispatch = DispatchState::default();
@@ -515,18 +519,16 @@
         self.is_in_sync(now, min_time)
     }
 
-    /// Whether the published state has been in sync with the store for at least `min_time`. A state
-    /// that a peer is ahead of is older than what other hosts may have acted on.
+    /// Whether the store has confirmed the published state for at least `min_time`, up to now. A
+    /// state that a peer is ahead of is older than what other hosts may have acted on.
     fn is_in_sync(&self, now: Instant, min_time: Duration) -> bool {
-        let is_synced = self
-            .synced_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= min_time);
-        is_synced && !self.peers.has_newer_state(now, &self.snapshot.query())
+        self.confirmation.is_confirmed_for(now, min_time)
+            && !self.peers.has_newer_state(now, &self.snapshot.query())
     }
 
     /// Handles a packet whose tag belongs to no known upstream. The upstream may have deregistered
     /// before this host started, or this host may not know it yet. The flow is therefore reset only
-    /// once the state has been in sync for [`MIN_SYNCED_TIME`].
+    /// once the store has confirmed the state for [`MIN_SYNCED_TIME`].
     fn handle_unknown_tag(&mut self, now: Instant, head: &PacketHead, output: &mut PacketOutput) {
         if head.kind == PacketKind::Established && self.is_in_sync(now, MIN_SYNCED_TIME) {
             self.refuse(now, head, None, ResultCode::FlowUnknown, output);
--- a/packet/src/peers/peer_datagram.rs
+++ b/packet/src/peers/peer_datagram.rs
@@ -16,7 +16,7 @@
 use crate::state::state_snapshot::StateUpdate;
 
 /// First byte of a datagram; it changes with the format.
-const DATAGRAM_FORMAT: u8 = 7;
+const DATAGRAM_FORMAT: u8 = 8;
 
 /// Maximum length of a datagram in bytes, so that it fits into one Ethernet frame.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
--- a/packet/src/peers/peer_heartbeat.rs
+++ b/packet/src/peers/peer_heartbeat.rs
@@ -16,6 +16,7 @@
 
 use crate::health::outlier_detector::OutcomeCounts;
 use crate::ids::FlowTag;
+use crate::state::state_confirmation::ConfirmationReport;
 use crate::state::store_position::StorePosition;
 
 /// Maximum number of hosts of the receiver's zone that a heartbeat names.
@@ -37,6 +38,9 @@
     pub zone: ZoneName,
     /// Whether the sender reads the store for its zone and the store responded to its last call.
     pub reads: bool,
+    /// What the store has confirmed of the sender's state up to `through`. Only a reader sends it,
+    /// and only to its zone.
+    pub confirmation: Option<ConfirmationReport>,
     /// CPU capacity of the sender in thousandths of a core.
     pub capacity: u32,
     /// Whether the sender accepts packets; false while it is stopping.
--- a/packet/src/peers/peer_record.rs
+++ b/packet/src/peers/peer_record.rs
@@ -11,6 +11,7 @@
 use crate::peers::peer_heartbeat::MAX_UPSTREAM_REPORTS;
 use crate::peers::peer_heartbeat::PeerHeartbeat;
 use crate::peers::peer_heartbeat::UpstreamReport;
+use crate::state::state_confirmation::ConfirmedSpan;
 use crate::state::state_snapshot::StateQuery;
 use crate::state::store_position::StorePosition;
 
@@ -46,6 +47,8 @@
     pub(crate) expires_at: Instant,
     /// Time until which no state is requested from it, after it failed to send one.
     pub(crate) source_backoff_until: Option<Instant>,
+    /// What the store has confirmed to it as a reader, as of its last heartbeat.
+    pub(crate) confirmed: Option<ConfirmedSpan>,
     reads: bool,
 }
 
@@ -64,6 +67,7 @@
             reports_at: None,
             expires_at: now + PEER_LIFETIME,
             source_backoff_until: None,
+            confirmed: None,
             reads: false,
         }
     }
@@ -73,6 +77,8 @@
         self.zone = heartbeat.zone;
         self.ready = heartbeat.ready;
         self.reads = heartbeat.reads;
+        let report = heartbeat.confirmation;
+        self.confirmed = report.and_then(|report| report.span(now));
         self.capacity = heartbeat.capacity;
         self.through = heartbeat.through;
         self.version = heartbeat.version;
--- a/packet/src/peers/peer_table.rs
+++ b/packet/src/peers/peer_table.rs
@@ -23,9 +23,11 @@
 use crate::peers::peer_rounds::RoundCursors;
 use crate::peers::peer_rounds::local_timeout;
 use crate::peers::peer_rounds::remote_timeout;
+use crate::state::state_confirmation::ConfirmedSpan;
 use crate::state::state_snapshot::StateQuery;
 use crate::state::state_source::SourceRequests;
 use crate::state::state_source::address_key;
+use crate::state::store_position::StorePosition;
 
 /// Maximum number of local peers in the table: twice the intended size of a zone.
 const MAX_LOCAL_PEERS: usize = 1024;
@@ -223,9 +225,17 @@
         readers.next().map(|(address, _capacity)| address)
     }
 
-    /// Whether any other host of the own zone reads the store.
-    pub fn has_reader(&self, now: Instant) -> bool {
-        self.reader(now, &self.zone).is_some()
+    /// What the store has confirmed to the readers of the own zone whose state is contained in the
+    /// state at `held`.
+    pub(crate) fn reader_confirmations(
+        &self,
+        now: Instant,
+        held: StorePosition,
+    ) -> impl Iterator<Item = ConfirmedSpan> {
+        let readers = self.peers.values().filter(move |peer| {
+            peer.zone == self.zone && peer.is_current_reader(now) && peer.through <= held
+        });
+        readers.filter_map(|peer| peer.confirmed)
     }
 
     /// Whether any live peer has published state that this host lacks.
--- a/packet/src/state/mod.rs
+++ b/packet/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod read_role;
 pub mod start_plan;
+pub mod state_confirmation;
 pub mod state_snapshot;
 pub mod state_source;
 pub mod store_feed;
--- a/packet/tests/core_rig.rs
+++ b/packet/tests/core_rig.rs
@@ -266,6 +266,7 @@
         items.extend(entries.into_iter().map(|entry| upstream_item(1, entry)));
         rig.revision = 10;
         rig.merge(&whole(10, items));
+        rig.core.store_confirmed(rig.now);
         rig
     }
 
@@ -290,7 +291,7 @@
             let mut output = PacketOutput::default();
             self.core.tick(self.now, &mut output);
             if self.core.reads() && !self.store_unreachable {
-                self.core.store_responded(self.now);
+                self.core.store_confirmed(self.now);
             }
             self.resets.extend(output.resets);
             self.events.extend(output.events);
--- a/packet/tests/dispatch_rig.rs
+++ b/packet/tests/dispatch_rig.rs
@@ -336,6 +336,7 @@
     PeerHeartbeat {
         zone: ZONE.into(),
         reads: host == 0,
+        confirmation: None,
         capacity: capacity(host),
         ready: true,
         seeks: false,
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use lagoonproxy::ids::ZoneName;
+use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::admission::warmup_admission::WarmupTolerance;
 use lagoonproxy_packet::core_peers::AddressedHeartbeat;
 use lagoonproxy_packet::host_settings::HostSettings;
@@ -70,6 +71,8 @@
     pub alive: bool,
     /// Whether the store accepts its calls.
     pub served: bool,
+    /// Whether the store responds to its calls at all.
+    pub(crate) answered: bool,
     /// Whether it reads the store for its zone, as of its last tick.
     pub reads: bool,
     /// Thousandths of a processor core.
@@ -148,6 +151,8 @@
     /// Last revision that the store's history no longer contains.
     pub(crate) dropped_through: Revision,
     pub(crate) watches: Vec<WaitingWatch>,
+    /// End of the time in which every response of the store is lost.
+    pub(crate) silent_until: Option<Instant>,
     /// Size of the whole list in bytes.
     pub list_bytes: f64,
     pub(crate) list_transfers: Vec<ListTransfer>,
@@ -196,6 +201,7 @@
                     core,
                     alive: false,
                     served: true,
+                    answered: true,
                     reads: false,
                     capacity,
                     generation: 0,
@@ -229,6 +235,7 @@
             era: 0,
             dropped_through: 0,
             watches: Vec::new(),
+            silent_until: None,
             list_bytes: 460_000.0,
             list_transfers: Vec::new(),
             link_busy: false,
@@ -298,6 +305,17 @@
         forwarded(&output.actions)
     }
 
+    /// Sends a packet of an open flow to a host. Returns the code of the reset if the host resets
+    /// the flow.
+    pub fn send_in_flow(&mut self, host: HostIndex, flow: u16, upstream: u8) -> Option<ResultCode> {
+        let mut output = PacketOutput::default();
+        let head = established_head(flow, upstream, 0, 1, 100);
+        self.hosts[host]
+            .core
+            .handle_packet(self.now, &head, &mut output);
+        reset_code(&output.actions)
+    }
+
     /// Partitions these hosts from all others. An empty list ends the partition.
     pub fn isolate(&mut self, hosts: impl IntoIterator<Item = HostIndex>) {
         self.isolated = hosts.into_iter().collect();
@@ -392,7 +410,7 @@
                 }
             }
             FleetEvent::Listed(Ok(page)) => {
-                let update = self.hosts[index].core.store_listed(now, page);
+                let update = self.hosts[index].core.store_listed(page);
                 self.handle_store_update(index, update);
             }
             FleetEvent::Watched(Ok(batch)) => {
--- a/packet/tests/fleet_store.rs
+++ b/packet/tests/fleet_store.rs
@@ -11,6 +11,7 @@
 use lagoonproxy_packet::state::store_feed::FeedStep;
 use lagoonproxy_packet::state::store_feed::ListPage;
 use lagoonproxy_packet::state::store_feed::ListProgress;
+use lagoonproxy_packet::state::store_feed::RESPONSE_TIMEOUT;
 use lagoonproxy_packet::state::store_feed::StoreFault;
 use lagoonproxy_packet::state::store_feed::WatchBatch;
 use lagoonproxy_packet::state::store_position::StorePosition;
@@ -63,6 +64,8 @@
     pub(crate) generation: u32,
     pub(crate) after: StorePosition,
     pub(crate) until: Instant,
+    /// When the host gives up waiting for the response.
+    pub(crate) deadline: Instant,
 }
 
 impl FleetRig {
@@ -110,6 +113,22 @@
         }
     }
 
+    /// Loses every response of the store for `time`, also those to watches that wait meanwhile.
+    pub fn lose_responses(&mut self, time: Duration) {
+        self.silent_until = Some(self.now + time);
+    }
+
+    /// Stops answering the calls of a host, including the watch that waits.
+    pub fn ignore_calls_of(&mut self, host: HostIndex) {
+        self.hosts[host].answered = false;
+    }
+
+    /// Returns whether a response that the store sends to a host now is lost.
+    fn loses_response(&self, host: HostIndex) -> bool {
+        let is_silent = self.silent_until.is_some_and(|until| self.now < until);
+        is_silent || !self.hosts[host].answered
+    }
+
     /// Fails every waiting watch with a timeout.
     pub fn cut_watches(&mut self) {
         for watch in std::mem::take(&mut self.watches) {
@@ -134,10 +153,16 @@
         let step = host.core.store_step(now);
         let served = host.served;
         let refusal = StoreFault::Refused { status: 503 };
+        let is_lost = self.loses_response(index);
         match step {
             FeedStep::Wait { until } => {
                 self.schedule_read(index, until);
             }
+            FeedStep::List { .. } if is_lost => {
+                self.calls.push((now, index, StoreCall::List));
+                let fault = FleetEvent::Listed(Err(StoreFault::TimedOut));
+                self.schedule(index, RESPONSE_TIMEOUT, fault);
+            }
             FeedStep::List {
                 progress_check_after,
                 ..
@@ -168,8 +193,11 @@
                     generation,
                     after,
                     until,
+                    deadline: until + RESPONSE_TIMEOUT,
                 };
-                if !served {
+                if is_lost {
+                    self.lose_watch(&watch);
+                } else if !served {
                     self.schedule(index, STORE_DELAY, FleetEvent::Watched(Err(refusal)));
                 } else if after != self.position() {
                     self.end_watch(&watch);
@@ -245,12 +273,23 @@
         }
     }
 
+    /// Lets a host wait for the response to a watch until its deadline.
+    fn lose_watch(&mut self, watch: &WaitingWatch) {
+        let remaining = watch.deadline.saturating_duration_since(self.now);
+        let fault = FleetEvent::Watched(Err(StoreFault::TimedOut));
+        self.schedule(watch.host, remaining, fault);
+    }
+
     /// Responds to a watch: with the changes after its position, or with a fault if the history
     /// does not contain them.
     fn end_watch(&mut self, watch: &WaitingWatch) {
         if self.hosts[watch.host].generation != watch.generation {
             return;
         }
+        if self.loses_response(watch.host) {
+            self.lose_watch(watch);
+            return;
+        }
         let after = watch.after.revision;
         if after < self.dropped_through || after > self.revision {
             let fault = StoreFault::HistoryDropped;
--- a/packet/tests/load_rig.rs
+++ b/packet/tests/load_rig.rs
@@ -103,6 +103,7 @@
     let heartbeat = PeerHeartbeat {
         zone: ZONE.into(),
         reads: false,
+        confirmation: None,
         capacity,
         ready: true,
         seeks: false,
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -42,6 +42,7 @@
 mod test_state_snapshot;
 mod test_store_feed;
 mod test_syn_deferral;
+mod test_unconfirmed_state;
 mod test_upstream_selection;
 mod test_warmup_admission;
 mod test_zone_evacuation;
--- a/packet/tests/test_flow_load.rs
+++ b/packet/tests/test_flow_load.rs
@@ -243,7 +243,7 @@
             let (from, _zone, core) = &mut self.hosts[index];
             let from = *from;
             core.tick(now, &mut PacketOutput::default());
-            core.store_responded(now);
+            core.store_confirmed(now);
             for AddressedHeartbeat { heartbeat, targets } in core.due_heartbeats(now, false) {
                 let hosts = self.hosts.iter_mut();
                 for (_address, _zone, peer) in
--- a/packet/tests/test_peer_table.rs
+++ b/packet/tests/test_peer_table.rs
@@ -30,6 +30,7 @@
         zone: zone.into(),
         ready: true,
         reads: false,
+        confirmation: None,
         capacity: 250,
         through: at(through),
         version: Some(1),
--- a/packet/tests/test_read_role.rs
+++ b/packet/tests/test_read_role.rs
@@ -78,7 +78,7 @@
         host.core.tick(now, &mut PacketOutput::default());
         host.reads = host.core.reads();
         if host.reads && host.store_reachable {
-            host.core.store_responded(now);
+            host.core.store_confirmed(now);
         } else if host.reads {
             host.core
                 .store_failed(now, &StoreFault::Refused { status: 503 });
--- a/packet/tests/test_sound_upstreams.rs
+++ b/packet/tests/test_sound_upstreams.rs
@@ -5,6 +5,7 @@
 
 use lagoonproxy_packet::packet_action::PacketAction;
 use lagoonproxy_packet::packet_head::PacketHead;
+use lagoonproxy_packet::state::state_confirmation::ConfirmedSpan;
 use lagoonproxy_packet::state::state_snapshot::ItemContent;
 use lagoonproxy_packet::state::state_snapshot::PublishedItem;
 use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
@@ -124,9 +125,15 @@
     for case in cases {
         let mut rig = CoreRig::with_ledger(&[1]);
         let through = rig.revision + u64::from(case.is_behind);
+        let since = rig.now;
         for _beat in 0..18 {
             let mut heartbeat = heartbeat(ZONE, through);
             heartbeat.reads = true;
+            let confirmed = ConfirmedSpan {
+                since,
+                confirmed_at: rig.now,
+            };
+            heartbeat.confirmation = Some(confirmed.report(rig.now));
             let _replies = rig
                 .core
                 .handle_heartbeat(rig.now, address(2), heartbeat, false);
--- /dev/null
+++ b/packet/tests/test_unconfirmed_state.rs
@@ -0,0 +1,229 @@
+//! Tests of fleets whose store does not respond, or loses its responses, while the state changes.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use lagoonproxy::flow_hash::rendezvous_weight;
+use lagoonproxy_packet::state::state_source::address_key;
+use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
+use lagoonproxy_packet::upstreams::upstream_entry::UpstreamEntry;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::core_rig::*;
+use crate::fleet_rig::*;
+
+/// Time after its acknowledgement in which a change is in force on hosts that are not disrupted.
+const IN_FORCE_MILLIS: u64 = 3000;
+
+/// Time after a disruption of the store from which its hosts no longer count as disrupted.
+const STABLE_MILLIS: u64 = 4000;
+
+/// Number of the only upstream of a fleet.
+const UPSTREAM: u8 = 1;
+
+/// Returns a fleet of three zones that has run for 8 s. The last host of each zone is not started.
+fn running_fleet(hosts_per_zone: u8, seed: u64) -> FleetRig {
+    let mut rig = FleetRig::new(&FleetPlan {
+        zones: 3,
+        hosts_per_zone,
+        large_hosts_per_zone: 0,
+        seed,
+    });
+    rig.start_all();
+    for host in last_hosts(&rig) {
+        rig.kill(host);
+    }
+    rig.advance_time(8000);
+    rig
+}
+
+/// Returns the last host of each zone.
+fn last_hosts(rig: &FleetRig) -> Vec<HostIndex> {
+    let hosts_per_zone = rig.hosts.len() / rig.zones().len();
+    let last = (0..rig.hosts.len()).skip(hosts_per_zone - 1);
+    last.step_by(hosts_per_zone).collect()
+}
+
+/// Returns the readers of all zones.
+fn all_readers(rig: &FleetRig) -> Vec<HostIndex> {
+    let zones = rig.zones();
+    zones.iter().flat_map(|zone| rig.readers(zone)).collect()
+}
+
+fn publish_drain(rig: &mut FleetRig) {
+    rig.publish(|revision| {
+        let drain = UpstreamEntry {
+            state: EntryState::Draining,
+            ..entry(UPSTREAM, "ledger")
+        };
+        upstream_item(revision, drain)
+    });
+}
+
+#[test]
+fn test_added_hosts_keep_flows_of_upstreams_that_register_again() {
+    // Guards against resets of open flows by hosts that start while the registrations of all
+    // upstreams are missing, and whose readers then hear nothing of the store.
+    struct Case {
+        name: &'static str,
+        silent_ms: u64,
+        register_after_ms: u64,
+    }
+    let case = |name, silent_ms, register_after_ms| Case {
+        name,
+        silent_ms,
+        register_after_ms,
+    };
+    let cases = [
+        case("short second outage", 700, 100),
+        case("registers late", 700, 1700),
+        case("longer second outage", 2600, 100),
+        case("long second outage", 6600, 1700),
+    ];
+    for case in cases {
+        let mut rig = running_fleet(4, 11);
+        for host in &mut rig.hosts {
+            host.served = false;
+        }
+        rig.advance_time(2600);
+        for host in &mut rig.hosts {
+            host.served = true;
+        }
+        rig.publish(|revision| removed_item(revision, UPSTREAM));
+        let removed = rig.position();
+        let is_known = |host: &FleetHost| host.core.snapshot().through() == removed;
+        while !rig.hosts.iter().any(is_known) {
+            rig.advance_time(10);
+        }
+        rig.lose_responses(Duration::from_millis(case.silent_ms));
+        let added = last_hosts(&rig);
+        for host in &added {
+            rig.start(*host, Duration::ZERO);
+        }
+        rig.advance_time(case.silent_ms + case.register_after_ms);
+        rig.publish(|revision| upstream_item(revision, entry(UPSTREAM, "ledger")));
+        for step in 0..80 {
+            rig.advance_time(100);
+            for host in &added {
+                let reset = rig.send_in_flow(*host, 1, UPSTREAM);
+                assert_eq!(reset, None, "{}: in step {step} at {host}", case.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn test_change_after_lost_responses_is_in_force_in_time() {
+    // Guards against readers that wait for the response to a watch that was lost, and whose zones
+    // take the state from before it for current.
+    struct Case {
+        outages_ms: &'static [u64],
+        pause_ms: u64,
+    }
+    let case = |outages_ms, pause_ms| Case {
+        outages_ms,
+        pause_ms,
+    };
+    let cases = [
+        case(&[200], 0),
+        case(&[700], 0),
+        case(&[1000], 0),
+        case(&[2600], 0),
+        case(&[4500], 0),
+        case(&[6600], 0),
+        case(&[2600, 700], 200),
+        case(&[700, 1000, 200], 600),
+        case(&[1000, 4500], 1500),
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        for phase_ms in [0, 300, 700, 1300] {
+            let mut rig = running_fleet(4, number as u64);
+            rig.advance_time(phase_ms);
+            for outage_ms in case.outages_ms {
+                rig.publish(|revision| upstream_item(revision, entry(UPSTREAM, "ledger")));
+                rig.advance_time(case.pause_ms);
+                rig.lose_responses(Duration::from_millis(*outage_ms));
+                rig.advance_time(*outage_ms);
+            }
+            rig.advance_time(50);
+            publish_drain(&mut rig);
+            rig.advance_time(IN_FORCE_MILLIS.max(STABLE_MILLIS - 50));
+            let hosts = (0..rig.hosts.len()).filter(|host| rig.hosts[*host].alive);
+            let unaware: Vec<HostIndex> = hosts.filter(|host| rig.places_flows(*host)).collect();
+            assert!(
+                unaware.is_empty(),
+                "outages of {:?} ms, phase {phase_ms}: {unaware:?} still place flows",
+                case.outages_ms
+            );
+        }
+    }
+}
+
+#[test]
+fn test_drain_is_in_force_while_readers_get_no_response() {
+    // Guards against readers that the store leaves without a response, and whose zones learn
+    // nothing of a drain although the store answers their other hosts.
+    struct Case {
+        name: &'static str,
+        hosts_per_zone: u8,
+        next_readers: usize,
+        drain_after_ms: u64,
+    }
+    let case = |name, hosts_per_zone, next_readers, drain_after_ms| Case {
+        name,
+        hosts_per_zone,
+        next_readers,
+        drain_after_ms,
+    };
+    let cases = [
+        case("small zones", 4, 0, 20),
+        case("small zones, drain later", 4, 0, 400),
+        case("the next reader as well", 5, 1, 20),
+        case("larger zones", 36, 0, 20),
+        case("larger zones, two more", 36, 2, 20),
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        for phase_ms in [0, 250, 600] {
+            let mut rig = running_fleet(case.hosts_per_zone, 30 + number as u64);
+            rig.advance_time(phase_ms);
+            // A reader starts its next watch just before the store falls silent.
+            rig.publish(|revision| upstream_item(revision, entry(UPSTREAM, "ledger")));
+            rig.advance_time(350);
+            for host in all_readers(&rig) {
+                rig.ignore_calls_of(host);
+            }
+            ignore_next_readers(&mut rig, case.next_readers);
+            rig.advance_time(case.drain_after_ms);
+            publish_drain(&mut rig);
+            rig.advance_time(IN_FORCE_MILLIS);
+            let hosts = 0..rig.hosts.len();
+            let answered = hosts.filter(|host| rig.hosts[*host].alive && rig.hosts[*host].answered);
+            let unaware: Vec<HostIndex> = answered.filter(|host| rig.places_flows(*host)).collect();
+            assert!(
+                unaware.is_empty(),
+                "{}, phase {phase_ms}: {unaware:?} still place flows",
+                case.name
+            );
+        }
+    }
+}
+
+/// Stops answering the calls of the hosts that replace the readers of their zones, `count` in
+/// succession.
+fn ignore_next_readers(rig: &mut FleetRig, count: usize) {
+    for zone in rig.zones() {
+        let members = (0..rig.hosts.len()).filter(|host| {
+            let host = &rig.hosts[*host];
+            host.alive && host.answered && host.zone == zone
+        });
+        let mut ranked: Vec<HostIndex> = members.collect();
+        let zone_key = xxh3_64(zone.as_bytes());
+        ranked.sort_by_key(|host| {
+            let key = address_key(rig.hosts[*host].address);
+            Reverse(rendezvous_weight(zone_key, key))
+        });
+        for host in ranked.into_iter().take(count) {
+            rig.ignore_calls_of(host);
+        }
+    }
+}
--- a/packet/tests/test_zone_spill.rs
+++ b/packet/tests/test_zone_spill.rs
@@ -247,6 +247,7 @@
     PeerHeartbeat {
         zone: zone.into(),
         reads: false,
+        confirmation: None,
         capacity,
         ready,
         seeks: false,
--- a/packetd/src/event_log.rs
+++ b/packetd/src/event_log.rs
@@ -108,6 +108,7 @@
             version,
             through,
             synced_for,
+            confirmed_ago,
         } => {
             let evidence = evidence.as_ref();
             let registration = evidence.map_or("", |evidence| evidence.registration.name());
@@ -119,7 +120,8 @@
             let attempts = evidence.map_or(0, |evidence| evidence.attempts);
             let heard_ms = millis(evidence.and_then(|evidence| evidence.heard_ago));
             let synced_ms = millis(*synced_for);
-            log::info!(request, caller:% = caller, service:% = service, code, trigger:? = trigger, upstream, registration, attempts, heard_ms, version, through:%, synced_ms; "flow refused");
+            let confirmed_ms = millis(*confirmed_ago);
+            log::info!(request, caller:% = caller, service:% = service, code, trigger:? = trigger, upstream, registration, attempts, heard_ms, version, through:%, synced_ms, confirmed_ms; "flow refused");
         }
         DecisionEvent::Answered { took } => metrics.answer_seconds.observe(took.as_secs_f64()),
         DecisionEvent::Retransmitted {
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -40,7 +40,7 @@
                 let page = client.list(after.as_deref(), RESPONSE_TIMEOUT, check).await;
                 let update = page.and_then(|page| {
                     let mut core = state.core.borrow_mut();
-                    core.store_listed(Instant::now(), page)
+                    core.store_listed(page)
                 });
                 apply_result(&state, called_at, update);
             }
--- a/packetd/tests/faulty_peer.rs
+++ b/packetd/tests/faulty_peer.rs
@@ -46,6 +46,7 @@
         let heartbeat = PeerHeartbeat {
             zone: "a".into(),
             reads: false,
+            confirmation: None,
             capacity: 1000,
             ready: true,
             seeks: false,
