packet: a watch whose response was lost is noticed within 1.6 s

Cause: a watch could wait for 5 s and its response for 1.5 s, and nothing tells a watch that waits from one that was lost. The log of the case has one call of 6,500 ms at each reader (hypothesis 1) and no pause of a retry (2).

Change: the store holds a watch for 1 s, and the reader gives it up 600 ms after that; the first call after a timeout is due at once, on a new connection and with 1.5 s, so that a store that is slower than 600 ms is still read. Calls carry a deadline, which includes the connection; before, that could take 0.5 s more. Confirmations are 2 s apart at most, and a state is in sync for 4.5 s after the last one.

--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -96,9 +96,12 @@
         }
         let progress_check_after = self.start_plan.progress_check_after(has_seeds);
         match self.feed.next_step(now) {
-            FeedStep::List { after, .. } => FeedStep::List {
+            FeedStep::List {
+                after, deadline, ..
+            } => FeedStep::List {
                 after,
                 progress_check_after,
+                deadline,
             },
             step => step,
         }
--- a/packet/src/state/state_confirmation.rs
+++ b/packet/src/state/state_confirmation.rs
@@ -12,12 +12,14 @@
 use serde_with::DurationMilliSeconds;
 use serde_with::serde_as;
 
-/// Maximum time between two confirmations of one span. It exceeds the longest call that succeeds.
-const MAX_CONFIRMATION_GAP: Duration = Duration::from_secs(7);
-
-/// Age of the last confirmation above which a state no longer counts as in sync. It exceeds the
-/// longest call that succeeds, plus a heartbeat interval.
-const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(8);
+/// Maximum time between two confirmations of one span. It exceeds the longest call that succeeds,
+/// and registrations do not lapse in a shorter outage of the store.
+const MAX_CONFIRMATION_GAP: Duration = Duration::from_secs(2);
+
+/// Age of the last confirmation above which a state no longer counts as in sync. A confirmation is
+/// as old as the longest call that succeeds, is replaced after another one, and reaches followers
+/// with the next heartbeat.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(4500);
 
 /// A time span in which the store has confirmed the state without interruption.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/packet/src/state/store_feed.rs
+++ b/packet/src/state/store_feed.rs
@@ -19,17 +19,22 @@
 use crate::state::state_snapshot::StateUpdate;
 use crate::state::store_position::StorePosition;
 
-/// Time for which the store may hold a watch open without changes. A shorter time costs more calls,
-/// although only the few readers make them; with a longer one, a store that does not respond to its
-/// reader is detected later.
-pub const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Time for which the store may hold a watch open without changes. Nothing tells a watch that waits
+/// from one whose response was lost, so that a change may be missed for this time and
+/// [`WATCH_TIMEOUT`] together. A shorter time costs more calls, although only the few readers make
+/// them.
+pub const WATCH_WAIT: Duration = Duration::from_secs(1);
 
 /// Time for which the store may hold the first watch of a new reader open. The response shows that
 /// the store serves this host, and other hosts step down only then.
 pub const FIRST_WATCH_WAIT: Duration = Duration::from_millis(1);
 
-/// Timeout of a store call; for a watch, in addition to its wait. The store responds in 4 ms, and
-/// in 360 ms when it is slow.
+/// Timeout of a watch in addition to its wait, while the store responds. The store responds in 4
+/// ms, and in 360 ms when it is slow.
+pub const WATCH_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Timeout of the other calls: of a page of the list, and of a watch after a failed call. It lets a
+/// store that is slower than [`WATCH_TIMEOUT`] still be read.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Pause after a watch that returned changes, so that the changes of a rolling update are read in
@@ -134,6 +139,8 @@
         /// Time after the response head at which to check whether the listing is too slow; `None`
         /// for no check.
         progress_check_after: Option<Duration>,
+        /// When the call has failed.
+        deadline: Instant,
     },
     /// Watch for changes after a position.
     Watch {
@@ -141,6 +148,8 @@
         after: StorePosition,
         /// Time for which the store may wait for a change.
         wait: Duration,
+        /// When the call has failed.
+        deadline: Instant,
     },
     /// Make no call until a time.
     Wait {
@@ -175,17 +184,22 @@
             return FeedStep::Wait { until };
         }
         match self.watch_after {
-            Some(after) => FeedStep::Watch {
-                after,
-                wait: if self.last_call_succeeded {
-                    WATCH_WAIT
+            Some(after) => {
+                let (wait, timeout) = if self.last_call_succeeded {
+                    (WATCH_WAIT, WATCH_TIMEOUT)
                 } else {
-                    FIRST_WATCH_WAIT
-                },
-            },
+                    (FIRST_WATCH_WAIT, RESPONSE_TIMEOUT)
+                };
+                FeedStep::Watch {
+                    after,
+                    wait,
+                    deadline: now + wait + timeout,
+                }
+            }
             None => FeedStep::List {
                 after: self.next_after.clone(),
                 progress_check_after: None,
+                deadline: now + RESPONSE_TIMEOUT,
             },
         }
     }
@@ -263,7 +277,8 @@
         })
     }
 
-    /// Records a failed call and schedules the next one.
+    /// Records a failed call and schedules the next one. The first call after a timeout is due at
+    /// once: the response may have been lost with its connection, while the store responds on others.
     pub fn call_failed(&mut self, now: Instant, fault: &StoreFault) {
         self.last_call_succeeded = false;
         let needs_list = fault.needs_list();
@@ -271,7 +286,8 @@
             self.refused_position = self.watch_after.take().unwrap_or(self.refused_position);
         }
         self.discard_list();
-        if needs_list && self.failures == 0 {
+        let retries_at_once = needs_list || *fault == StoreFault::TimedOut;
+        if retries_at_once && self.failures == 0 {
             self.failures = 1;
             return;
         }
--- a/packetd/src/store_reader.rs
+++ b/packetd/src/store_reader.rs
@@ -7,7 +7,6 @@
 use lagoonproxy_packet::state::start_plan::StartPlan;
 use lagoonproxy_packet::state::state_snapshot::StateUpdate;
 use lagoonproxy_packet::state::store_feed::FeedStep;
-use lagoonproxy_packet::state::store_feed::RESPONSE_TIMEOUT;
 use lagoonproxy_packet::state::store_feed::StoreFault;
 use lagoonproxy_platform::store_client::ProgressCheck;
 use lagoonproxy_platform::store_client::StoreClient;
@@ -32,20 +31,25 @@
             FeedStep::List {
                 after,
                 progress_check_after,
+                deadline,
             } => {
                 let check = progress_check_after.map(|progress_check_after| ProgressCheck {
                     progress_check_after,
                     should_abandon: StartPlan::is_list_too_slow,
                 });
-                let page = client.list(after.as_deref(), RESPONSE_TIMEOUT, check).await;
+                let page = client.list(after.as_deref(), deadline, check).await;
                 let update = page.and_then(|page| {
                     let mut core = state.core.borrow_mut();
                     core.store_listed(page)
                 });
                 apply_result(&state, called_at, update);
             }
-            FeedStep::Watch { after, wait } => {
-                let batch = client.watch(after.revision, wait, RESPONSE_TIMEOUT).await;
+            FeedStep::Watch {
+                after,
+                wait,
+                deadline,
+            } => {
+                let batch = client.watch(after.revision, wait, deadline).await;
                 let update = batch.and_then(|batch| {
                     let mut core = state.core.borrow_mut();
                     core.store_changed(Instant::now(), batch).map(Some)
