packet: a reader that the store does not answer is replaced within a second

Cause: the followers acted on the reader's word that it reads. With two of them unanswered in zones of 35 hosts the drain was still missed after 3 s.

Change: a reader whose call fails sends its round of heartbeats at once, and again when the store responds; between the two is the rank delay of 0.3 s, in which it may be answered on a new connection. Two hosts at a time replace it. A follower no longer counts a reader whose last confirmation is older than 4.5 s. The first retry after a refusal is due after 100 ms (200 ms before), so that a refused call alone moves no reader.

--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -118,6 +118,7 @@
         if let Some(change) = change {
             self.feed.restart_calls();
             self.store_reachable = false;
+            self.announced_lost = false;
             output.events.push(DecisionEvent::Role {
                 change,
                 reader: self.zone_reader(now),
@@ -148,7 +149,8 @@
         Ok(update)
     }
 
-    /// Accepts the events of a watch.
+    /// Accepts the events of a watch. After a failed call, the zone learns at once that the store
+    /// responds again, so that it does not replace its reader.
     ///
     /// Fails if they are of another era than the watched position.
     pub fn store_changed(
@@ -157,19 +159,28 @@
         batch: WatchBatch,
     ) -> Result<StateUpdate, StoreFault> {
         let update = self.feed.accept_watch_batch(now, batch)?;
+        if self.announced_lost {
+            self.announced_lost = false;
+            self.peers.make_round_due();
+        }
         if let Some(called_at) = self.store_called_at {
             self.store_confirmed(called_at);
         }
         Ok(update)
     }
 
-    /// Records that a call to the store failed.
+    /// Records that a call to the store failed. The zone learns it at once, since its other hosts can
+    /// read instead.
     pub fn store_failed(&mut self, now: Instant, fault: &StoreFault) {
         self.confirmation.interrupt();
         self.feed.call_failed(now, fault);
         if fault.needs_list() {
             return;
         }
+        if self.role.reads() && self.store_reachable {
+            self.announced_lost = true;
+            self.peers.make_round_due();
+        }
         self.store_reachable = false;
         if *fault == StoreFault::ListTooSlow {
             self.start_plan.list_abandoned(now);
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -92,6 +92,8 @@
     /// Whether the store responded to this host's last call; false before its first call as the
     /// reader of the zone.
     pub(crate) store_reachable: bool,
+    /// Whether this host, as the reader, has announced to its zone that the store does not respond.
+    pub(crate) announced_lost: bool,
     /// When the last call to the store was sent; `None` before the first.
     pub(crate) store_called_at: Option<Instant>,
     /// The store's confirmations of the published state, received directly or through the zone's
@@ -133,6 +135,7 @@
             feed: StoreFeed::default(),
             start_plan: StartPlan::new(*settings.peer_address.ip()),
             store_reachable: false,
+            announced_lost: false,
             store_called_at: None,
             confirmation: StateConfirmation::default(),
             version: 0,
--- a/packet/src/peers/peer_record.rs
+++ b/packet/src/peers/peer_record.rs
@@ -108,12 +108,15 @@
         }
     }
 
-    /// Whether its last heartbeat is recent and stated that it reads the store.
+    /// Whether its last heartbeat is recent and stated that it reads the store, and the store's last
+    /// confirmation to it is recent too. Readers of other zones do not state their confirmations.
     pub(crate) fn is_current_reader(&self, now: Instant) -> bool {
         let ago = self
             .last_heartbeat_at
             .map(|at| now.saturating_duration_since(at));
-        self.reads && ago.is_some_and(|ago| ago < READER_HEARTBEAT_TIMEOUT)
+        self.reads
+            && ago.is_some_and(|ago| ago < READER_HEARTBEAT_TIMEOUT)
+            && self.confirmed.is_none_or(|span| span.is_current(now))
     }
 
     /// Whether its state has something that the state of `held` lacks. Hosts at the same position
--- a/packet/src/peers/peer_rounds.rs
+++ b/packet/src/peers/peer_rounds.rs
@@ -144,8 +144,8 @@
         take_round_robin(&local, &mut self.cursors.report, MAX_REPORT_TARGETS)
     }
 
-    /// Makes the next round due at once, because this host has just obtained its first state, which
-    /// others may need.
+    /// Makes the next round due at once, because others need what it says: that this host has just
+    /// obtained its first state, or whether the store responds to it.
     pub fn make_round_due(&mut self) {
         self.cursors.next_round = None;
     }
--- a/packet/src/state/read_role.rs
+++ b/packet/src/state/read_role.rs
@@ -21,9 +21,14 @@
 
 use crate::peers::peer_table::PeerTable;
 
-/// Additional delay before a host becomes the reader, for each better host that it knows.
+/// Additional delay before a host becomes the reader, for each [`HOSTS_PER_STEP`] better hosts that
+/// it knows.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 
+/// Number of hosts that replace a lost reader at the same time. The store may respond to only one of
+/// them; if it responds to both, the better one goes on.
+const HOSTS_PER_STEP: u32 = 2;
+
 /// Time after its start in which a host does not become the reader. Its state is as recent as its
 /// start, and it needs this time to receive heartbeats from its zone.
 const DISCOVERY_WAIT: Duration = Duration::from_millis(1200);
@@ -182,7 +187,8 @@
             .not_before
             .map_or(no_reader_since, |start| start.max(no_reader_since));
         let better = self.count_better_hosts(now, peers);
-        let is_waiting = now < since + RANK_DELAY * better.min(MAX_BETTER_HOSTS);
+        let steps = better.min(MAX_BETTER_HOSTS).div_ceil(HOSTS_PER_STEP);
+        let is_waiting = now < since + RANK_DELAY * steps;
         (!is_waiting && better <= MAX_BETTER_HOSTS).then_some(RoleChange::Replaces)
     }
 
--- a/packet/src/state/store_feed.rs
+++ b/packet/src/state/store_feed.rs
@@ -42,7 +42,7 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// Delay before the first retry after a failure; doubled with each further failure.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Maximum delay before a retry, and so the longest time until a store that is available again is
 /// noticed.
--- a/packet/tests/fleet_rig.rs
+++ b/packet/tests/fleet_rig.rs
@@ -34,6 +34,7 @@
 
 use crate::core_rig::*;
 use crate::fleet_store::ListTransfer;
+use crate::fleet_store::STORE_DELAY;
 use crate::fleet_store::StoreCall;
 use crate::fleet_store::WaitingWatch;
 
@@ -151,6 +152,8 @@
     /// Last revision that the store's history no longer contains.
     pub(crate) dropped_through: Revision,
     pub(crate) watches: Vec<WaitingWatch>,
+    /// Time until the store responds to a call.
+    pub store_delay: Duration,
     /// End of the time in which every response of the store is lost.
     pub(crate) silent_until: Option<Instant>,
     /// Size of the whole list in bytes.
@@ -235,6 +238,7 @@
             era: 0,
             dropped_through: 0,
             watches: Vec::new(),
+            store_delay: STORE_DELAY,
             silent_until: None,
             list_bytes: 460_000.0,
             list_transfers: Vec::new(),
--- a/packet/tests/fleet_store.rs
+++ b/packet/tests/fleet_store.rs
@@ -20,8 +20,8 @@
 use crate::fleet_rig::FleetRig;
 use crate::fleet_rig::HostIndex;
 
-/// Time until the store responds to a call.
-const STORE_DELAY: Duration = Duration::from_millis(8);
+/// Time until the store responds to a call, unless it is slow.
+pub(crate) const STORE_DELAY: Duration = Duration::from_millis(8);
 
 /// Interval at which list transfers advance.
 const LINK_TICK: Duration = Duration::from_millis(5);
@@ -132,7 +132,11 @@
     pub fn cut_watches(&mut self) {
         for watch in std::mem::take(&mut self.watches) {
             let fault = StoreFault::TimedOut;
-            self.schedule(watch.host, STORE_DELAY, FleetEvent::Watched(Err(fault)));
+            self.schedule(
+                watch.host,
+                self.store_delay,
+                FleetEvent::Watched(Err(fault)),
+            );
         }
     }
 
@@ -181,7 +185,7 @@
             }
             FeedStep::List { .. } => {
                 self.calls.push((now, index, StoreCall::List));
-                self.schedule(index, STORE_DELAY, FleetEvent::Listed(Err(refusal)));
+                self.schedule(index, self.store_delay, FleetEvent::Listed(Err(refusal)));
             }
             FeedStep::Watch {
                 after,
@@ -201,7 +205,7 @@
                 if is_lost {
                     self.lose_watch(&watch);
                 } else if !served {
-                    self.schedule(index, STORE_DELAY, FleetEvent::Watched(Err(refusal)));
+                    self.schedule(index, self.store_delay, FleetEvent::Watched(Err(refusal)));
                 } else if after != self.position() {
                     self.end_watch(&watch);
                 } else {
@@ -242,7 +246,7 @@
                 } else {
                     Ok(page)
                 };
-                self.schedule(list.host, STORE_DELAY, FleetEvent::Listed(response));
+                self.schedule(list.host, self.store_delay, FleetEvent::Listed(response));
             }
             alive && is_incomplete && !is_abandoned
         });
@@ -289,14 +293,19 @@
         if self.hosts[watch.host].generation != watch.generation {
             return;
         }
-        if self.loses_response(watch.host) {
+        let is_late = self.now + self.store_delay > watch.deadline;
+        if is_late || self.loses_response(watch.host) {
             self.lose_watch(watch);
             return;
         }
         let after = watch.after.revision;
         if after < self.dropped_through || after > self.revision {
             let fault = StoreFault::HistoryDropped;
-            self.schedule(watch.host, STORE_DELAY, FleetEvent::Watched(Err(fault)));
+            self.schedule(
+                watch.host,
+                self.store_delay,
+                FleetEvent::Watched(Err(fault)),
+            );
             return;
         }
         let newer = self
@@ -308,6 +317,6 @@
             changed: after < self.revision,
             position: self.position(),
         };
-        self.schedule(watch.host, STORE_DELAY, FleetEvent::Watched(Ok(batch)));
+        self.schedule(watch.host, self.store_delay, FleetEvent::Watched(Ok(batch)));
     }
 }
--- a/packet/tests/test_unconfirmed_state.rs
+++ b/packet/tests/test_unconfirmed_state.rs
@@ -208,6 +208,58 @@
     }
 }
 
+#[test]
+fn test_slow_or_briefly_lost_store_switches_no_reader() {
+    // Guards against readers that are replaced although the store responds to them, only slowly, or
+    // again after a moment, and against many calls to a store that is slower than that.
+    struct Case {
+        name: &'static str,
+        delay_ms: u64,
+        lost_ms: u64,
+        switches: bool,
+    }
+    let case = |name, delay_ms, lost_ms, switches| Case {
+        name,
+        delay_ms,
+        lost_ms,
+        switches,
+    };
+    let cases = [
+        case("slow", 360, 0, false),
+        case("slower than a watch's timeout", 900, 0, true),
+        case("lost for a moment", 8, 100, false),
+        case("lost for longer", 8, 700, false),
+        case("slow, lost for a moment", 360, 100, false),
+    ];
+    const SECONDS: usize = 20;
+    const MAX_CALLS_PER_ZONE_AND_SECOND: usize = 4;
+    for (number, case) in cases.iter().enumerate() {
+        let mut rig = running_fleet(20, 60 + number as u64);
+        let readers = all_readers(&rig);
+        let before = rig.calls.len();
+        rig.store_delay = Duration::from_millis(case.delay_ms);
+        let mut switched = Vec::new();
+        for step in 0..SECONDS * 10 {
+            if step % 50 == 0 {
+                rig.publish(|revision| upstream_item(revision, entry(UPSTREAM, "ledger")));
+                rig.lose_responses(Duration::from_millis(case.lost_ms));
+            }
+            rig.advance_time(100);
+            let current = all_readers(&rig);
+            switched.extend((current != readers).then_some(current));
+        }
+        assert_eq!(
+            switched.is_empty(),
+            !case.switches,
+            "{}: {switched:?}",
+            case.name
+        );
+        let calls = rig.calls.len() - before;
+        let max_calls = SECONDS * MAX_CALLS_PER_ZONE_AND_SECOND * rig.zones().len();
+        assert!(calls <= max_calls, "{}: {calls} calls", case.name);
+    }
+}
+
 /// Stops answering the calls of the hosts that replace the readers of their zones, `count` in
 /// succession.
 fn ignore_next_readers(rig: &mut FleetRig, count: usize) {
