packet: a grace time ends only when the store has confirmed what is missing

The grace time of a lapsed or outdated registration, and of an evacuation that a restored store does not list, ended by the host's clock, also while the store could not tell that it was back.

Change: these end when the store has confirmed the state after the deadline. A watch without changes confirms the end of its wait, not its start, so that this takes no second watch.

Test: test_grace_times_do_not_end_while_the_store_is_silent, before: 'registration removed: while silent'; now it passes.

--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -83,8 +83,8 @@
         }
         self.feed.advance_to(self.snapshot.through());
         let step = self.feed.next_step(now);
-        if matches!(step, FeedStep::Watch { .. }) {
-            self.store_called_at = Some(now);
+        if let FeedStep::Watch { wait, .. } = step {
+            self.last_watch = Some((now, wait));
         }
         step
     }
@@ -158,13 +158,17 @@
         now: Instant,
         batch: WatchBatch,
     ) -> Result<StateUpdate, StoreFault> {
+        let changed = batch.changed;
         let update = self.feed.accept_watch_batch(now, batch)?;
         if self.announced_lost {
             self.announced_lost = false;
             self.peers.make_round_due();
         }
-        if let Some(called_at) = self.store_called_at {
-            self.store_confirmed(called_at);
+        if let Some((called_at, wait)) = self.last_watch {
+            // Without changes, the store responds only after the wait.
+            let wait_end = called_at + wait;
+            let has_waited = !changed && wait_end <= now;
+            self.store_confirmed(if has_waited { wait_end } else { called_at });
         }
         Ok(update)
     }
@@ -189,10 +193,10 @@
         }
     }
 
-    /// Records that the store has responded to a watch that was sent at `called_at`.
-    pub fn store_confirmed(&mut self, called_at: Instant) {
+    /// Records that the store has responded to a watch, and that the state was its state at `as_of`.
+    pub fn store_confirmed(&mut self, as_of: Instant) {
         self.store_reachable = true;
-        self.confirmation.confirm(called_at);
+        self.confirmation.confirm(as_of);
     }
 
     /// Returns the peer to request a newer state from now, if any.
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -94,8 +94,8 @@
     pub(crate) store_reachable: bool,
     /// Whether this host, as the reader, has announced to its zone that the store does not respond.
     pub(crate) announced_lost: bool,
-    /// When the last call to the store was sent; `None` before the first.
-    pub(crate) store_called_at: Option<Instant>,
+    /// When the last watch was sent to the store, and its wait; `None` before the first.
+    pub(crate) last_watch: Option<(Instant, Duration)>,
     /// The store's confirmations of the published state, received directly or through the zone's
     /// reader.
     pub(crate) confirmation: StateConfirmation,
@@ -136,7 +136,7 @@
             start_plan: StartPlan::new(*settings.peer_address.ip()),
             store_reachable: false,
             announced_lost: false,
-            store_called_at: None,
+            last_watch: None,
             confirmation: StateConfirmation::default(),
             version: 0,
             state_since: None,
@@ -210,7 +210,8 @@
     pub fn tick(&mut self, now: Instant, output: &mut PacketOutput) {
         self.detect_stall(now);
         self.upstreams.merge_reports(self.peers.local_reports(now));
-        let expired = self.upstreams.tick(now);
+        let confirmed_at = self.confirmation.span().map(|span| span.confirmed_at);
+        let expired = self.upstreams.tick(now, confirmed_at);
         for index in expired.removed {
             self.load.remove_upstream(index);
             self.dispatch.ledger.remove_upstream(index);
@@ -221,7 +222,7 @@
         for index in expired.registered {
             self.record_upstream(now, index, UpstreamChange::Registered, output);
         }
-        for zone in self.upstreams.expire_evacuations(now) {
+        for zone in self.upstreams.expire_evacuations(now, confirmed_at) {
             self.record_evacuation(&zone, false, output);
         }
         self.claim_warmups(now);
--- a/packet/src/state/state_confirmation.rs
+++ b/packet/src/state/state_confirmation.rs
@@ -1,8 +1,9 @@
 //! Tracks for which time the store has confirmed the published state that a host holds.
 //!
 //! A call that has not failed yet shows nothing: its response may be lost. Only a response shows
-//! that the held state was the store's, as of the time at which the call was sent. What is missing
-//! from the state does not exist only if the store has confirmed that for long enough.
+//! that the held state was the store's, as of the time at which the call was sent, or for which the
+//! store had no change. What is missing from the state does not exist only if the store has
+//! confirmed that for long enough.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -24,9 +25,9 @@
 /// A time span in which the store has confirmed the state without interruption.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConfirmedSpan {
-    /// When the first call of the span was sent.
+    /// Time of the first confirmation.
     pub since: Instant,
-    /// When the last call that the store responded to was sent; not before `since`.
+    /// Time of the last confirmation; not before `since`.
     pub confirmed_at: Instant,
 }
 
@@ -96,20 +97,20 @@
         self.span = None;
     }
 
-    /// Records a response of the store to a call that was sent at `called_at`.
-    pub fn confirm(&mut self, called_at: Instant) {
-        if self.not_before.is_none_or(|start| called_at < start) {
+    /// Records a response of the store that shows that the state was its state at `as_of`.
+    pub fn confirm(&mut self, as_of: Instant) {
+        if self.not_before.is_none_or(|start| as_of < start) {
             return;
         }
         let fresh = ConfirmedSpan {
-            since: called_at,
-            confirmed_at: called_at,
+            since: as_of,
+            confirmed_at: as_of,
         };
         let span = self.span.get_or_insert(fresh);
-        if called_at.saturating_duration_since(span.confirmed_at) > MAX_CONFIRMATION_GAP {
+        if as_of.saturating_duration_since(span.confirmed_at) > MAX_CONFIRMATION_GAP {
             *span = fresh;
         }
-        span.confirmed_at = span.confirmed_at.max(called_at);
+        span.confirmed_at = span.confirmed_at.max(as_of);
     }
 
     /// Takes over the span of the zone's reader. The state of this host must contain the reader's.
--- a/packet/src/upstreams/restored_upstreams.rs
+++ b/packet/src/upstreams/restored_upstreams.rs
@@ -89,12 +89,16 @@
     }
 
     /// Ends the evacuations whose grace time is over, because the store lost them and nobody
-    /// requested them again; returns their zones.
-    pub fn expire_evacuations(&mut self, now: Instant) -> Vec<ZoneName> {
+    /// requested them again; returns their zones. As in [`UpstreamTable::tick`], the store must have
+    /// confirmed that.
+    pub fn expire_evacuations(
+        &mut self,
+        now: Instant,
+        confirmed_at: Option<Instant>,
+    ) -> Vec<ZoneName> {
         let due = self.evacuated.iter().filter(|(_zone, evacuation)| {
-            evacuation
-                .expires_at
-                .is_some_and(|expires_at| expires_at <= now)
+            let expires_at = evacuation.expires_at;
+            expires_at.is_some_and(|expires_at| confirmed_at.is_some_and(|at| expires_at <= at))
         });
         let expired: Vec<ZoneName> = due.map(|(zone, _evacuation)| zone.clone()).collect();
         for zone in &expired {
--- a/packet/src/upstreams/upstream_table.rs
+++ b/packet/src/upstreams/upstream_table.rs
@@ -420,15 +420,20 @@
 
     /// Expires lapsed registrations, applies held ones and removes the records of deregistered
     /// upstreams that can have no open flow; returns the upstreams whose grace time has ended.
-    pub fn tick(&mut self, now: Instant) -> ExpiredUpstreams {
+    ///
+    /// A grace time ends only when the store has confirmed the state after it, as of
+    /// `confirmed_at`. While the store does not respond, a registration may be back unnoticed.
+    pub fn tick(&mut self, now: Instant, confirmed_at: Option<Instant>) -> ExpiredUpstreams {
+        let is_over =
+            |until: Instant| confirmed_at.is_some_and(|confirmed_at| until <= confirmed_at);
         let mut expired = ExpiredUpstreams::default();
         let mut due = Vec::new();
         for index in self.by_name.values().copied() {
             let record = &mut self.records[index as usize];
             record.failure_detector.tick(now);
-            due.extend(record.held.take_if(|held| held.until <= now));
+            due.extend(record.held.take_if(|held| is_over(held.until)));
             match record.registration {
-                RegistrationState::Lapsed { until, .. } if until <= now => {
+                RegistrationState::Lapsed { until, .. } if is_over(until) => {
                     expired.deregistered.push((index, record.registration));
                 }
                 RegistrationState::Deregistered { remove_at }
--- a/packet/tests/test_unconfirmed_state.rs
+++ b/packet/tests/test_unconfirmed_state.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lagoonproxy::flow_hash::rendezvous_weight;
+use lagoonproxy_packet::policy_config::LapseConfig;
 use lagoonproxy_packet::state::state_source::address_key;
 use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
 use lagoonproxy_packet::upstreams::upstream_entry::UpstreamEntry;
@@ -260,6 +261,79 @@
     }
 }
 
+#[test]
+fn test_grace_times_do_not_end_while_the_store_is_silent() {
+    // Guards against upstreams that get no new flows, and evacuated zones that get some, because a
+    // grace time ended while the store could not tell that they were written again.
+    struct Case {
+        name: &'static str,
+        publish: fn(&mut CoreRig),
+        is_kept: fn(&mut CoreRig) -> bool,
+        grace: Duration,
+    }
+    let LapseConfig {
+        grace,
+        restored_grace,
+        evacuation_grace,
+        ..
+    } = LapseConfig::default();
+    let cases = [
+        Case {
+            name: "registration removed",
+            publish: |rig| rig.publish(|revision| removed_item(revision, UPSTREAM)),
+            is_kept: |rig| gets_flows(rig, UPSTREAM),
+            grace,
+        },
+        Case {
+            name: "registration lost in a restore",
+            publish: |rig| {
+                let items = vec![
+                    routes_item(5, default_routes(1)),
+                    evacuation_item(5, "b"),
+                    upstream_item(5, entry(2, "ledger")),
+                ];
+                rig.restore(5, items);
+            },
+            is_kept: |rig| gets_flows(rig, UPSTREAM),
+            grace: restored_grace,
+        },
+        Case {
+            name: "evacuation lost in a restore",
+            publish: |rig| {
+                let entries = [entry(UPSTREAM, "ledger"), entry(2, "ledger")];
+                let mut items = vec![routes_item(5, default_routes(1))];
+                items.extend(entries.map(|entry| upstream_item(5, entry)));
+                rig.restore(5, items);
+            },
+            is_kept: |rig| rig.core.upstreams().evacuated().contains_key("b"),
+            grace: evacuation_grace,
+        },
+    ];
+    for case in cases {
+        let mut rig = CoreRig::with_ledger(&[UPSTREAM, 2]);
+        rig.publish(|revision| evacuation_item(revision, "b"));
+        let flow = (0..10)
+            .find(|flow| rig.establish(*flow) == UPSTREAM)
+            .expect("a flow at the upstream");
+        rig.advance_time(6000);
+        rig.request(flow, UPSTREAM, 0);
+        rig.advance_time(20);
+        rig.acknowledge(flow, UPSTREAM, 0);
+        (case.publish)(&mut rig);
+        rig.store_unreachable = true;
+        rig.advance_time(case.grace.as_millis() as u64 + 3000);
+        assert!((case.is_kept)(&mut rig), "{}: while silent", case.name);
+        rig.store_unreachable = false;
+        rig.advance_time(200);
+        assert!(!(case.is_kept)(&mut rig), "{}: confirmed", case.name);
+    }
+}
+
+/// Returns whether any of 40 new flows is placed at an upstream.
+fn gets_flows(rig: &mut CoreRig, upstream: u8) -> bool {
+    (100..140).any(|flow| rig.open(flow, 0).contains(&upstream))
+}
+
 /// Stops answering the calls of the hosts that replace the readers of their zones, `count` in
 /// succession.
 fn ignore_next_readers(rig: &mut FleetRig, count: usize) {
