packet: a change does not interrupt the confirmed time

What callers saw: nothing yet, found while reading the diff. Callers of a dead upstream would have waited until their timeout on hosts that do not know it.

Cause: a watch with changes confirmed the time at which it was sent, the next one without changes the end of its wait; the two can be more than 2 s apart, which starts the span anew.

Change: a watch without changes confirms both its start and its end.

Test: test_flows_of_unknown_upstreams_are_reset_while_changes_come, before: 'a change every 2500 ms, host 0', no reset; now it passes.

--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -165,10 +165,12 @@
             self.peers.make_round_due();
         }
         if let Some((called_at, wait)) = self.last_watch {
+            self.store_confirmed(called_at);
             // Without changes, the store responds only after the wait.
             let wait_end = called_at + wait;
-            let has_waited = !changed && wait_end <= now;
-            self.store_confirmed(if has_waited { wait_end } else { called_at });
+            if !changed && wait_end <= now {
+                self.store_confirmed(wait_end);
+            }
         }
         Ok(update)
     }
--- a/packet/tests/test_unconfirmed_state.rs
+++ b/packet/tests/test_unconfirmed_state.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lagoonproxy::flow_hash::rendezvous_weight;
+use lagoonproxy::result_code::ResultCode;
 use lagoonproxy_packet::policy_config::LapseConfig;
 use lagoonproxy_packet::state::state_source::address_key;
 use lagoonproxy_packet::upstreams::upstream_entry::EntryState;
@@ -261,6 +262,23 @@
     }
 }
 
+#[test]
+fn test_flows_of_unknown_upstreams_are_reset_while_changes_come() {
+    // Guards against callers of a dead upstream that wait until their timeout because each change of
+    // the store counts as an interruption.
+    for (number, pause_ms) in [100, 700, 900, 1000, 1300, 2500].into_iter().enumerate() {
+        let mut rig = running_fleet(4, 80 + number as u64);
+        rig.store_delay = Duration::from_millis(360);
+        rig.advance_with_changes(10_000, pause_ms);
+        let hosts = (0..rig.hosts.len()).filter(|host| rig.hosts[*host].alive);
+        for host in hosts.collect::<Vec<_>>() {
+            let reset = rig.send_in_flow(host, 1, UPSTREAM + 1);
+            let expected = Some(ResultCode::FlowUnknown);
+            assert_eq!(reset, expected, "a change every {pause_ms} ms, host {host}");
+        }
+    }
+}
+
 #[test]
 fn test_grace_times_do_not_end_while_the_store_is_silent() {
     // Guards against upstreams that get no new flows, and evacuated zones that get some, because a
