soak: responses of the store that are lost, for all hosts or for the readers

The soak had stores that refuse or hold back responses, none that loses them for good. Two faults from a sequence of random numbers of their own: the responses to all hosts are lost for 0.2 to 6.6 s, or those to the readers for 2 to 9 s.

--- a/standin/src/packet_store.rs
+++ b/standin/src/packet_store.rs
@@ -40,6 +40,9 @@
     Refuse(u16),
     /// Requests are accepted and get no response until the behaviour changes.
     Silent,
+    /// Responses are lost. Requests that wait, or that arrive meanwhile, get none at all; those that
+    /// arrive after the behaviour has changed are served.
+    Lost,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -270,6 +273,7 @@
             StoreBehaviour::Serve => return None,
             StoreBehaviour::Refuse(status) => return Some(error_response(status)),
             StoreBehaviour::Silent => behaviour.changed().await.ok()?,
+            StoreBehaviour::Lost => std::future::pending().await,
         }
     }
 }
--- a/standin/src/soak_fault.rs
+++ b/standin/src/soak_fault.rs
@@ -33,6 +33,10 @@
     Store(usize, StoreBehaviour),
     /// The store responds to no host.
     StoreUnreachable,
+    /// The store's responses to all hosts are lost.
+    LostResponses,
+    /// The store's responses to the hosts that read it are lost.
+    UnansweredReaders,
     /// The store drops its history.
     DropHistory,
     /// An upstream drops all packets, as after a power loss.
@@ -120,7 +124,15 @@
             _ => None,
         };
         let route = |fault| matches!(fault, Self::AddedRoute(_));
-        let store = |fault| matches!(fault, Self::Store(..) | Self::StoreUnreachable);
+        let store = |fault| {
+            matches!(
+                fault,
+                Self::Store(..)
+                    | Self::StoreUnreachable
+                    | Self::LostResponses
+                    | Self::UnansweredReaders
+            )
+        };
         let same_host = host(self).is_some() && host(self) == host(other);
         let same_upstream = upstream(self).is_some() && upstream(self) == upstream(other);
         let same_registration =
@@ -151,6 +163,8 @@
             Self::Hangup(host) => cluster.hosts[host].signal("HUP").await,
             Self::Store(host, behaviour) => cluster.hosts[host].store.set_behaviour(behaviour),
             Self::StoreUnreachable => set_all_behaviours(cluster, StoreBehaviour::Silent),
+            Self::LostResponses => set_all_behaviours(cluster, StoreBehaviour::Lost),
+            Self::UnansweredReaders => ignore_readers(cluster).await,
             Self::DropHistory => cluster.store.drop_history(),
             Self::UpstreamUnreachable(upstream) => {
                 state.record_upstream_fault(cluster.upstreams[upstream].number);
@@ -192,7 +206,9 @@
             Self::Store(host, _behaviour) => cluster.hosts[host]
                 .store
                 .set_behaviour(StoreBehaviour::Serve),
-            Self::StoreUnreachable => set_all_behaviours(cluster, StoreBehaviour::Serve),
+            Self::StoreUnreachable | Self::LostResponses | Self::UnansweredReaders => {
+                set_all_behaviours(cluster, StoreBehaviour::Serve);
+            }
             Self::UpstreamUnreachable(upstream) => {
                 state.record_upstream_fault(cluster.upstreams[upstream].number);
                 cluster.upstreams[upstream].set_unreachable(false);
@@ -233,7 +249,17 @@
     }
 }
 
-fn set_all_behaviours(cluster: &PacketCluster, behaviour: StoreBehaviour) {
+/// Loses the store's responses to the hosts that read it.
+pub(crate) async fn ignore_readers(cluster: &PacketCluster) {
+    for host in &cluster.hosts {
+        if host.metric("lagoon_packet_reads ").await > 0.0 {
+            host.store.set_behaviour(StoreBehaviour::Lost);
+        }
+    }
+}
+
+/// Sets how the store responds to every host.
+pub(crate) fn set_all_behaviours(cluster: &PacketCluster, behaviour: StoreBehaviour) {
     for host in &cluster.hosts {
         host.store.set_behaviour(behaviour);
     }
--- a/standin/src/soak_schedule.rs
+++ b/standin/src/soak_schedule.rs
@@ -28,6 +28,7 @@
 const BUSY_STREAM: u64 = 0x6275_7379;
 const REMOVAL_STREAM: u64 = 0x7265_6d6f;
 const ROUTE_STREAM: u64 = 0x726f_7574;
+const STORE_STREAM: u64 = 0x7374_6f72;
 
 /// Delay from a restore of the store until its clients repeat the lost writes.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
@@ -44,6 +45,7 @@
     busy: StdRng,
     removal: StdRng,
     route: StdRng,
+    store: StdRng,
 }
 
 impl FaultStreams {
@@ -57,6 +59,7 @@
             busy: stream(BUSY_STREAM),
             removal: stream(REMOVAL_STREAM),
             route: stream(ROUTE_STREAM),
+            store: stream(STORE_STREAM),
         }
     }
 }
@@ -100,6 +103,7 @@
             schedule.draw_busy().await;
             schedule.draw_removal().await;
             schedule.draw_added_route().await;
+            schedule.draw_lost_responses().await;
         }
         let pause = schedule.streams.main.random_range(100..700);
         sleep(Duration::from_millis(pause)).await;
@@ -246,6 +250,19 @@
         }
     }
 
+    /// Loses the store's responses to all hosts, or for longer to those that read it.
+    async fn draw_lost_responses(&mut self) {
+        let rng = &mut self.streams.store;
+        if !rng.random_bool(0.2) {
+            return;
+        }
+        let (fault, duration) = match rng.random_bool(0.5) {
+            true => (SoakFault::LostResponses, random_time(rng, 200..6600)),
+            false => (SoakFault::UnansweredReaders, random_time(rng, 2000..9000)),
+        };
+        self.start(fault, duration).await;
+    }
+
     fn is_active(&self, is_searched: impl Fn(&SoakFault) -> bool) -> bool {
         self.active.iter().any(|(_time, fault)| is_searched(fault))
     }
