packet: heartbeats state a confirmed time of at most 16 s

Cause: the time since the start of a span grows with the uptime, and a reader sends it to its whole zone twice a second. Change: it is capped at 16 s, more than any decision needs, so that the two times take two bytes each.

--- a/packet/src/state/state_confirmation.rs
+++ b/packet/src/state/state_confirmation.rs
@@ -22,6 +22,10 @@
 /// with the next heartbeat.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(4500);
 
+/// Longest time since the start of a span that heartbeats state, so that it takes two bytes. No
+/// decision needs a longer span.
+const MAX_REPORTED_SPAN: Duration = Duration::from_secs(16);
+
 /// A time span in which the store has confirmed the state without interruption.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConfirmedSpan {
@@ -35,7 +39,7 @@
 #[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfirmationReport {
-    /// Time since the start of the span.
+    /// Time since the start of the span; at most [`MAX_REPORTED_SPAN`].
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     since_ago: Duration,
     /// Time since the last confirmation.
@@ -56,9 +60,13 @@
 impl ConfirmedSpan {
     /// Returns the span for a heartbeat that is sent now.
     pub fn report(&self, now: Instant) -> ConfirmationReport {
+        let confirmed_ago = now.saturating_duration_since(self.confirmed_at);
         ConfirmationReport {
-            since_ago: now.saturating_duration_since(self.since),
-            confirmed_ago: now.saturating_duration_since(self.confirmed_at),
+            since_ago: now
+                .saturating_duration_since(self.since)
+                .min(MAX_REPORTED_SPAN)
+                .max(confirmed_ago),
+            confirmed_ago,
         }
     }
 
--- a/packet/tests/runner.rs
+++ b/packet/tests/runner.rs
@@ -39,6 +39,7 @@
 mod test_route_table;
 mod test_sound_upstreams;
 mod test_start_plan;
+mod test_state_confirmation;
 mod test_state_snapshot;
 mod test_store_feed;
 mod test_syn_deferral;
