soak: lost responses come more often, and a frozen host does not block it

A frozen host accepts the connection on which its metric is read and does not respond, so that the fault that ends the freeze waited for the frozen host.

--- a/standin/src/soak_fault.rs
+++ b/standin/src/soak_fault.rs
@@ -5,6 +5,7 @@
 
 use rand::RngExt;
 use rand::rngs::StdRng;
+use tokio::time::timeout;
 
 use crate::packet_cluster::PacketCluster;
 use crate::packet_cluster::registration_key;
@@ -17,6 +18,9 @@
 use crate::soak_upstream::next_number;
 use crate::soak_upstream::service_name;
 
+/// Timeout of reading a host's metric. A frozen host accepts connections and does not respond.
+const METRIC_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A fault, or a disruption that is no fault of the upstream, and the index of the host or upstream
 /// that it affects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -249,10 +253,11 @@
     }
 }
 
-/// Loses the store's responses to the hosts that read it.
+/// Loses the store's responses to the hosts that read it. A host that is frozen does not count.
 pub(crate) async fn ignore_readers(cluster: &PacketCluster) {
     for host in &cluster.hosts {
-        if host.metric("lagoon_packet_reads ").await > 0.0 {
+        let reads = timeout(METRIC_TIMEOUT, host.metric("lagoon_packet_reads ")).await;
+        if reads.is_ok_and(|reads| reads > 0.0) {
             host.store.set_behaviour(StoreBehaviour::Lost);
         }
     }
--- a/standin/src/soak_schedule.rs
+++ b/standin/src/soak_schedule.rs
@@ -253,7 +253,7 @@
     /// Loses the store's responses to all hosts, or for longer to those that read it.
     async fn draw_lost_responses(&mut self) {
         let rng = &mut self.streams.store;
-        if !rng.random_bool(0.2) {
+        if !rng.random_bool(0.35) {
             return;
         }
         let (fault, duration) = match rng.random_bool(0.5) {
