--- a/packet/src/core_reading.rs
+++ b/packet/src/core_reading.rs
@@ -14,6 +14,7 @@
 use crate::state::state_source::SyncState;
 use crate::state::store_feed::FeedStep;
 use crate::state::store_feed::ListPage;
+use crate::state::store_feed::SentWatch;
 use crate::state::store_feed::StoreFault;
 use crate::state::store_feed::WatchBatch;
 use crate::upstreams::restored_upstreams::RestoreOutcome;
@@ -84,7 +85,10 @@
         self.feed.advance_to(self.snapshot.through());
         let step = self.feed.next_step(now);
         if let FeedStep::Watch { wait, .. } = step {
-            self.last_watch = Some((now, wait));
+            self.last_watch = Some(SentWatch {
+                sent_at: now,
+                wait_end: now + wait,
+            });
         }
         step
     }
@@ -164,12 +168,10 @@
             self.announced_lost = false;
             self.peers.make_round_due();
         }
-        if let Some((called_at, wait)) = self.last_watch {
-            self.store_confirmed(called_at);
-            // Without changes, the store responds only after the wait.
-            let wait_end = called_at + wait;
-            if !changed && wait_end <= now {
-                self.store_confirmed(wait_end);
+        if let Some(watch) = self.last_watch {
+            self.store_confirmed(watch.sent_at);
+            if !changed && watch.wait_end <= now {
+                self.store_confirmed(watch.wait_end);
             }
         }
         Ok(update)
--- a/packet/src/packet_core.rs
+++ b/packet/src/packet_core.rs
@@ -46,6 +46,7 @@
 use crate::state::start_plan::StartPlan;
 use crate::state::state_confirmation::StateConfirmation;
 use crate::state::state_snapshot::StateSnapshot;
+use crate::state::store_feed::SentWatch;
 use crate::state::store_feed::StoreFeed;
 use crate::upstreams::upstream_record::RegistrationState;
 use crate::upstreams::upstream_record::UpstreamRecord;
@@ -94,8 +95,8 @@
     pub(crate) store_reachable: bool,
     /// Whether this host, as the reader, has announced to its zone that the store does not respond.
     pub(crate) announced_lost: bool,
-    /// When the last watch was sent to the store, and its wait; `None` before the first.
-    pub(crate) last_watch: Option<(Instant, Duration)>,
+    /// The last watch that was sent to the store; `None` before the first.
+    pub(crate) last_watch: Option<SentWatch>,
     /// The store's confirmations of the published state, received directly or through the zone's
     /// reader.
     pub(crate) confirmation: StateConfirmation,
--- a/packet/src/state/store_feed.rs
+++ b/packet/src/state/store_feed.rs
@@ -158,6 +158,15 @@
     },
 }
 
+/// A watch that was sent to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentWatch {
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// Until when the store waits for a change; without one, it responds only then.
+    pub wait_end: Instant,
+}
+
 /// The state of a host's calls to the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreFeed {
