--- a/packet/src/peers/peer_table.rs
+++ b/packet/src/peers/peer_table.rs
@@ -212,11 +212,19 @@
         now: Instant,
         zone: &'a ZoneName,
     ) -> impl Iterator<Item = (SocketAddrV4, u32)> + 'a {
-        let is_reader = move |peer: &&PeerRecord| peer.zone == *zone && peer.is_current_reader(now);
+        self.current_readers(now, zone)
+            .map(|(address, peer)| (address, peer.capacity))
+    }
+
+    fn current_readers<'a>(
+        &'a self,
+        now: Instant,
+        zone: &'a ZoneName,
+    ) -> impl Iterator<Item = (SocketAddrV4, &'a PeerRecord)> + 'a {
         let peers = self.peers.iter();
         peers
-            .filter(move |(_address, peer)| is_reader(peer))
-            .map(|(address, peer)| (*address, peer.capacity))
+            .filter(move |(_address, peer)| peer.zone == *zone && peer.is_current_reader(now))
+            .map(|(address, peer)| (*address, peer))
     }
 
     /// A reader of a zone other than this host.
@@ -232,10 +240,9 @@
         now: Instant,
         held: StorePosition,
     ) -> impl Iterator<Item = ConfirmedSpan> {
-        let readers = self.peers.values().filter(move |peer| {
-            peer.zone == self.zone && peer.is_current_reader(now) && peer.through <= held
-        });
-        readers.filter_map(|peer| peer.confirmed)
+        self.current_readers(now, &self.zone)
+            .filter(move |(_address, peer)| peer.through <= held)
+            .filter_map(|(_address, peer)| peer.confirmed)
     }
 
     /// Whether any live peer has published state that this host lacks.
--- a/packet/src/state/store_feed.rs
+++ b/packet/src/state/store_feed.rs
@@ -19,10 +19,9 @@
 use crate::state::state_snapshot::StateUpdate;
 use crate::state::store_position::StorePosition;
 
-/// Time for which the store may hold a watch open without changes. Nothing tells a watch that waits
-/// from one whose response was lost, so that a change may be missed for this time and
-/// [`WATCH_TIMEOUT`] together. A shorter time costs more calls, although only the few readers make
-/// them.
+/// Time for which the store may hold a watch open without changes. A pending watch looks the same as
+/// one whose response was lost, so that a change may go unnoticed for this time plus
+/// [`WATCH_TIMEOUT`]. A shorter time costs more calls, although only the few readers make them.
 pub const WATCH_WAIT: Duration = Duration::from_secs(1);
 
 /// Time for which the store may hold the first watch of a new reader open. The response shows that
